--- /dev/null
+++ b/controller/src/main/kotlin/cactusfold/controller/cell/CellKeeper.kt
@@ -0,0 +1,244 @@
+package cactusfold.controller.cell
+
+import cactusfold.decisions.placement.CellAccount
+import cactusfold.decisions.placement.CellEffect
+import cactusfold.decisions.placement.CellEvent
+import cactusfold.decisions.placement.CellMachine
+import cactusfold.decisions.placement.CellState
+import cactusfold.decisions.placement.Order
+import cactusfold.decisions.placement.RunnerSpec
+import cactusfold.decisions.placement.RunnerState
+import cactusfold.node.events.EventRing
+import cactusfold.node.events.NodeEvent
+import cactusfold.node.rows.Rows
+import cactusfold.node.rows.Shards
+import cactusfold.node.rows.toIntent
+import cactusfold.node.rows.toOrder
+import cactusfold.node.state.Guarded
+import cactusfold.node.time.MonotonicClock
+import cactusfold.node.time.TimerService
+import cactusfold.node.time.TimerSubscription
+import cactusfold.platform.runner.OrderOutcome
+import cactusfold.platform.runner.RunnerControl
+import cactusfold.platform.table.ReadResult
+import cactusfold.platform.table.RowWrite
+import cactusfold.platform.table.TableStore
+import cactusfold.platform.table.WriteResult
+import cactusfold.protocol.StoredIntent
+import cactusfold.settings.fleet.FleetConfig
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** What a cell's keeper works with. */
+public class CellContext(
+    public val table: TableStore,
+    public val clock: MonotonicClock,
+    public val events: EventRing,
+    public val scope: CoroutineScope,
+    public val machine: CellMachine,
+    public val controlOf: (RunnerSpec) -> RunnerControl
+)
+
+/** The placement of a model as this holder decided it. */
+public data class Placement(
+    public val version: Long,
+    public val replicas: List<RunnerState>,
+    public val hasNoCapacity: Boolean
+)
+
+/**
+ * Carries out the decisions of one cell while this process holds its shard with [fence].
+ *
+ * @param fenceNow returns the fence held at this moment; nothing is sent or written once it differs.
+ */
+public class CellKeeper(
+    private val cell: String,
+    private val fence: Long,
+    private val context: CellContext,
+    private val fenceNow: () -> Long?
+) {
+    private val job = SupervisorJob(context.scope.coroutineContext[Job])
+    private val scope = CoroutineScope(context.scope.coroutineContext + job)
+    private val timers = TimerService(scope)
+    private val state = Guarded(CellState(cell, fence))
+    private val controls = ConcurrentHashMap<String, RunnerControl>()
+    private val pollers = ConcurrentHashMap<String, TimerSubscription>()
+    private val versions = ConcurrentHashMap<String, MutableStateFlow<Long>>()
+    private val withoutCapacity = ConcurrentHashMap<String, Long>()
+
+    /** The cell's state now. */
+    public val current: CellState get() = state.value
+
+    private val isHolder: Boolean get() = fenceNow() == fence
+
+    /** Begins to hold the cell: reads what earlier holders left, then decides. */
+    public fun start(config: FleetConfig) {
+        configure(config)
+        timers.subscribe("cell-tick", TICK_MILLIS) { apply(CellEvent.Tick) }
+        scope.launch { recover() }
+    }
+
+    /** Ends the hold. */
+    public fun stop() {
+        scope.cancel()
+    }
+
+    /** Takes over the runners and models of [config]. */
+    public fun configure(config: FleetConfig) {
+        val runners = config.runners.values.filter { it.cell == cell }.map { it.spec }
+        val models = config.models.values.map { it.spec }
+            .filter { config.cellOf(it.name) == cell }
+        apply(CellEvent.Configured(runners, models))
+        watchRunners(runners)
+    }
+
+    /** Notes that the platform lists the VMs of [runners] as leaving. */
+    public fun leaving(runners: Set<String>) {
+        runners.forEach { apply(CellEvent.RunnerLeaving(it)) }
+    }
+
+    /** Reports demand and returns the placement once it is newer than [knownVersion]. */
+    public suspend fun watch(
+        event: CellEvent.Demanded,
+        knownVersion: Long,
+        waitMillis: Long
+    ): Placement {
+        withoutCapacity.remove(event.model)
+        apply(event)
+        if (placement(event.model).version == knownVersion) {
+            val known = knownVersion - (fence shl VERSION_BITS)
+            withTimeoutOrNull(waitMillis) { versionFlow(event.model).first { it > known } }
+        }
+        return placement(event.model)
+    }
+
+    /** Returns the placement of [model] now. */
+    public fun placement(model: String): Placement {
+        val now = state.value
+        val version = (fence shl VERSION_BITS) + (now.demand[model]?.version ?: 0)
+        val isHopeless = withoutCapacity.containsKey(model)
+        return Placement(version, CellAccount.ready(now, model), isHopeless)
+    }
+
+    private fun versionFlow(model: String): MutableStateFlow<Long> =
+        versions.computeIfAbsent(model) {
+            MutableStateFlow(state.value.demand[model]?.version ?: 0)
+        }
+
+    private suspend fun recover() {
+        while (true) {
+            val rows = context.table.list(Rows.intents(cell))
+            if (rows is ReadResult.Found) {
+                val now = context.clock.nowMillis()
+                val intents = rows.value.map { StoredIntent.parseFrom(it.value).toOrder(now) }
+                apply(CellEvent.Recovered(intents))
+                return
+            }
+            delay(RECOVERY_RETRY_MILLIS)
+        }
+    }
+
+    private fun watchRunners(runners: List<RunnerSpec>) {
+        val names = runners.mapTo(mutableSetOf()) { it.name }
+        pollers.keys.filter { it !in names }.forEach { pollers.remove(it)?.cancel() }
+        for (runner in runners) {
+            controls[runner.name] = context.controlOf(runner)
+            pollers.computeIfAbsent(runner.name) { name ->
+                timers.subscribe("inventory-$name", POLL_MILLIS) { readInventory(name) }
+            }
+        }
+    }
+
+    private suspend fun readInventory(runner: String) {
+        if (!isHolder) return
+        val inventory = controls[runner]?.inventory(fence, context.clock.nowMillis())
+        if (inventory == null) {
+            apply(CellEvent.RunnerFailed(runner))
+        } else {
+            apply(CellEvent.InventoryRead(runner, inventory))
+        }
+    }
+
+    private fun apply(event: CellEvent) {
+        val effects = state.step { context.machine.step(it, event, context.clock.nowMillis()) }
+        effects.forEach(::run)
+    }
+
+    private fun run(effect: CellEffect) {
+        when (effect) {
+            is CellEffect.WriteIntent -> scope.launch { writeIntent(effect.order) }
+            is CellEffect.ClearIntent -> scope.launch { clearIntent(effect.order) }
+            is CellEffect.Send -> scope.launch { send(effect.order) }
+            is CellEffect.PlacementChanged -> announce(effect.model)
+            is CellEffect.NoCapacity -> {
+                withoutCapacity[effect.model] = context.clock.nowMillis()
+                announce(effect.model)
+            }
+        }
+    }
+
+    private fun announce(model: String) {
+        val replicas = CellAccount.ready(state.value, model).size
+        context.events.add(NodeEvent.PlacementChanged(model, replicas))
+        val version = state.value.demand[model]?.version ?: 0
+        versionFlow(model).update { maxOf(it, version) }
+    }
+
+    /** Writes the intent on condition that the shard row still has our fence. */
+    private suspend fun writeIntent(order: Order) {
+        val writes = listOf(
+            RowWrite.Check(Rows.shard(Shards.ofCell(cell)), fence),
+            RowWrite.Insert(Rows.intent(cell, order.id), order.toIntent(cell).toByteString())
+        )
+        val written = when (context.table.write(writes)) {
+            WriteResult.Written -> true
+            is WriteResult.Unknown -> isIntentThere(order)
+            else -> false
+        }
+        val event = if (written && isHolder) {
+            CellEvent.IntentWritten(order.runner, order.id)
+        } else {
+            CellEvent.IntentFailed(order.runner, order.id)
+        }
+        apply(event)
+    }
+
+    private suspend fun isIntentThere(order: Order): Boolean {
+        val found = context.table.get(Rows.intent(cell, order.id))
+        return (found as? ReadResult.Found)?.value != null
+    }
+
+    private suspend fun clearIntent(order: Order) {
+        context.table.write(listOf(RowWrite.Delete(Rows.intent(cell, order.id), 1)))
+    }
+
+    private suspend fun send(order: Order) {
+        if (!isHolder) return
+        val control = controls[order.runner] ?: return
+        val sent = NodeEvent.OrderSent(order.kind.name, order.model, order.runner, order.id)
+        context.events.add(sent)
+        val event = when (control.send(order)) {
+            OrderOutcome.TAKEN -> CellEvent.OrderAcknowledged(order.runner, order.id)
+            OrderOutcome.REFUSED -> CellEvent.OrderRefused(order.runner, order.id)
+            OrderOutcome.UNKNOWN -> CellEvent.OrderUnknown(order.runner, order.id)
+        }
+        apply(event)
+        if (event is CellEvent.OrderAcknowledged) readInventory(order.runner)
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 500L
+        const val POLL_MILLIS = 100L
+        const val RECOVERY_RETRY_MILLIS = 200L
+        const val VERSION_BITS = 32
+    }
+}
--- /dev/null
+++ b/controller/src/main/kotlin/cactusfold/controller/rate/BucketKeeper.kt
@@ -0,0 +1,76 @@
+package cactusfold.controller.rate
+
+import cactusfold.decisions.rate.BucketHolder
+import cactusfold.decisions.rate.BucketState
+import cactusfold.decisions.rate.ContactSettings
+import cactusfold.decisions.rate.RouterRegistry
+import cactusfold.decisions.rate.TokenAnswer
+import cactusfold.decisions.rate.TokenAsk
+import cactusfold.node.rows.Shards
+import cactusfold.node.state.Guarded
+import cactusfold.node.time.MonotonicClock
+import cactusfold.settings.fleet.FleetConfig
+import java.util.concurrent.ConcurrentHashMap
+
+/** The buckets of the workspaces whose rate shards this process holds, each under its own lock. */
+public class BucketKeeper(settings: ContactSettings, private val clock: MonotonicClock) {
+    private class Held(val fence: Long, val sinceMillis: Long)
+
+    private val holder = BucketHolder(settings)
+    private val shards = ConcurrentHashMap<String, Held>()
+    private val buckets = ConcurrentHashMap<String, Guarded<BucketState>>()
+
+    @Volatile
+    private var config: FleetConfig = FleetConfig.EMPTY
+
+    @Volatile
+    private var registry = RouterRegistry(emptySet(), Long.MIN_VALUE / 2)
+
+    /** Workspaces with a bucket here. */
+    public val workspaces: Set<String> get() = buckets.keys.toSet()
+
+    /** Begins to hold [shard]: its buckets start empty. */
+    public fun acquired(shard: String, fence: Long) {
+        shards[shard] = Held(fence, clock.nowMillis())
+    }
+
+    /** Ends the hold of [shard] and drops its buckets. */
+    public fun lost(shard: String) {
+        shards.remove(shard)
+        buckets.keys.filter { Shards.ofRate(it) == shard }.forEach { buckets.remove(it) }
+    }
+
+    /** Takes over the limits of [next]. */
+    public fun configure(next: FleetConfig) {
+        config = next
+        for ((workspace, bucket) in buckets) {
+            val limit = next.workspaces[workspace]?.limit
+            if (limit == null) {
+                buckets.remove(workspace)
+            } else {
+                bucket.update { holder.reconfigure(it, limit, clock.nowMillis()) }
+            }
+        }
+    }
+
+    /** Takes note of the routers registered when the table was read at [readAtMillis]. */
+    public fun registered(routers: Set<String>, readAtMillis: Long) {
+        registry = RouterRegistry(routers, readAtMillis)
+        for (bucket in buckets.values) {
+            bucket.update { holder.registered(it, registry, clock.nowMillis()) }
+        }
+    }
+
+    /** Answers [ask] for [workspace], or returns null when its shard is not held here. */
+    public fun ask(workspace: String, ask: TokenAsk): TokenAnswer? {
+        val held = shards[Shards.ofRate(workspace)] ?: return null
+        val limit = config.workspaces[workspace]?.limit ?: return null
+        val bucket = buckets.computeIfAbsent(workspace) {
+            Guarded(holder.start(limit, registry, held.sinceMillis))
+        }
+        return bucket.exchange { state ->
+            val step = holder.ask(state, ask, clock.nowMillis())
+            step.state to step.answer
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/cactusfold/decisions/Rendezvous.kt
@@ -0,0 +1,20 @@
+package cactusfold.decisions
+
+import com.google.common.hash.Hashing
+
+/** Highest-random-weight hashing: moves about 1/n of the keys when one of n members changes. */
+public object Rendezvous {
+    private val hash = Hashing.murmur3_128()
+
+    /** Returns the member of [members] that [key] prefers, or null when there is none. */
+    public fun preferred(key: String, members: Iterable<String>): String? =
+        members.maxByOrNull { weight(key, it) }
+
+    /** Returns the bucket from 0 until [buckets] that [key] falls into. */
+    public fun bucket(key: String, buckets: Int): Int =
+        Math.floorMod(hash.hashUnencodedChars(key).asLong(), buckets)
+
+    private fun weight(key: String, member: String): Long =
+        hash.newHasher().putUnencodedChars(key).putChar('\u0000').putUnencodedChars(member)
+            .hash().asLong()
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/cactusfold/decisions/lease/LeaseMachine.kt
@@ -0,0 +1,226 @@
+package cactusfold.decisions.lease
+
+import cactusfold.decisions.Rendezvous
+import cactusfold.decisions.Step
+import cactusfold.decisions.invariant
+import cactusfold.decisions.unchanged
+import cactusfold.decisions.with
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+
+/**
+ * Decides when to renew the own session, which shards to take, and when a hold is lost.
+ *
+ * A holder counts its lease from before it sent the renewal. A taker counts TTL and skew on its own
+ * clock since it last saw the holder's counter change. Wall clocks of two VMs are never compared.
+ * A lost hold is never joined again: the shard is taken anew with a higher fence.
+ */
+public class LeaseMachine(private val settings: LeaseSettings) {
+
+    /** Returns what follows from [event] at [nowMillis] on the monotonic clock. */
+    public fun step(
+        state: LeaseState,
+        event: LeaseEvent,
+        nowMillis: Long
+    ): Step<LeaseState, LeaseEffect> {
+        val lapse = dropLapsedHolds(state, nowMillis)
+        val next = react(lapse.state, event, nowMillis)
+        return Step(next.state, lapse.effects + next.effects)
+    }
+
+    private fun react(
+        state: LeaseState,
+        event: LeaseEvent,
+        nowMillis: Long
+    ): Step<LeaseState, LeaseEffect> = when (event) {
+        LeaseEvent.Tick -> renewIfDue(state, nowMillis)
+        is LeaseEvent.Renewed -> renewed(state, event)
+        LeaseEvent.RenewalFailed -> state.copy(renewalInFlight = false).unchanged()
+        is LeaseEvent.CounterFound -> state.copy(
+            counter = maxOf(state.counter, event.counter),
+            renewalSentAtMillis = Long.MIN_VALUE,
+            renewalInFlight = false
+        ).unchanged()
+        LeaseEvent.Superseded -> superseded(state)
+        is LeaseEvent.ShardsWanted -> wanted(state, event.shards)
+        is LeaseEvent.TableRead -> tableRead(state, event, nowMillis)
+        is LeaseEvent.Took -> took(state, event, nowMillis)
+        is LeaseEvent.TakeFailed -> state.copy(
+            taking = state.taking.remove(event.shard)
+        ).unchanged()
+        LeaseEvent.Stop -> stop(state)
+    }
+
+    private fun dropLapsedHolds(state: LeaseState, nowMillis: Long): Step<LeaseState, LeaseEffect> =
+        if (state.held.isEmpty() || state.isLive(nowMillis)) state.unchanged() else dropAll(state)
+
+    private fun dropAll(state: LeaseState): Step<LeaseState, LeaseEffect> = Step(
+        state.copy(held = persistentMapOf(), taking = persistentMapOf()),
+        state.held.map { (shard, fence) -> LeaseEffect.Lost(shard, fence) }
+    )
+
+    private fun renewIfDue(state: LeaseState, nowMillis: Long): Step<LeaseState, LeaseEffect> {
+        val never = state.renewalSentAtMillis == Long.MIN_VALUE
+        val due = never || nowMillis - state.renewalSentAtMillis >= settings.renewEveryMillis
+        if (!due || state.renewalInFlight) return state.unchanged()
+        val sent = state.copy(renewalSentAtMillis = nowMillis, renewalInFlight = true)
+        return sent.with(LeaseEffect.Renew(state.counter + 1, state.stopping))
+    }
+
+    private fun renewed(
+        state: LeaseState,
+        event: LeaseEvent.Renewed
+    ): Step<LeaseState, LeaseEffect> {
+        invariant(event.counter > state.counter) { "a session counter only rises" }
+        val until = maxOf(state.leaseUntilMillis, event.sentAtMillis + settings.ttlMillis)
+        return state.copy(
+            counter = event.counter,
+            leaseUntilMillis = until,
+            renewalInFlight = false
+        ).unchanged()
+    }
+
+    private fun superseded(state: LeaseState): Step<LeaseState, LeaseEffect> {
+        val dropped = dropAll(state)
+        val ended = dropped.state.copy(leaseUntilMillis = Long.MIN_VALUE, stopping = true)
+        return Step(ended, dropped.effects)
+    }
+
+    private fun wanted(state: LeaseState, shards: Set<String>): Step<LeaseState, LeaseEffect> {
+        val gone = state.held.filterKeys { it !in shards }
+        val next = state.copy(
+            wanted = shards,
+            held = state.held.filterKeys { it in shards }.toPersistentMap()
+        )
+        return Step(next, gone.flatMap { (shard, fence) -> giveUp(shard, fence) })
+    }
+
+    private fun stop(state: LeaseState): Step<LeaseState, LeaseEffect> {
+        val next = state.copy(stopping = true, held = persistentMapOf())
+        return Step(next, state.held.flatMap { (shard, fence) -> giveUp(shard, fence) })
+    }
+
+    private fun giveUp(shard: String, fence: Long): List<LeaseEffect> =
+        listOf(LeaseEffect.Lost(shard, fence), LeaseEffect.Release(shard, fence))
+
+    private fun took(
+        state: LeaseState,
+        event: LeaseEvent.Took,
+        nowMillis: Long
+    ): Step<LeaseState, LeaseEffect> {
+        val known = state.shards[event.shard]?.fence ?: 0
+        invariant(event.fence >= known || state.taking[event.shard] == null) {
+            "the fence of shard ${event.shard} only rises"
+        }
+        val expected = state.taking[event.shard] == event.fence
+        val cleared = state.copy(taking = state.taking.remove(event.shard))
+        if (!expected || state.stopping || !state.isLive(nowMillis)) {
+            return cleared.with(LeaseEffect.Release(event.shard, event.fence))
+        }
+        val row = ShardRow(event.shard, event.fence, state.self, state.incarnation)
+        return cleared.copy(
+            held = state.held.put(event.shard, event.fence),
+            shards = state.shards.put(event.shard, row)
+        ).with(LeaseEffect.Acquired(event.shard, event.fence))
+    }
+
+    private fun tableRead(
+        state: LeaseState,
+        event: LeaseEvent.TableRead,
+        nowMillis: Long
+    ): Step<LeaseState, LeaseEffect> {
+        val seen = state.copy(
+            sessions = observe(state.sessions, event.sessions, nowMillis),
+            shards = event.shards.associateBy { it.shard }.toPersistentMap()
+        )
+        val dispossessed = dropDispossessed(seen)
+        if (!seen.isLive(nowMillis) || seen.stopping) return dispossessed
+        val live = liveSessions(seen, event.goneHere, nowMillis)
+        val moved = handOver(dispossessed.state, live)
+        val takes = takes(moved.state, live, event.goneHere, nowMillis)
+        return Step(takes.state, dispossessed.effects + moved.effects + takes.effects)
+    }
+
+    private fun observe(
+        known: PersistentMap<String, ObservedSession>,
+        rows: List<SessionRow>,
+        nowMillis: Long
+    ): PersistentMap<String, ObservedSession> = rows.associate { row ->
+        val before = known[row.session]
+        val same = before != null &&
+            before.row.counter == row.counter &&
+            before.row.incarnation == row.incarnation
+        row.session to if (same) before.copy(row = row) else ObservedSession(row, nowMillis)
+    }.toPersistentMap()
+
+    /** Drops holds whose row names a higher fence: somebody else holds the shard. */
+    private fun dropDispossessed(state: LeaseState): Step<LeaseState, LeaseEffect> {
+        val lost = state.held.filter { (shard, fence) ->
+            (state.shards[shard]?.fence ?: fence) > fence
+        }
+        val kept = state.held.filterKeys { it !in lost }.toPersistentMap()
+        return Step(
+            state.copy(held = kept),
+            lost.map { (shard, fence) -> LeaseEffect.Lost(shard, fence) }
+        )
+    }
+
+    private fun liveSessions(
+        state: LeaseState,
+        goneHere: Set<String>,
+        nowMillis: Long
+    ): Set<String> {
+        val others = state.sessions.values.filter {
+            !it.row.leaving && it.row.session !in goneHere && !isGone(it, nowMillis)
+        }
+        return others.mapTo(mutableSetOf(state.self)) { it.row.session }
+    }
+
+    private fun isGone(session: ObservedSession, nowMillis: Long): Boolean =
+        nowMillis - session.changedAtMillis >= settings.ttlMillis + settings.skewMillis
+
+    /** Releases held shards that prefer another live session. */
+    private fun handOver(state: LeaseState, live: Set<String>): Step<LeaseState, LeaseEffect> {
+        val moving = state.held.filterKeys { Rendezvous.preferred(it, live) != state.self }
+        if (moving.isEmpty()) return state.unchanged()
+        val kept = state.held.filterKeys { it !in moving }.toPersistentMap()
+        return Step(
+            state.copy(held = kept),
+            moving.flatMap { (shard, fence) -> giveUp(shard, fence) }
+        )
+    }
+
+    private fun takes(
+        state: LeaseState,
+        live: Set<String>,
+        goneHere: Set<String>,
+        nowMillis: Long
+    ): Step<LeaseState, LeaseEffect> {
+        val mine = state.wanted.filter { shard ->
+            shard !in state.held &&
+                shard !in state.taking &&
+                Rendezvous.preferred(shard, live) == state.self &&
+                isFree(state, shard, goneHere, nowMillis)
+        }
+        val effects = mine.map { shard ->
+            val fence = state.shards[shard]?.fence ?: 0
+            LeaseEffect.Take(shard, fence, fence + 1)
+        }
+        val taking = state.taking.putAll(effects.associate { it.shard to it.newFence })
+        return Step(state.copy(taking = taking), effects)
+    }
+
+    private fun isFree(
+        state: LeaseState,
+        shard: String,
+        goneHere: Set<String>,
+        nowMillis: Long
+    ): Boolean {
+        val row = state.shards[shard] ?: return true
+        val holder = row.session ?: return true
+        if (holder == state.self || holder in goneHere) return true
+        val session = state.sessions[holder] ?: return true
+        return session.row.incarnation != row.incarnation || isGone(session, nowMillis)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/cactusfold/node/admin/AdminServer.kt
@@ -0,0 +1,66 @@
+package cactusfold.node.admin
+
+import cactusfold.settings.schema.HostPort
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServer
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+import io.vertx.kotlin.coroutines.coAwait
+
+/** A condition of readiness. Returns null when it holds, else why it does not. */
+public fun interface ReadinessCheck {
+    /** Returns null, or the reason why the process should get no new work. */
+    public fun reason(): String?
+}
+
+/** Serves `/healthz`, `/readyz`, `/metrics` and what a daemon adds, for operators only. */
+public class AdminServer(
+    private val vertx: Vertx,
+    private val address: HostPort,
+    private val metrics: PrometheusMeterRegistry,
+    private val readiness: List<ReadinessCheck>
+) {
+    /** Routes of the server; daemons add theirs before [start]. */
+    public val router: Router = Router.router(vertx)
+    private var server: HttpServer? = null
+
+    init {
+        router.get("/healthz").handler { it.end("ok\n") }
+        router.get("/readyz").handler(::ready)
+        router.get("/metrics").handler {
+            it.response().putHeader("content-type", "text/plain; version=0.0.4")
+            it.end(metrics.scrape())
+        }
+    }
+
+    /** The port that is listened on. */
+    public val port: Int get() = server?.actualPort() ?: address.port
+
+    /** Begins to listen. */
+    public suspend fun start() {
+        server = vertx.createHttpServer()
+            .requestHandler(router)
+            .listen(address.port, address.host)
+            .coAwait()
+    }
+
+    /** Stops listening. */
+    public suspend fun stop() {
+        server?.close()?.coAwait()
+    }
+
+    private fun ready(context: RoutingContext) {
+        val reasons = readiness.mapNotNull { it.reason() }
+        val body = JsonObject().put("ready", reasons.isEmpty()).put("reasons", JsonArray(reasons))
+        context.response().setStatusCode(if (reasons.isEmpty()) OK else UNAVAILABLE)
+        context.json(body)
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/cactusfold/node/config/ConfigKeeper.kt
@@ -0,0 +1,215 @@
+package cactusfold.node.config
+
+import cactusfold.decisions.config.ConfigDocument
+import cactusfold.decisions.config.ConfigEntry
+import cactusfold.decisions.config.ConfigLog
+import cactusfold.decisions.config.ConfigLogEffect
+import cactusfold.decisions.config.ConfigLogState
+import cactusfold.decisions.config.ConfigPatch
+import cactusfold.node.events.EventRing
+import cactusfold.node.events.NodeEvent
+import cactusfold.node.peer.PeerClients
+import cactusfold.node.peer.PeerResult
+import cactusfold.node.rows.Rows
+import cactusfold.node.rows.toEntry
+import cactusfold.node.rows.toMessage
+import cactusfold.node.state.Guarded
+import cactusfold.node.time.MonotonicClock
+import cactusfold.node.time.TimerService
+import cactusfold.platform.table.ReadResult
+import cactusfold.platform.table.RowWrite
+import cactusfold.platform.table.TableStore
+import cactusfold.platform.table.WriteResult
+import cactusfold.protocol.ConfigEntries
+import cactusfold.protocol.ConfigEntry as ConfigEntryMessage
+import cactusfold.protocol.ConfigPosition
+import cactusfold.settings.fleet.FleetConfig
+import cactusfold.settings.schema.HostPort
+import java.util.UUID
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+
+/** The outcome of proposing a change. */
+public sealed interface SubmitResult {
+    /** The change is version [version], for good. */
+    public data class Accepted(public val version: Long) : SubmitResult
+
+    /** Another operator's change came first; nothing was changed. */
+    public data class Contention(public val version: Long) : SubmitResult
+
+    /** The store can't be reached. [mayBeAccepted] tells whether the change may have been taken. */
+    public data class Unavailable(public val reason: String, public val mayBeAccepted: Boolean) :
+        SubmitResult
+}
+
+/** A change that an operator proposes on top of version [base]. */
+public data class Proposal(
+    public val base: Long,
+    public val patch: ConfigPatch,
+    public val author: String,
+    public val comment: String,
+    public val acceptedAtEpochMillis: Long,
+    public val operationId: String = UUID.randomUUID().toString()
+)
+
+/**
+ * Keeps the configuration in force: polls the log in the table, takes entries from peers, and passes
+ * new ones on. A node only moves up.
+ */
+public class ConfigKeeper(
+    private val table: TableStore,
+    private val peers: PeerClients,
+    private val peerAddresses: () -> List<HostPort>,
+    private val clock: MonotonicClock,
+    private val timers: TimerService,
+    private val scope: CoroutineScope,
+    private val events: EventRing
+) {
+    private val state = Guarded(ConfigLogState())
+    private val history = Guarded(persistentListOf<ConfigEntry>())
+    private val listeners = CopyOnWriteArrayList<(FleetConfig) -> Unit>()
+
+    @Volatile
+    private var fleet: FleetConfig = FleetConfig.EMPTY
+
+    @Volatile
+    private var lastContactAtMillis: Long? = null
+
+    /** The configuration in force. */
+    public val current: FleetConfig get() = fleet
+
+    /** The document in force. */
+    public val document: ConfigDocument get() = state.value.document
+
+    /** All entries known here, oldest first. */
+    public val entries: List<ConfigEntry> get() = history.value
+
+    /** Calls [listener] with the configuration in force, now and after each change. */
+    public fun listen(listener: (FleetConfig) -> Unit) {
+        listeners += listener
+        listener(fleet)
+    }
+
+    /** Begins to poll. */
+    public fun start(pollMillis: Long) {
+        timers.subscribe("config-poll", pollMillis) { poll() }
+    }
+
+    /** Returns how long ago the store or a peer last confirmed what is in force, or null. */
+    public fun contactAgeMillis(): Long? = lastContactAtMillis?.let { clock.nowMillis() - it }
+
+    /** Reads entries above the version in force from the table, or from a peer. */
+    public suspend fun poll() {
+        val after = Rows.configSort(state.value.version)
+        when (val rows = table.list(Rows.CONFIG, after)) {
+            is ReadResult.Found -> {
+                lastContactAtMillis = clock.nowMillis()
+                offer(rows.value.map { ConfigEntryMessage.parseFrom(it.value).toEntry() })
+            }
+            is ReadResult.Unavailable -> pollPeer()
+        }
+    }
+
+    private suspend fun pollPeer() {
+        val peer = peerAddresses().randomOrNull() ?: return
+        val position = ConfigPosition.newBuilder().setVersion(state.value.version).build()
+        val answer = peers.peer(peer, PEER_TIMEOUT_MILLIS) { fetchConfig(position) }
+        if (answer is PeerResult.Answer) {
+            lastContactAtMillis = clock.nowMillis()
+            offer(answer.value.entriesList.map { it.toEntry() })
+        }
+    }
+
+    /** Takes entries from whichever source; returns the version in force afterwards. */
+    public fun offer(entries: List<ConfigEntry>): Long {
+        val before = state.value.version
+        val effects = state.step { ConfigLog.offer(it, entries) }
+        val fresh = entries.filter { it.version > before }.sortedBy { it.version }
+        history.update { known -> append(known, fresh) }
+        effects.forEach(::run)
+        return state.value.version
+    }
+
+    private fun append(
+        known: PersistentList<ConfigEntry>,
+        fresh: List<ConfigEntry>
+    ): PersistentList<ConfigEntry> = fresh.fold(known) { list, entry ->
+        val next = (list.lastOrNull()?.version ?: 0) + 1
+        if (entry.version == next) list.add(entry) else list
+    }
+
+    /** Returns the entries above [version], up to [limit]. */
+    public fun entriesAbove(version: Long, limit: Int): List<ConfigEntry> =
+        history.value.filter { it.version > version }.take(limit)
+
+    private fun run(effect: ConfigLogEffect) {
+        when (effect) {
+            is ConfigLogEffect.InForce -> enforce(effect)
+            is ConfigLogEffect.Fetch -> scope.launch { poll() }
+        }
+    }
+
+    @Synchronized
+    private fun enforce(effect: ConfigLogEffect.InForce) {
+        if (effect.version <= fleet.version) return
+        fleet = FleetConfig.of(effect.version, effect.document)
+        events.add(NodeEvent.ConfigInForce(effect.version))
+        listeners.forEach { it(fleet) }
+    }
+
+    /** Tries to make [proposal] the next version. */
+    public suspend fun submit(proposal: Proposal): SubmitResult {
+        poll()
+        val head = state.value.version
+        if (head != proposal.base) return SubmitResult.Contention(head)
+        val entry = ConfigEntry(
+            head + 1,
+            proposal.operationId,
+            proposal.author,
+            proposal.acceptedAtEpochMillis,
+            proposal.patch,
+            proposal.comment
+        )
+        val row = RowWrite.Insert(Rows.config(entry.version), entry.toMessage().toByteString())
+        return when (val result = table.write(listOf(row))) {
+            WriteResult.Written -> accepted(entry)
+            is WriteResult.Conflict -> resolve(entry)
+            is WriteResult.NotWritten -> SubmitResult.Unavailable(result.reason, false)
+            is WriteResult.Unknown -> resolve(entry)
+        }
+    }
+
+    /** Reads the row back and compares operation ids, because a lost reply tells nothing. */
+    private suspend fun resolve(entry: ConfigEntry): SubmitResult {
+        val found = table.get(Rows.config(entry.version))
+        val row = (found as? ReadResult.Found)?.value
+            ?: return SubmitResult.Unavailable("the store did not answer", true)
+        val stored = ConfigEntryMessage.parseFrom(row.value)
+        if (stored.operationId == entry.operationId) return accepted(entry)
+        offer(listOf(stored.toEntry()))
+        return SubmitResult.Contention(entry.version)
+    }
+
+    private fun accepted(entry: ConfigEntry): SubmitResult {
+        offer(listOf(entry))
+        push(entry)
+        return SubmitResult.Accepted(entry.version)
+    }
+
+    /** Offers [entry] to some peers at random; the others poll. */
+    private fun push(entry: ConfigEntry) {
+        val message = ConfigEntries.newBuilder().addEntries(entry.toMessage()).build()
+        peerAddresses().shuffled(Random.Default).take(PUSH_FANOUT).forEach { peer ->
+            scope.launch { peers.peer(peer, PEER_TIMEOUT_MILLIS) { offerConfig(message) } }
+        }
+    }
+
+    private companion object {
+        const val PEER_TIMEOUT_MILLIS = 1_000L
+        const val PUSH_FANOUT = 16
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/cactusfold/node/launch/NodeCore.kt
@@ -0,0 +1,196 @@
+package cactusfold.node.launch
+
+import cactusfold.decisions.store.CallBudget
+import cactusfold.decisions.store.Circuit
+import cactusfold.decisions.store.StorePurpose
+import cactusfold.node.admin.AdminServer
+import cactusfold.node.admin.ReadinessCheck
+import cactusfold.node.config.ConfigKeeper
+import cactusfold.node.events.EventRing
+import cactusfold.node.events.HybridClock
+import cactusfold.node.peer.PeerClients
+import cactusfold.node.peer.PeerServer
+import cactusfold.node.peer.PeerService
+import cactusfold.node.peer.RoleService
+import cactusfold.node.process.ProcessIdentity
+import cactusfold.node.session.Role
+import cactusfold.node.session.SelfDescription
+import cactusfold.node.session.SessionKeeper
+import cactusfold.node.time.MonotonicClock
+import cactusfold.node.time.TimerService
+import cactusfold.platform.http.PlatformHttp
+import cactusfold.platform.objects.ObjectStore
+import cactusfold.platform.objects.S3Objects
+import cactusfold.platform.table.DynamoTable
+import cactusfold.platform.table.GuardedTable
+import cactusfold.platform.table.TableStore
+import cactusfold.platform.vms.HttpVmList
+import cactusfold.platform.vms.VmList
+import cactusfold.settings.schema.HostPort
+import io.grpc.BindableService
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+
+/** What routers and controllers have in common, wired together. */
+public class NodeCore(
+    public val settings: NodeSettings,
+    public val role: Role,
+    public val vertx: Vertx,
+    public val clock: MonotonicClock = MonotonicClock.SYSTEM
+) {
+    /** Scope of all that the process does in the background. */
+    public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+
+    /** Periodic actions. */
+    public val timers: TimerService = TimerService(scope)
+
+    /** Metrics of the process. */
+    public val metrics: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    /** The events of the process. */
+    public val events: EventRing = EventRing(
+        settings.name,
+        settings.vm,
+        HybridClock(System::currentTimeMillis),
+        settings.eventsMax
+    )
+
+    private val loops = MultiThreadIoEventLoopGroup(PEER_LOOPS, NioIoHandler.newFactory())
+    private val tableHttp = http(settings.platform.tableAddress)
+    private val objectsHttp = http(settings.platform.objectsAddress)
+    private val vmsHttp = http(settings.platform.vmsAddress)
+
+    /** The table, within this process's budget. */
+    public val guardedTable: GuardedTable = GuardedTable(
+        DynamoTable(tableHttp, settings.platform.tableName),
+        Circuit(CIRCUIT_FAILURES, CIRCUIT_OPEN_MILLIS),
+        CallBudget(
+            settings.platform.callsPerSecond.toDouble(),
+            settings.platform.callsPerSecond.toDouble()
+        ),
+        clock::nowMillis
+    )
+
+    /** The object store. */
+    public val objects: ObjectStore = S3Objects(objectsHttp, settings.platform.bucket)
+
+    /** The platform's list of VMs. */
+    public val vms: VmList = HttpVmList(vmsHttp)
+
+    /** Channels to other processes. */
+    public val peers: PeerClients = PeerClients(loops)
+
+    /** This process's session and shards. */
+    public val sessions: SessionKeeper = SessionKeeper(
+        SelfDescription(
+            settings.name,
+            role,
+            settings.zone,
+            settings.address,
+            settings.adminAddress,
+            ProcessIdentity.current(settings.vm)
+        ),
+        settings.lease,
+        table(StorePurpose.RENEWAL),
+        clock,
+        timers,
+        scope,
+        events
+    )
+
+    /** The configuration in force. */
+    public val config: ConfigKeeper = ConfigKeeper(
+        table(StorePurpose.CONFIGURATION),
+        peers,
+        ::peerAddresses,
+        clock,
+        timers,
+        scope,
+        events
+    )
+
+    @Volatile
+    private var isStopping = false
+
+    /** The operators' port. */
+    public val admin: AdminServer = AdminServer(
+        vertx,
+        settings.adminAddress,
+        metrics,
+        listOf(
+            ReadinessCheck { "stopping".takeIf { isStopping } },
+            ReadinessCheck { "no configuration yet".takeIf { config.current.version == 0L } },
+            ReadinessCheck(::contactReason)
+        )
+    )
+
+    private var peerServer: PeerServer? = null
+
+    /** Returns the table for [purpose]. */
+    public fun table(purpose: StorePurpose): TableStore = guardedTable.forPurpose(purpose)
+
+    /** Returns an HTTP client for [address] with the platform's time limit. */
+    public fun http(address: HostPort): PlatformHttp =
+        PlatformHttp(vertx, address.host, address.port, settings.platform.timeoutMillis)
+
+    /** Starts all common parts and the [services] of the role. */
+    public suspend fun start(roleService: RoleService, services: List<BindableService>) {
+        val peerService = PeerService(config, events, roleService)
+        peerServer = PeerServer(settings.address, loops, services + peerService).also { it.start() }
+        registerGauges()
+        config.start(settings.configPollMillis)
+        sessions.start(settings.readEveryMillis)
+        admin.start()
+    }
+
+    /** Stops being ready; the balancer moves on. */
+    public fun beginStop() {
+        isStopping = true
+    }
+
+    /** Hands over the shards and ends all parts. */
+    public suspend fun stop() {
+        isStopping = true
+        sessions.stop()
+        peerServer?.stop(STOP_GRACE_MILLIS)
+        admin.stop()
+        peers.close()
+        scope.cancel()
+        listOf(tableHttp, objectsHttp, vmsHttp).forEach { it.close() }
+        loops.shutdownGracefully()
+    }
+
+    private fun registerGauges() {
+        metrics.gauge("cactusfold.config.version", config) { it.current.version.toDouble() }
+        metrics.gauge("cactusfold.store.up", guardedTable) { if (it.isUp) 1.0 else 0.0 }
+        metrics.gauge("cactusfold.store.reads", guardedTable) { it.counts.reads.toDouble() }
+        metrics.gauge("cactusfold.store.writes", guardedTable) { it.counts.writes.toDouble() }
+        metrics.gauge("cactusfold.store.failures", guardedTable) { it.counts.failures.toDouble() }
+        metrics.gauge("cactusfold.shards.held", sessions) { it.heldShards.size.toDouble() }
+    }
+
+    private fun peerAddresses(): List<HostPort> = sessions.members.filter {
+        it.session != sessions.session && !it.isLeaving
+    }.map { it.address }
+
+    private fun contactReason(): String? {
+        val ageMillis = config.contactAgeMillis() ?: return "no contact with store or peers yet"
+        return "cut off from store and peers for $ageMillis ms"
+            .takeIf { ageMillis > MAX_CONTACT_AGE_MILLIS }
+    }
+
+    private companion object {
+        const val PEER_LOOPS = 1
+        const val CIRCUIT_FAILURES = 5
+        const val CIRCUIT_OPEN_MILLIS = 1_000L
+        const val STOP_GRACE_MILLIS = 2_000L
+        const val MAX_CONTACT_AGE_MILLIS = 5_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/cactusfold/node/peer/PeerClients.kt
@@ -0,0 +1,73 @@
+package cactusfold.node.peer
+
+import cactusfold.protocol.HolderGrpcKt.HolderCoroutineStub
+import cactusfold.protocol.PeerGrpcKt.PeerCoroutineStub
+import cactusfold.settings.schema.HostPort
+import io.grpc.ManagedChannel
+import io.grpc.Status
+import io.grpc.StatusException
+import io.grpc.netty.NettyChannelBuilder
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioSocketChannel
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** The outcome of a call to another process. */
+public sealed interface PeerResult<out A> {
+    /** The peer answered. */
+    public data class Answer<A>(public val value: A) : PeerResult<A>
+
+    /** No answer: the peer can't be reached, is too slow, or refused. */
+    public data class Failed(public val reason: String) : PeerResult<Nothing>
+}
+
+/** Channels to other processes, one for each address, made when first used. */
+public class PeerClients(private val loops: EventLoopGroup) {
+    private val channels = ConcurrentHashMap<HostPort, ManagedChannel>()
+
+    /** Calls the peer service at [address]. */
+    public suspend fun <A> peer(
+        address: HostPort,
+        timeoutMillis: Long,
+        call: suspend PeerCoroutineStub.() -> A
+    ): PeerResult<A> = guarded(timeoutMillis) { PeerCoroutineStub(channel(address)).call() }
+
+    /** Calls the holder service at [address]. */
+    public suspend fun <A> holder(
+        address: HostPort,
+        timeoutMillis: Long,
+        call: suspend HolderCoroutineStub.() -> A
+    ): PeerResult<A> = guarded(timeoutMillis) { HolderCoroutineStub(channel(address)).call() }
+
+    /** Closes all channels. */
+    public fun close() {
+        channels.values.forEach { it.shutdownNow() }
+    }
+
+    private suspend fun <A> guarded(timeoutMillis: Long, call: suspend () -> A): PeerResult<A> =
+        try {
+            withTimeoutOrNull(timeoutMillis) { PeerResult.Answer(call()) }
+                ?: PeerResult.Failed("no answer within $timeoutMillis ms")
+        } catch (e: StatusException) {
+            PeerResult.Failed(describe(e.status))
+        }
+
+    private fun describe(status: Status): String =
+        listOfNotNull(status.code.name, status.description).joinToString(": ")
+
+    private fun channel(address: HostPort): ManagedChannel = channels.computeIfAbsent(address) {
+        NettyChannelBuilder.forAddress(InetSocketAddress(it.host, it.port))
+            .usePlaintext()
+            .directExecutor()
+            .eventLoopGroup(loops)
+            .channelType(NioSocketChannel::class.java)
+            .idleTimeout(IDLE_MINUTES, TimeUnit.MINUTES)
+            .build()
+    }
+
+    private companion object {
+        const val IDLE_MINUTES = 5L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/cactusfold/node/peer/PeerServer.kt
@@ -0,0 +1,41 @@
+package cactusfold.node.peer
+
+import cactusfold.settings.schema.HostPort
+import io.grpc.BindableService
+import io.grpc.Server
+import io.grpc.netty.NettyServerBuilder
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+
+/** Serves the inner protocol. */
+public class PeerServer(address: HostPort, loops: EventLoopGroup, services: List<BindableService>) {
+    private val server: Server = NettyServerBuilder
+        .forAddress(InetSocketAddress(address.host, address.port))
+        .bossEventLoopGroup(loops)
+        .workerEventLoopGroup(loops)
+        .channelType(NioServerSocketChannel::class.java)
+        .directExecutor()
+        .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+        .apply { services.forEach { addService(it) } }
+        .build()
+
+    /** The port that is listened on. */
+    public val port: Int get() = server.port
+
+    /** Begins to listen. */
+    public fun start() {
+        server.start()
+    }
+
+    /** Finishes calls for up to [graceMillis], then stops. */
+    public fun stop(graceMillis: Long) {
+        server.shutdown()
+        if (!server.awaitTermination(graceMillis, TimeUnit.MILLISECONDS)) server.shutdownNow()
+    }
+
+    private companion object {
+        const val MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/cactusfold/node/rows/Rows.kt
@@ -0,0 +1,101 @@
+package cactusfold.node.rows
+
+import cactusfold.decisions.config.ConfigEntry
+import cactusfold.decisions.config.ConfigPatch
+import cactusfold.decisions.placement.Order
+import cactusfold.decisions.placement.OrderKind
+import cactusfold.decisions.placement.OrderPhase
+import cactusfold.platform.table.RowKey
+import cactusfold.protocol.ConfigEntry as ConfigEntryMessage
+import cactusfold.protocol.ConfigSection
+import cactusfold.protocol.StoredIntent
+import kotlinx.collections.immutable.toPersistentMap
+
+/** Where things stand in the platform's table. */
+public object Rows {
+    /** Partition of session rows. */
+    public const val SESSIONS: String = "session"
+
+    /** Partition of shard rows. */
+    public const val SHARDS: String = "shard"
+
+    /** Partition of the configuration log. */
+    public const val CONFIG: String = "config"
+
+    private const val VERSION_DIGITS = 12
+    private const val CLAIM_PARTITIONS = 64
+
+    /** Returns the key of a session row. */
+    public fun session(session: String): RowKey = RowKey(SESSIONS, session)
+
+    /** Returns the key of a shard row. */
+    public fun shard(shard: String): RowKey = RowKey(SHARDS, shard)
+
+    /** Returns the key of a configuration entry. */
+    public fun config(version: Long): RowKey = RowKey(CONFIG, configSort(version))
+
+    /** Returns the sort key of a configuration entry. */
+    public fun configSort(version: Long): String = version.toString().padStart(VERSION_DIGITS, '0')
+
+    /** Returns the key of the intent of [orderId] in [cell]. */
+    public fun intent(cell: String, orderId: String): RowKey = RowKey(intents(cell), orderId)
+
+    /** Returns the partition of the intents of [cell]. */
+    public fun intents(cell: String): String = "intent/$cell"
+
+    /** Returns the key of a claim; claims are spread over partitions. */
+    public fun claim(workspace: String, idempotencyKey: String): RowKey {
+        val place = cactusfold.decisions.Rendezvous.bucket(idempotencyKey, CLAIM_PARTITIONS)
+        return RowKey("claim/$place", "$workspace/$idempotencyKey")
+    }
+}
+
+/** Returns the message of this entry. */
+public fun ConfigEntry.toMessage(): ConfigEntryMessage = ConfigEntryMessage.newBuilder()
+    .setVersion(version)
+    .setOperationId(operationId)
+    .setAuthor(author)
+    .setAcceptedAtEpochMillis(acceptedAtEpochMillis)
+    .setComment(comment)
+    .addAllRemovals(patch.removals)
+    .addAllUpserts(
+        patch.upserts.map { (name, values) ->
+            ConfigSection.newBuilder().setName(name).putAllValues(values).build()
+        }
+    )
+    .build()
+
+/** Returns the entry of this message. */
+public fun ConfigEntryMessage.toEntry(): ConfigEntry = ConfigEntry(
+    version,
+    operationId,
+    author,
+    acceptedAtEpochMillis,
+    ConfigPatch(
+        upsertsList.associate { it.name to it.valuesMap.toPersistentMap() }.toPersistentMap(),
+        removalsList.toSet()
+    ),
+    comment
+)
+
+/** Returns the stored form of this order's intent. */
+public fun Order.toIntent(cell: String): StoredIntent = StoredIntent.newBuilder()
+    .setOrderId(id)
+    .setCell(cell)
+    .setRunner(runner)
+    .setModel(model)
+    .setMemoryBytes(memoryBytes)
+    .setFence(fence)
+    .build()
+
+/** Returns the order of this intent, as a successor has to take it: sent, outcome unknown. */
+public fun StoredIntent.toOrder(nowMillis: Long): Order = Order(
+    orderId,
+    OrderKind.LOAD,
+    runner,
+    model,
+    memoryBytes,
+    fence,
+    OrderPhase.SENT,
+    nowMillis
+)
--- /dev/null
+++ b/node/src/main/kotlin/cactusfold/node/session/SessionKeeper.kt
@@ -0,0 +1,330 @@
+package cactusfold.node.session
+
+import cactusfold.decisions.lease.LeaseEffect
+import cactusfold.decisions.lease.LeaseEvent
+import cactusfold.decisions.lease.LeaseMachine
+import cactusfold.decisions.lease.LeaseSettings
+import cactusfold.decisions.lease.LeaseState
+import cactusfold.decisions.lease.SessionRow
+import cactusfold.decisions.lease.ShardRow
+import cactusfold.node.events.EventRing
+import cactusfold.node.events.NodeEvent
+import cactusfold.node.process.ProcessIdentity
+import cactusfold.node.rows.Rows
+import cactusfold.node.state.Guarded
+import cactusfold.node.time.MonotonicClock
+import cactusfold.node.time.TimerService
+import cactusfold.platform.table.ReadResult
+import cactusfold.platform.table.Row
+import cactusfold.platform.table.RowWrite
+import cactusfold.platform.table.TableStore
+import cactusfold.platform.table.WriteResult
+import cactusfold.protocol.StoredSession
+import cactusfold.protocol.StoredShard
+import cactusfold.settings.schema.HostPort
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.ThreadLocalRandom
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
+
+/** What a process does in the fleet. */
+public enum class Role { ROUTER, CONTROLLER }
+
+/** A process of the fleet, as its session row describes it. */
+public data class FleetMember(
+    public val session: String,
+    public val role: Role,
+    public val vm: String,
+    public val zone: String,
+    public val address: HostPort,
+    public val adminAddress: HostPort,
+    public val isLeaving: Boolean
+)
+
+/** The holder of a shard, as the table last told. */
+public data class ShardHolder(
+    public val session: String,
+    public val fence: Long,
+    public val address: HostPort
+)
+
+/** Told about shards that this process takes and loses. */
+public interface ShardListener {
+    /** The shard is held with [fence] from now on. */
+    public fun acquired(shard: String, fence: Long)
+
+    /** The shard is not held any more. */
+    public fun lost(shard: String, fence: Long)
+}
+
+/** Who this process is to others. */
+public data class SelfDescription(
+    public val name: String,
+    public val role: Role,
+    public val zone: String,
+    public val address: HostPort,
+    public val adminAddress: HostPort,
+    public val identity: ProcessIdentity
+)
+
+/**
+ * Keeps this process's session and shards in the platform's table, and knows the others'.
+ *
+ * The counter of a session is the version of its row, so a renewal is a replace on condition of the
+ * last version.
+ */
+public class SessionKeeper(
+    private val self: SelfDescription,
+    settings: LeaseSettings,
+    private val table: TableStore,
+    private val clock: MonotonicClock,
+    private val timers: TimerService,
+    private val scope: CoroutineScope,
+    private val events: EventRing
+) {
+    private val machine = LeaseMachine(settings)
+    private val state = Guarded(freshState())
+    private val listeners = CopyOnWriteArrayList<ShardListener>()
+
+    @Volatile
+    private var known: Map<String, StoredSession> = emptyMap()
+
+    @Volatile
+    private var shardRows: Map<String, StoredShard> = emptyMap()
+
+    @Volatile
+    private var lastReadAtMillis: Long? = null
+
+    /** The name of the session, which no other process ever has. */
+    public val session: String get() = state.value.self
+
+    /** The processes whose session rows exist, live or not. */
+    public val members: List<FleetMember> get() = known.values.map(::memberOf)
+
+    /** When the table was last read, or null. */
+    public val readAtMillis: Long? get() = lastReadAtMillis
+
+    /** Whether the own lease covers this moment. */
+    public val isLive: Boolean get() = state.value.isLive(clock.nowMillis())
+
+    /** The shards held now, with their fences. */
+    public val heldShards: Map<String, Long>
+        get() = state.value.takeIf { it.isLive(clock.nowMillis()) }?.held.orEmpty()
+
+    /** Adds [listener]. */
+    public fun listen(listener: ShardListener) {
+        listeners += listener
+    }
+
+    /** Begins to renew and to read. */
+    public fun start(readEveryMillis: Long) {
+        timers.subscribe("session-renewal", RENEWAL_CHECK_MILLIS) { apply(LeaseEvent.Tick) }
+        timers.subscribe("session-read", readEveryMillis) { readTable() }
+    }
+
+    /** Says which shards should have a holder. */
+    public fun want(shards: Set<String>) {
+        apply(LeaseEvent.ShardsWanted(shards))
+    }
+
+    /** Returns the fence under which [shard] may be acted on now, or null. */
+    public fun fenceOf(shard: String): Long? = state.value.fenceOf(shard, clock.nowMillis())
+
+    /** Returns who held [shard] when the table was last read. */
+    public fun holderOf(shard: String): ShardHolder? {
+        val row = shardRows[shard]?.takeIf { it.session.isNotEmpty() } ?: return null
+        return ShardHolder(row.session, row.fence, HostPort.parse(row.address))
+    }
+
+    /** Releases all shards and marks the session as leaving. */
+    public suspend fun stop() {
+        val effects = state.step { machine.step(it, LeaseEvent.Stop, clock.nowMillis()) }
+        effects.forEach { run(it) }
+        renew(state.value.counter + 1, true, clock.nowMillis())
+    }
+
+    /** Reads sessions and shards once. */
+    public suspend fun readTable() {
+        val sessions = rows(Rows.SESSIONS) ?: return
+        val shards = rows(Rows.SHARDS) ?: return
+        known = sessions.associate { it.key.sort to StoredSession.parseFrom(it.value) }
+        shardRows = shards.associate { it.key.sort to StoredShard.parseFrom(it.value) }
+        lastReadAtMillis = clock.nowMillis()
+        apply(
+            LeaseEvent.TableRead(
+                sessions.map(::sessionRow),
+                shardRows.values.map(::shardRow),
+                gone()
+            )
+        )
+    }
+
+    private suspend fun rows(partition: String): List<Row>? =
+        (table.list(partition) as? ReadResult.Found)?.value
+
+    private fun gone(): Set<String> = known.values
+        .filter { self.identity.seesGone(identityOf(it)) }
+        .mapTo(mutableSetOf()) { it.session }
+
+    private fun apply(event: LeaseEvent) {
+        val effects = state.step { machine.step(it, event, clock.nowMillis()) }
+        effects.forEach { effect -> runOrLaunch(effect) }
+    }
+
+    private fun runOrLaunch(effect: LeaseEffect) {
+        when (effect) {
+            is LeaseEffect.Acquired -> {
+                events.add(NodeEvent.LeaseTaken(effect.shard, effect.fence))
+                listeners.forEach { it.acquired(effect.shard, effect.fence) }
+            }
+            is LeaseEffect.Lost -> {
+                events.add(NodeEvent.LeaseLost(effect.shard, effect.fence))
+                listeners.forEach { it.lost(effect.shard, effect.fence) }
+            }
+            else -> scope.launch { run(effect) }
+        }
+    }
+
+    private suspend fun run(effect: LeaseEffect) {
+        when (effect) {
+            is LeaseEffect.Renew -> renew(effect.counter, effect.leaving, clock.nowMillis())
+            is LeaseEffect.Take -> take(effect)
+            is LeaseEffect.Release -> release(effect)
+            is LeaseEffect.Acquired, is LeaseEffect.Lost -> runOrLaunch(effect)
+        }
+    }
+
+    private suspend fun renew(counter: Long, leaving: Boolean, sentAtMillis: Long) {
+        val key = Rows.session(session)
+        val value = storedSession(leaving).toByteString()
+        val write = if (counter == 1L) {
+            RowWrite.Insert(key, value)
+        } else {
+            RowWrite.Replace(key, counter - 1, value)
+        }
+        when (table.write(listOf(write))) {
+            WriteResult.Written -> apply(LeaseEvent.Renewed(sentAtMillis, counter))
+            is WriteResult.Conflict -> resolveRenewal()
+            is WriteResult.NotWritten, is WriteResult.Unknown -> apply(LeaseEvent.RenewalFailed)
+        }
+    }
+
+    /**
+     * An earlier renewal whose reply was lost may have moved the row. The row is nobody else's, so
+     * its version is taken over; the lease is not extended by it.
+     */
+    private suspend fun resolveRenewal() {
+        val found = table.get(Rows.session(session)) as? ReadResult.Found
+        val row = found?.value
+        when {
+            found == null -> apply(LeaseEvent.RenewalFailed)
+            row == null -> restart()
+            row.version > state.value.counter -> apply(LeaseEvent.CounterFound(row.version))
+            else -> apply(LeaseEvent.RenewalFailed)
+        }
+    }
+
+    /** Begins a new session after the row of this one was removed by others. */
+    private fun restart() {
+        log.warn("session {} was removed by another process; a new one begins", session)
+        apply(LeaseEvent.Superseded)
+        val wanted = state.value.wanted
+        state.update { freshState().copy(wanted = wanted) }
+    }
+
+    private suspend fun take(effect: LeaseEffect.Take) {
+        val key = Rows.shard(effect.shard)
+        val row = storedShard(effect.shard, effect.newFence, session).toByteString()
+        val write = if (effect.expectedFence == 0L) {
+            RowWrite.Insert(key, row)
+        } else {
+            RowWrite.Replace(key, effect.expectedFence, row)
+        }
+        when (table.write(listOf(write))) {
+            WriteResult.Written -> apply(LeaseEvent.Took(effect.shard, effect.newFence))
+            is WriteResult.Unknown -> resolveTake(effect)
+            else -> apply(LeaseEvent.TakeFailed(effect.shard))
+        }
+    }
+
+    private suspend fun resolveTake(effect: LeaseEffect.Take) {
+        val found = (table.get(Rows.shard(effect.shard)) as? ReadResult.Found)?.value
+        val stored = found?.let { StoredShard.parseFrom(it.value) }
+        if (stored?.session == session && stored.fence == effect.newFence) {
+            apply(LeaseEvent.Took(effect.shard, effect.newFence))
+        } else {
+            apply(LeaseEvent.TakeFailed(effect.shard))
+        }
+    }
+
+    private suspend fun release(effect: LeaseEffect.Release) {
+        val row = storedShard(effect.shard, effect.fence + 1, "").toByteString()
+        table.write(listOf(RowWrite.Replace(Rows.shard(effect.shard), effect.fence, row)))
+    }
+
+    private fun freshState(): LeaseState {
+        val incarnation = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE)
+        return LeaseState("${self.name}-${incarnation.toString(RADIX)}", incarnation)
+    }
+
+    private fun storedSession(leaving: Boolean): StoredSession = StoredSession.newBuilder()
+        .setSession(session)
+        .setVm(self.identity.vm)
+        .setBootId(self.identity.bootId)
+        .setProcessId(self.identity.processId)
+        .setProcessStart(self.identity.startEpochMillis)
+        .setIncarnation(state.value.incarnation)
+        .setRole(self.role.name)
+        .setAddress(self.address.toString())
+        .setAdminAddress(self.adminAddress.toString())
+        .setZone(self.zone)
+        .setLeaving(leaving)
+        .build()
+
+    private fun storedShard(shard: String, fence: Long, holder: String): StoredShard =
+        StoredShard.newBuilder()
+            .setShard(shard)
+            .setFence(fence)
+            .setSession(holder)
+            .setIncarnation(state.value.incarnation)
+            .setAddress(self.address.toString())
+            .build()
+
+    private fun sessionRow(row: Row): SessionRow {
+        val stored = known.getValue(row.key.sort)
+        val isController = stored.role == Role.CONTROLLER.name
+        return SessionRow(
+            stored.session,
+            stored.incarnation,
+            row.version,
+            stored.leaving || !isController
+        )
+    }
+
+    private fun shardRow(stored: StoredShard): ShardRow = ShardRow(
+        stored.shard,
+        stored.fence,
+        stored.session.ifEmpty { null },
+        stored.incarnation
+    )
+
+    private fun memberOf(stored: StoredSession): FleetMember = FleetMember(
+        stored.session,
+        Role.valueOf(stored.role),
+        stored.vm,
+        stored.zone,
+        HostPort.parse(stored.address),
+        HostPort.parse(stored.adminAddress),
+        stored.leaving
+    )
+
+    private fun identityOf(stored: StoredSession): ProcessIdentity =
+        ProcessIdentity(stored.vm, stored.bootId, stored.processId, stored.processStart)
+
+    private companion object {
+        const val RENEWAL_CHECK_MILLIS = 200L
+        const val RADIX = 36
+        val log = LogManager.getLogger(SessionKeeper::class.java)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/cactusfold/node/time/TimerService.kt
@@ -0,0 +1,67 @@
+package cactusfold.node.time
+
+import kotlin.random.Random
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
+
+/** A periodic action; [cancel] ends it. */
+public fun interface TimerSubscription {
+    /** Ends the action; a run in progress is cancelled. */
+    public fun cancel()
+}
+
+/** Calls subscribers periodically. Runs of one subscription never overlap. */
+public class TimerService(
+    private val scope: CoroutineScope,
+    private val random: Random = Random.Default
+) {
+    /**
+     * Calls [action] every [periodMillis], each time shortened or lengthened at random by up to
+     * [jitter] of the period, so that processes don't act in step.
+     */
+    public fun subscribe(
+        name: String,
+        periodMillis: Long,
+        jitter: Double = DEFAULT_JITTER,
+        action: suspend () -> Unit
+    ): TimerSubscription {
+        val job = scope.launch {
+            while (isActive) {
+                runOnce(name, action)
+                delay(spread(periodMillis, jitter))
+            }
+        }
+        return TimerSubscription { job.cancel() }
+    }
+
+    /** Calls [action] once after [delayMillis]. */
+    public fun after(delayMillis: Long, action: suspend () -> Unit): Job = scope.launch {
+        delay(delayMillis)
+        action()
+    }
+
+    private suspend fun runOnce(name: String, action: suspend () -> Unit) {
+        try {
+            action()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            log.warn("timer {} failed and will run again", name, e)
+        }
+    }
+
+    private fun spread(periodMillis: Long, jitter: Double): Long {
+        val factor = 1 + jitter * (2 * random.nextDouble() - 1)
+        return (periodMillis * factor).toLong().coerceAtLeast(1)
+    }
+
+    private companion object {
+        const val DEFAULT_JITTER = 0.1
+        val log = LogManager.getLogger(TimerService::class.java)
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/cactusfold/router/Router.kt
@@ -0,0 +1,127 @@
+package cactusfold.router
+
+import cactusfold.decisions.queue.FairQueue
+import cactusfold.decisions.routing.ReplicaChoice
+import cactusfold.node.events.NodeEvent
+import cactusfold.node.launch.Daemon
+import cactusfold.node.launch.NodeCore
+import cactusfold.node.peer.RoleService
+import cactusfold.node.session.Role
+import cactusfold.protocol.ClaimQuery
+import cactusfold.protocol.ClaimReply
+import cactusfold.protocol.SuspectReport
+import cactusfold.router.callers.CallerHandler
+import cactusfold.router.callers.CallerServer
+import cactusfold.router.callers.CallerServices
+import cactusfold.router.callers.RunningRequests
+import cactusfold.router.claim.ClaimKeeper
+import cactusfold.router.forward.Dispatcher
+import cactusfold.router.forward.Suspects
+import cactusfold.router.forward.UpstreamClient
+import cactusfold.router.lane.LaneContext
+import cactusfold.router.lane.Lanes
+import cactusfold.router.lane.ModelWatchers
+import cactusfold.router.lane.Upstreams
+import cactusfold.router.rate.Admission
+import cactusfold.settings.fleet.FleetConfig
+import io.vertx.core.Vertx
+import kotlinx.coroutines.delay
+
+/** A router: takes callers' requests, admits, queues and routes them. */
+public class Router(settings: RouterSettings, vertx: Vertx) : Daemon {
+    /** The parts that every process has. */
+    public val core: NodeCore = NodeCore(settings.node, Role.ROUTER, vertx)
+
+    private val running = RunningRequests()
+    private val upstreams = Upstreams(core.clock)
+    private val client = UpstreamClient(vertx, settings)
+    private val suspects = Suspects(core)
+    private val claims = ClaimKeeper(core)
+    private val lanes = Lanes(
+        core,
+        LaneContext(
+            FairQueue(settings.queueMaxTotal, settings.queueMaxPerWorkspace),
+            ReplicaChoice(ZONE_CROSSING_MILLIS, AFFINITY_LOAD_GAP),
+            upstreams,
+            settings.node.zone,
+            core.clock
+        ),
+        ModelWatchers(core, ::targetMillisOf)
+    )
+    private val handler = CallerHandler(
+        core,
+        settings.callers,
+        CallerServices(
+            lanes,
+            Admission(core, settings.contact),
+            Dispatcher(client, upstreams, suspects, core.events),
+            claims,
+            running
+        )
+    )
+    private val server = CallerServer(vertx, settings.callers, handler)
+
+    /** The callers' port. */
+    public val callerPort: Int get() = server.port
+
+    /** Requests that have not ended. */
+    public val runningRequests: Int get() = running.count
+
+    /** Starts the router. */
+    public suspend fun start() {
+        core.config.listen(::configured)
+        core.start(Peers(), emptyList())
+        lanes.start()
+        core.metrics.gauge("cactusfold.requests.running", running) { it.count.toDouble() }
+        server.start()
+    }
+
+    /** Finishes every request, then leaves. */
+    override suspend fun stop() {
+        core.beginStop()
+        delay(BALANCER_MILLIS)
+        handler.beginStop()
+        val deadline = core.clock.nowMillis() + DRAIN_MILLIS
+        while (running.count + claims.active > 0 &&
+            core.clock.nowMillis() < deadline
+        ) {
+            delay(DRAIN_CHECK_MILLIS)
+        }
+        server.stop()
+        handler.stop()
+        client.close()
+        core.stop()
+    }
+
+    private fun configured(config: FleetConfig) {
+        for (cut in running.cutWithdrawn(config)) {
+            core.events.add(
+                NodeEvent.KeyWithdrawn(cut.id, "", cut.keyDigest.orEmpty().take(DIGEST_CHARS))
+            )
+        }
+    }
+
+    private fun targetMillisOf(model: String): Long {
+        val config = core.config.current
+        val workClass = config.models[model]?.workClass
+            ?: config.routes.find { it.services == null }?.workClass
+        return config.classes[workClass]?.targetMillis ?: 0
+    }
+
+    private inner class Peers : RoleService {
+        override suspend fun claimStatus(query: ClaimQuery): ClaimReply = claims.status(query)
+
+        override fun reportSuspect(report: SuspectReport) {
+            suspects.reported(report)
+        }
+    }
+
+    private companion object {
+        const val ZONE_CROSSING_MILLIS = 1.0
+        const val AFFINITY_LOAD_GAP = 0.25
+        const val BALANCER_MILLIS = 500L
+        const val DRAIN_MILLIS = 120_000L
+        const val DRAIN_CHECK_MILLIS = 50L
+        const val DIGEST_CHARS = 8
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/cactusfold/router/callers/CallerRequest.kt
@@ -0,0 +1,174 @@
+package cactusfold.router.callers
+
+import cactusfold.settings.fleet.CallerKey
+import cactusfold.settings.fleet.FleetConfig
+import cactusfold.settings.fleet.Route
+import cactusfold.settings.fleet.Workspace
+import com.google.common.hash.Hashing
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.json.DecodeException
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+
+/** A request as it came in, whole. */
+public class RawRequest(
+    public val id: String,
+    public val method: HttpMethod,
+    public val path: String,
+    public val uri: String,
+    public val headers: MultiMap,
+    public val body: Buffer,
+    public val arrivedAtMillis: Long
+)
+
+/** A request that has a route and a workspace. [model] is null for plain services. */
+public class CallerRequest(
+    public val raw: RawRequest,
+    public val route: Route,
+    public val workspace: Workspace?,
+    public val keyDigest: String?,
+    public val model: String?,
+    public val isStream: Boolean,
+    public val costTokens: Long,
+    public val targetMillis: Long
+) {
+    /** Name of the workspace, or empty on a route open to all. */
+    public val workspaceName: String get() = workspace?.name.orEmpty()
+
+    /** When the request must have been sent to an upstream. */
+    public val deadlineMillis: Long get() = raw.arrivedAtMillis + targetMillis
+
+    /** A digest of workspace, route and content. */
+    public val fingerprint: String by lazy {
+        Hashing.sha256().newHasher()
+            .putString("$workspaceName\n${route.name}\n${raw.method}\n${raw.uri}\n", Charsets.UTF_8)
+            .putBytes(raw.body.bytes)
+            .hash().toString()
+    }
+}
+
+/** The outcome of understanding a request. */
+public sealed interface Understood {
+    /** The request has a route and may be run for its workspace. */
+    public data class Accepted(public val request: CallerRequest) : Understood
+
+    /** The request has a final answer already. */
+    public data class Rejected(public val refusal: Refusal) : Understood
+}
+
+/** Finds route, workspace and model of requests. */
+public object RequestReader {
+    private const val BEARER = "Bearer "
+    private const val CHARS_PER_TOKEN = 4
+    private const val DEFAULT_MAX_TOKENS = 256
+    private const val MAX_TOKENS = 1_000_000
+
+    /** Returns the key that [headers] carry, or null when it is missing or not in force. */
+    public fun keyOf(headers: MultiMap, config: FleetConfig): CallerKey? {
+        val secret = headers["authorization"]?.takeIf { it.startsWith(BEARER) } ?: return null
+        return config.keysByDigest[digestOf(secret.removePrefix(BEARER).trim())]
+    }
+
+    /** Returns the digest under which the configuration knows [secret]. */
+    public fun digestOf(secret: String): String =
+        Hashing.sha256().hashString(secret, Charsets.UTF_8).toString()
+
+    /** Understands [raw] under [config]. */
+    public fun read(raw: RawRequest, config: FleetConfig): Understood {
+        val route = config.routeFor(raw.path) ?: return Understood.Rejected(Refusal.UNKNOWN_ROUTE)
+        val key = keyOf(raw.headers, config)
+        val workspace = key?.let { config.workspaces[it.workspace] }
+        if (workspace == null && !route.isOpen) return Understood.Rejected(noKey(raw))
+        return if (route.services == null) {
+            modelRequest(raw, config, route, workspace, key)
+        } else {
+            val target = config.classes.getValue(route.workClass).targetMillis
+            Understood.Accepted(
+                CallerRequest(
+                    raw,
+                    route,
+                    workspace,
+                    key?.sha256,
+                    null,
+                    false,
+                    route.costTokens,
+                    target
+                )
+            )
+        }
+    }
+
+    private fun noKey(raw: RawRequest): Refusal =
+        if (raw.headers.contains("authorization")) Refusal.INVALID_KEY else Refusal.MISSING_KEY
+
+    private fun modelRequest(
+        raw: RawRequest,
+        config: FleetConfig,
+        route: Route,
+        workspace: Workspace?,
+        key: CallerKey?
+    ): Understood {
+        val body = parse(raw.body) ?: return Understood.Rejected(Refusal.BAD_JSON)
+        val problem = fieldProblem(raw.path, body)
+        if (problem != null) return Understood.Rejected(problem)
+        val model = body.getString("model")
+        val known = config.models[model]
+        if (known == null || workspace?.mayUse(model) == false) {
+            return Understood.Rejected(Refusal.unknownModel(model))
+        }
+        val workClass = config.classes.getValue(known.workClass ?: route.workClass)
+        return Understood.Accepted(
+            CallerRequest(
+                raw,
+                route,
+                workspace,
+                key?.sha256,
+                model,
+                body.getBoolean("stream", false),
+                costOf(body),
+                workClass.targetMillis
+            )
+        )
+    }
+
+    private fun parse(body: Buffer): JsonObject? = try {
+        body.toJsonObject()
+    } catch (_: DecodeException) {
+        null
+    } catch (_: ClassCastException) {
+        null
+    }
+
+    private fun fieldProblem(path: String, body: JsonObject): Refusal? {
+        val maxTokens = body.getValue("max_tokens")
+        return when {
+            body.getValue("model") !is String -> Refusal.badField("model", "the name of a model")
+            maxTokens != null && (maxTokens !is Int || maxTokens !in 1..MAX_TOKENS) ->
+                Refusal.badField("max_tokens", "a whole number from 1 to $MAX_TOKENS")
+            body.getValue("stream")?.let { it !is Boolean } == true ->
+                Refusal.badField("stream", "true or false")
+            path.contains("chat") -> messagesProblem(body.getValue("messages"))
+            body.getValue("prompt") !is String -> Refusal.badField("prompt", "a text")
+            else -> null
+        }
+    }
+
+    private fun messagesProblem(messages: Any?): Refusal? {
+        val expected = "a list of objects with 'role' and 'content'"
+        val isValid = messages is JsonArray &&
+            !messages.isEmpty &&
+            messages.all {
+                it is JsonObject && it.getValue("role") is String && it.containsKey("content")
+            }
+        return if (isValid) null else Refusal.badField("messages", expected)
+    }
+
+    /** Prompt and longest output, in tokens. */
+    private fun costOf(body: JsonObject): Long {
+        val prompt = body.getValue("prompt")?.toString() ?: body.getValue("messages").toString()
+        val output = body.getInteger("max_tokens") ?: DEFAULT_MAX_TOKENS
+        return (prompt.length / CHARS_PER_TOKEN + output).toLong()
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/cactusfold/router/callers/Reply.kt
@@ -0,0 +1,119 @@
+package cactusfold.router.callers
+
+import cactusfold.router.forward.AnswerHead
+import cactusfold.router.forward.StreamSink
+import cactusfold.router.forward.WholeAnswer
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServerResponse
+import io.vertx.core.json.JsonObject
+import io.vertx.kotlin.coroutines.coAwait
+
+/** The one answer to a request. */
+public class Reply(private val response: HttpServerResponse, private val id: String) {
+
+    /** Gives a whole answer. */
+    public suspend fun answer(answer: WholeAnswer) {
+        if (response.headWritten()) return sendEvents(answer.body)
+        begin(answer.head)
+        response.end(answer.body).coAwait()
+    }
+
+    /** Gives a JSON document. */
+    public suspend fun json(body: JsonObject) {
+        begin(AnswerHead(OK, listOf("content-type" to "application/json")))
+        response.end(body.toBuffer()).coAwait()
+    }
+
+    /** Writes the head of a streamed answer, unless a heartbeat has done so. */
+    public fun beginStream(head: AnswerHead) {
+        if (response.headWritten()) return
+        begin(head)
+        response.setChunked(true)
+    }
+
+    /** Writes a piece of a streamed answer; waits while the caller reads slowly. */
+    public suspend fun write(piece: Buffer) {
+        response.write(piece).coAwait()
+    }
+
+    /** Ends a streamed answer. */
+    public suspend fun end() {
+        response.end().coAwait()
+    }
+
+    /** Tells the caller of a stream that its request is alive. */
+    public fun heartbeat() {
+        if (response.ended() || response.closed()) return
+        beginStream(AnswerHead(OK, listOf("content-type" to "text/event-stream")))
+        response.write(": waiting\n\n")
+    }
+
+    /** Gives the final answer of a request that has none from an upstream. */
+    public suspend fun refuse(refusal: Refusal) {
+        if (response.headWritten()) return cut(refusal)
+        response.setStatusCode(refusal.status)
+            .putHeader("content-type", "application/json")
+            .putHeader(ID_HEADER, id)
+            .putHeader(RUN_HEADER, refusal.run.header)
+        refusal.retryAfterMillis?.let { response.putHeader("retry-after", seconds(it)) }
+        response.end(errorOf(refusal).toBuffer()).coAwait()
+    }
+
+    /** Refuses a request that was not received whole, so that the connection can't be used on. */
+    public suspend fun refuseAndClose(refusal: Refusal) {
+        response.putHeader("connection", "close")
+        refuse(refusal)
+    }
+
+    /** Ends an answer that has begun: an error event, then the connection is closed. */
+    public suspend fun cut(refusal: Refusal) {
+        if (response.ended() || response.closed()) return
+        if (!response.headWritten()) return refuse(refusal)
+        val error = errorOf(refusal).put("run", refusal.run.header)
+        response.write("event: error\ndata: ${error.encode()}\n\n").coAwait()
+        response.reset()
+    }
+
+    private suspend fun sendEvents(body: Buffer) {
+        response.end(body).coAwait()
+    }
+
+    private fun begin(head: AnswerHead) {
+        response.setStatusCode(head.status)
+        head.headers.forEach { (name, value) -> response.headers().add(name, value) }
+        response.putHeader(ID_HEADER, id)
+    }
+
+    private fun errorOf(refusal: Refusal): JsonObject = JsonObject().put(
+        "error",
+        JsonObject()
+            .put("message", refusal.message)
+            .put("type", refusal.type)
+            .put("code", refusal.code)
+    )
+
+    private fun seconds(millis: Long): String =
+        ((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND).toString()
+
+    public companion object {
+        private const val OK = 200
+        private const val MILLIS_PER_SECOND = 1_000L
+
+        /** Header with the request's id, on every answer. */
+        public const val ID_HEADER: String = "X-Request-Id"
+
+        /** Header that says whether a refused request was run. */
+        public const val RUN_HEADER: String = "X-Cactusfold-Run"
+    }
+}
+
+/** Passes a streamed answer on to a caller. */
+public class CallerSink(private val reply: Reply) : StreamSink {
+    override suspend fun begin(head: AnswerHead) {
+        reply.beginStream(head)
+    }
+
+    override suspend fun write(piece: Buffer) {
+        reply.write(piece)
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/cactusfold/router/claim/ClaimKeeper.kt
@@ -0,0 +1,339 @@
+package cactusfold.router.claim
+
+import cactusfold.decisions.claim.ClaimEffect
+import cactusfold.decisions.claim.ClaimEnd
+import cactusfold.decisions.claim.ClaimEvent
+import cactusfold.decisions.claim.ClaimMachine
+import cactusfold.decisions.claim.ClaimState
+import cactusfold.decisions.claim.ExistingClaim
+import cactusfold.decisions.invariant
+import cactusfold.decisions.store.StorePurpose
+import cactusfold.node.events.NodeEvent
+import cactusfold.node.launch.NodeCore
+import cactusfold.node.peer.PeerResult
+import cactusfold.node.rows.Rows
+import cactusfold.platform.objects.ObjectResult
+import cactusfold.platform.table.ReadResult
+import cactusfold.platform.table.Row
+import cactusfold.platform.table.RowKey
+import cactusfold.platform.table.RowWrite
+import cactusfold.platform.table.TableStore
+import cactusfold.platform.table.WriteResult
+import cactusfold.protocol.ClaimQuery
+import cactusfold.protocol.ClaimReply
+import cactusfold.protocol.StoredAnswer
+import cactusfold.protocol.StoredClaim
+import cactusfold.router.callers.CallerRequest
+import cactusfold.router.callers.Refusal
+import cactusfold.router.callers.RunState
+import cactusfold.router.forward.AnswerHead
+import cactusfold.router.forward.DispatchEnd
+import cactusfold.router.forward.WholeAnswer
+import cactusfold.settings.schema.HostPort
+import com.google.protobuf.ByteString
+import io.vertx.core.buffer.Buffer
+import java.util.UUID
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.async
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Runs requests that may not be repeated at most once, over all routers. */
+public class ClaimKeeper(private val core: NodeCore) {
+    private val table: TableStore = core.table(StorePurpose.CLAIM)
+    private val activeCount = AtomicInteger()
+    private val local = ConcurrentHashMap<String, LocalClaim>()
+
+    private class LocalClaim(val operationId: String) {
+        val end = CompletableDeferred<ClaimReply>()
+
+        @Volatile
+        var isDispatched = false
+    }
+
+    /** Claimed requests that have not ended. */
+    public val active: Int get() = activeCount.get()
+
+    /**
+     * Claims [request], then runs [dispatch] or gives what an equal request led to. Goes on to the
+     * end when the caller leaves, so that its retry finds the answer.
+     */
+    public suspend fun run(
+        request: CallerRequest,
+        dispatch: suspend () -> DispatchEnd
+    ): DispatchEnd {
+        activeCount.incrementAndGet()
+        return core.scope.async {
+            try {
+                Run(request, dispatch).go()
+            } finally {
+                activeCount.decrementAndGet()
+            }
+        }.await()
+    }
+
+    /** Answers a peer that asks how far a claim of this router has come. */
+    public suspend fun status(query: ClaimQuery): ClaimReply {
+        val claim = local[query.operationId]
+            ?: return ClaimReply.newBuilder().setState(ClaimReply.State.UNKNOWN).build()
+        val end = withTimeoutOrNull(query.waitMillis) { claim.end.await() }
+        return end ?: ClaimReply.newBuilder().setState(ClaimReply.State.RUNNING).build()
+    }
+
+    private inner class Run(
+        private val request: CallerRequest,
+        private val dispatch: suspend () -> DispatchEnd
+    ) {
+        private val operationId = UUID.randomUUID().toString()
+        private val idempotencyKey = request.raw.headers["idempotency-key"] ?: request.fingerprint
+        private val rowKey: RowKey = Rows.claim(request.workspaceName, idempotencyKey)
+        private val claim = LocalClaim(operationId)
+        private var state: ClaimState = ClaimState.New
+        private var existing: StoredClaim? = null
+        private var rowVersion = 1L
+        private var answer: DispatchEnd? = null
+
+        suspend fun go(): DispatchEnd {
+            local[operationId] = claim
+            var event: ClaimEvent? = ClaimEvent.Begin
+            while (event != null) {
+                val step = ClaimMachine.step(state, event)
+                state = step.state
+                event = null
+                for (effect in step.effects) event = carryOut(effect) ?: event
+            }
+            finishLocal()
+            return answer ?: DispatchEnd.Refused(Refusal.CLAIM_UNAVAILABLE)
+        }
+
+        private suspend fun carryOut(effect: ClaimEffect): ClaimEvent? {
+            note(effect)
+            return when (effect) {
+                ClaimEffect.Insert -> insert()
+                ClaimEffect.ReadBack -> readBack()
+                ClaimEffect.Dispatch -> runOnce()
+                ClaimEffect.StoreAnswer -> null.also { storeEnd(false) }
+                ClaimEffect.StoreDoubt -> null.also { storeEnd(true) }
+                ClaimEffect.Free -> null.also { free() }
+                is ClaimEffect.Join -> null.also { answer = join() }
+                is ClaimEffect.Refuse -> null.also { answer = answer ?: refusal(effect.end) }
+            }
+        }
+
+        private suspend fun insert(): ClaimEvent {
+            val value = running().toByteString()
+            return outcome(table.write(listOf(RowWrite.Insert(rowKey, value))))
+        }
+
+        private suspend fun outcome(result: WriteResult): ClaimEvent = when (result) {
+            WriteResult.Written -> ClaimEvent.Inserted
+            is WriteResult.Conflict -> onConflict()
+            is WriteResult.NotWritten -> ClaimEvent.StoreDown
+            is WriteResult.Unknown -> ClaimEvent.Unknown
+        }
+
+        /** Takes over a row that is out of its window or whose owner never ran it; else joins. */
+        private suspend fun onConflict(): ClaimEvent {
+            val row = (table.get(rowKey) as? ReadResult.Found)?.value ?: return ClaimEvent.StoreDown
+            val stored = StoredClaim.parseFrom(row.value)
+            if (stored.operationId == operationId) return ClaimEvent.Inserted
+            if (isExpired(stored) || wasNeverDispatched(stored)) return takeOver(row)
+            existing = stored
+            return ClaimEvent.Exists(existingState(stored))
+        }
+
+        private suspend fun takeOver(row: Row): ClaimEvent {
+            rowVersion = row.version + 1
+            val replace = RowWrite.Replace(rowKey, row.version, running().toByteString())
+            return outcome(table.write(listOf(replace)))
+        }
+
+        private suspend fun readBack(): ClaimEvent {
+            val found = table.get(rowKey) as? ReadResult.Found ?: return ClaimEvent.Unknown
+            val row = found.value ?: return ClaimEvent.Absent
+            val stored = StoredClaim.parseFrom(row.value)
+            if (stored.operationId == operationId) return ClaimEvent.Inserted
+            existing = stored
+            return ClaimEvent.Exists(existingState(stored))
+        }
+
+        private suspend fun runOnce(): ClaimEvent {
+            invariant(!claim.isDispatched) { "a claim is dispatched at most once" }
+            claim.isDispatched = true
+            val end = dispatch()
+            answer = end
+            return when (end) {
+                is DispatchEnd.Whole -> ClaimEvent.Answered
+                is DispatchEnd.Streamed -> ClaimEvent.Answered
+                is DispatchEnd.CutOff -> ClaimEvent.InDoubt
+                is DispatchEnd.Refused -> if (end.refusal.run == RunState.NOT_RUN) {
+                    ClaimEvent.NotSent
+                } else {
+                    ClaimEvent.InDoubt
+                }
+            }
+        }
+
+        /** Writes the end into the row. The caller's answer does not wait for it. */
+        private fun storeEnd(isInDoubt: Boolean) {
+            val whole = (answer as? DispatchEnd.Whole)?.answer
+            core.scope.launch {
+                val row = if (isInDoubt || whole == null) {
+                    running().toBuilder().setMayHaveRun(true).build()
+                } else {
+                    withAnswer(whole)
+                }
+                table.write(listOf(RowWrite.Replace(rowKey, rowVersion, row.toByteString())))
+            }
+        }
+
+        private suspend fun withAnswer(whole: WholeAnswer): StoredClaim {
+            val row = running().toBuilder().setState(ClaimReply.State.FINISHED)
+            val stored = storedAnswer(whole)
+            if (stored.serializedSize <= MAX_ROW_ANSWER_BYTES) return row.setAnswer(stored).build()
+            val key = "answers/$operationId"
+            return if (core.objects.put(key, stored.toByteArray())) {
+                row.setAnswerObject(key).build()
+            } else {
+                row.setState(ClaimReply.State.RUNNING).setMayHaveRun(true).build()
+            }
+        }
+
+        private suspend fun free() {
+            val found = (table.get(rowKey) as? ReadResult.Found)?.value ?: return
+            val stored = StoredClaim.parseFrom(found.value)
+            if (stored.operationId != operationId) return
+            table.write(listOf(RowWrite.Delete(rowKey, found.version)))
+        }
+
+        private suspend fun join(): DispatchEnd {
+            val stored = existing ?: return DispatchEnd.Refused(Refusal.IN_DOUBT)
+            return when {
+                stored.fingerprint != request.fingerprint -> DispatchEnd.Refused(Refusal.KEY_REUSED)
+                stored.state == ClaimReply.State.FINISHED -> storedEnd(stored)
+                stored.mayHaveRun -> DispatchEnd.Refused(Refusal.IN_DOUBT)
+                else -> awaitOwner(stored)
+            }
+        }
+
+        private suspend fun awaitOwner(stored: StoredClaim): DispatchEnd {
+            val left = request.deadlineMillis - core.clock.nowMillis()
+            val reply = askOwner(stored, left.coerceIn(1, MAX_JOIN_MILLIS))
+            return when (reply?.state) {
+                ClaimReply.State.FINISHED -> DispatchEnd.Whole(wholeOf(reply.answer))
+                ClaimReply.State.RUNNING -> DispatchEnd.Refused(Refusal.STILL_RUNNING)
+                ClaimReply.State.NOT_DISPATCHED -> DispatchEnd.Refused(Refusal.CLAIM_UNAVAILABLE)
+                else -> lateEnd()
+            }
+        }
+
+        /** The owner can't be asked: it may have stored its answer since. */
+        private suspend fun lateEnd(): DispatchEnd {
+            val row = (table.get(rowKey) as? ReadResult.Found)?.value
+            val stored = row?.let { StoredClaim.parseFrom(it.value) }
+            return if (stored?.state == ClaimReply.State.FINISHED) {
+                storedEnd(stored)
+            } else {
+                DispatchEnd.Refused(Refusal.IN_DOUBT)
+            }
+        }
+
+        private suspend fun storedEnd(stored: StoredClaim): DispatchEnd {
+            if (stored.answerObject.isEmpty()) return DispatchEnd.Whole(wholeOf(stored.answer))
+            val found = core.objects.get(stored.answerObject) as? ObjectResult.Found
+                ?: return DispatchEnd.Refused(Refusal.IN_DOUBT)
+            return DispatchEnd.Whole(wholeOf(StoredAnswer.parseFrom(found.bytes)))
+        }
+
+        private suspend fun wasNeverDispatched(stored: StoredClaim): Boolean {
+            if (stored.state != ClaimReply.State.RUNNING || stored.mayHaveRun) return false
+            return askOwner(stored, 1)?.state == ClaimReply.State.NOT_DISPATCHED
+        }
+
+        private suspend fun askOwner(stored: StoredClaim, waitMillis: Long): ClaimReply? {
+            val query = ClaimQuery.newBuilder()
+                .setWorkspace(request.workspaceName)
+                .setIdempotencyKey(idempotencyKey)
+                .setOperationId(stored.operationId)
+                .setWaitMillis(waitMillis)
+                .build()
+            if (stored.ownerSession == core.sessions.session) return status(query)
+            val owner = HostPort.parse(stored.ownerAddress)
+            val limit = waitMillis + CALL_MARGIN_MILLIS
+            val answer = core.peers.peer(owner, limit) { claimStatus(query) }
+            return (answer as? PeerResult.Answer)?.value
+        }
+
+        private fun refusal(end: ClaimEnd): DispatchEnd = when (end) {
+            ClaimEnd.MAY_HAVE_RUN -> DispatchEnd.Refused(Refusal.IN_DOUBT)
+            else -> DispatchEnd.Refused(Refusal.CLAIM_UNAVAILABLE)
+        }
+
+        private fun isExpired(stored: StoredClaim): Boolean {
+            val window = if (request.raw.headers.contains("idempotency-key")) {
+                maxOf(KEY_WINDOW_MILLIS, request.route.duplicateWindowMillis)
+            } else {
+                request.route.duplicateWindowMillis
+            }
+            return System.currentTimeMillis() - stored.claimedAtEpochMillis > window
+        }
+
+        private fun existingState(stored: StoredClaim): ExistingClaim = when {
+            stored.state == ClaimReply.State.FINISHED -> ExistingClaim.Finished
+            stored.mayHaveRun -> ExistingClaim.InDoubt
+            else -> ExistingClaim.Pending
+        }
+
+        private fun running(): StoredClaim = StoredClaim.newBuilder()
+            .setOperationId(operationId)
+            .setOwnerSession(core.sessions.session)
+            .setOwnerAddress(core.settings.address.toString())
+            .setClaimedAtEpochMillis(System.currentTimeMillis())
+            .setState(ClaimReply.State.RUNNING)
+            .setFingerprint(request.fingerprint)
+            .build()
+
+        private fun note(effect: ClaimEffect) {
+            val name = effect.javaClass.simpleName.lowercase()
+            core.events.add(NodeEvent.Claim(request.raw.id, request.workspaceName, name))
+        }
+
+        /** Tells those who wait here, and forgets the claim after a while. */
+        private suspend fun finishLocal() = withContext(NonCancellable) {
+            val whole = (answer as? DispatchEnd.Whole)?.answer
+            val reply = ClaimReply.newBuilder()
+            when {
+                !claim.isDispatched -> reply.setState(ClaimReply.State.NOT_DISPATCHED)
+                whole != null -> reply.setState(
+                    ClaimReply.State.FINISHED
+                ).setAnswer(storedAnswer(whole))
+                else -> reply.setState(ClaimReply.State.UNKNOWN)
+            }
+            claim.end.complete(reply.build())
+            core.timers.after(KEEP_LOCAL_MILLIS) { local.remove(operationId) }
+        }
+    }
+
+    private fun storedAnswer(whole: WholeAnswer): StoredAnswer = StoredAnswer.newBuilder()
+        .setStatus(whole.head.status)
+        .putAllHeaders(whole.head.headers.toMap())
+        .setBody(ByteString.copyFrom(whole.body.bytes))
+        .build()
+
+    private fun wholeOf(stored: StoredAnswer): WholeAnswer = WholeAnswer(
+        AnswerHead(stored.status, stored.headersMap.map { it.key to it.value }),
+        Buffer.buffer(stored.body.toByteArray())
+    )
+
+    private companion object {
+        const val KEY_WINDOW_MILLIS = 86_400_000L
+        const val MAX_JOIN_MILLIS = 30_000L
+        const val CALL_MARGIN_MILLIS = 500L
+        const val KEEP_LOCAL_MILLIS = 600_000L
+        const val MAX_ROW_ANSWER_BYTES = 100_000
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/cactusfold/router/forward/Dispatcher.kt
@@ -0,0 +1,150 @@
+package cactusfold.router.forward
+
+import cactusfold.decisions.queue.WaitingRequest
+import cactusfold.decisions.suspect.SuspectVerdict
+import cactusfold.node.events.EventRing
+import cactusfold.node.events.NodeEvent
+import cactusfold.router.callers.CallerRequest
+import cactusfold.router.callers.Refusal
+import cactusfold.router.callers.RunState
+import cactusfold.router.lane.Lane
+import cactusfold.router.lane.Target
+import cactusfold.router.lane.Upstreams
+import cactusfold.router.lane.WaitEnd
+import kotlinx.coroutines.delay
+
+/** How a request ended at this router. */
+public sealed interface DispatchEnd {
+    /** The whole answer, still to be given to the caller. */
+    public class Whole(public val answer: WholeAnswer) : DispatchEnd
+
+    /** The whole answer has gone to the caller. */
+    public class Streamed(public val status: Int) : DispatchEnd
+
+    /** No answer; the caller has seen nothing of one yet. */
+    public class Refused(public val refusal: Refusal) : DispatchEnd
+
+    /** The answer broke off after a part of it went to the caller. */
+    public class CutOff(public val reason: String) : DispatchEnd
+}
+
+/**
+ * Sends a request to an upstream of its lane, and again to another one where that is safe: when the
+ * request was surely not run, or may be repeated and the caller has seen nothing yet.
+ */
+public class Dispatcher(
+    private val client: UpstreamClient,
+    private val upstreams: Upstreams,
+    private val suspects: Suspects,
+    private val events: EventRing
+) {
+    /** Runs [request] through [lane]. */
+    public suspend fun run(request: CallerRequest, lane: Lane, sink: StreamSink?): DispatchEnd {
+        var last: Refusal? = null
+        repeat(MAX_ATTEMPTS) { attempt ->
+            if (isRefusedAsSuspect(request)) return DispatchEnd.Refused(Refusal.CRASHES_UPSTREAMS)
+            val wait = lane.await(waitingRequest(request, attempt))
+            val target = when (wait) {
+                is WaitEnd.Go -> wait.target
+                is WaitEnd.Refused -> return DispatchEnd.Refused(last ?: Refusal.of(wait.reason))
+            }
+            val end = try {
+                awaitAloneIfSuspect(request, target)
+                attempt(request, attempt, target, sink)
+            } finally {
+                lane.ended(target)
+            }
+            when (end) {
+                is AttemptEnd.Whole -> {
+                    if (!isModelMissing(request, end)) return DispatchEnd.Whole(end.answer)
+                    last = Refusal.upstream("the model left its upstream", RunState.NOT_RUN)
+                }
+                is AttemptEnd.Streamed -> return DispatchEnd.Streamed(end.status)
+                is AttemptEnd.NotSent -> last = Refusal.upstream(end.reason, RunState.NOT_RUN)
+                is AttemptEnd.Broken -> {
+                    if (end.hasBegun) return DispatchEnd.CutOff(end.reason)
+                    last = Refusal.upstream(end.reason, RunState.MAY_HAVE_RUN)
+                    if (!request.route.isRepeatable) return DispatchEnd.Refused(last!!)
+                }
+            }
+        }
+        return DispatchEnd.Refused(last!!)
+    }
+
+    private suspend fun attempt(
+        request: CallerRequest,
+        number: Int,
+        target: Target,
+        sink: StreamSink?
+    ): AttemptEnd {
+        val model = request.model.orEmpty()
+        val id = request.raw.id
+        events.add(NodeEvent.Dispatched(id, request.workspaceName, model, target.upstream))
+        val attempt = Attempt(
+            if (number == 0) id else "$id.$number",
+            request.raw.method,
+            request.raw.uri,
+            HopHeaders.towardsUpstream(request.raw.headers),
+            request.raw.body
+        )
+        val end = client.send(target, attempt, sink)
+        book(request, target, end)
+        return end
+    }
+
+    private fun book(request: CallerRequest, target: Target, end: AttemptEnd) {
+        when (end) {
+            is AttemptEnd.Whole -> finished(request, target, end.firstByteMillis)
+            is AttemptEnd.Streamed -> finished(request, target, end.firstByteMillis)
+            is AttemptEnd.NotSent -> aside(target, end.reason)
+            is AttemptEnd.Broken -> {
+                val inFlight = upstreams.of(target.upstream).inFlight
+                suspects.crashed(request.fingerprint, target.upstream, inFlight)
+                aside(target, end.reason)
+            }
+        }
+    }
+
+    private fun finished(request: CallerRequest, target: Target, firstByteMillis: Long) {
+        upstreams.answered(target.upstream, firstByteMillis)
+        if (!suspects.isEmpty) suspects.finished(request.fingerprint)
+    }
+
+    private fun aside(target: Target, reason: String) {
+        upstreams.failed(target.upstream)
+        events.add(NodeEvent.UpstreamAside(target.upstream, reason))
+    }
+
+    private fun isRefusedAsSuspect(request: CallerRequest): Boolean =
+        !suspects.isEmpty && suspects.judge(request.fingerprint) == SuspectVerdict.REFUSE
+
+    /** A suspect starts only once nothing else of this router runs on its upstream. */
+    private suspend fun awaitAloneIfSuspect(request: CallerRequest, target: Target) {
+        if (suspects.isEmpty || suspects.judge(request.fingerprint) == SuspectVerdict.CLEAR) return
+        var waits = 0
+        while (upstreams.of(target.upstream).inFlight > 1 && waits < MAX_ALONE_WAITS) {
+            delay(ALONE_WAIT_MILLIS)
+            waits++
+        }
+    }
+
+    /** A runner that has unloaded the model meanwhile answers 404 and has not run the request. */
+    private fun isModelMissing(request: CallerRequest, end: AttemptEnd.Whole): Boolean =
+        request.model != null && end.answer.head.status == NOT_FOUND
+
+    private fun waitingRequest(request: CallerRequest, attempt: Int): WaitingRequest =
+        WaitingRequest(
+            "${request.raw.id}#$attempt",
+            request.workspaceName,
+            request.workspace?.share ?: 1.0,
+            request.deadlineMillis,
+            request.costTokens
+        )
+
+    private companion object {
+        const val MAX_ATTEMPTS = 3
+        const val NOT_FOUND = 404
+        const val ALONE_WAIT_MILLIS = 10L
+        const val MAX_ALONE_WAITS = 200
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/cactusfold/router/lane/ModelWatchers.kt
@@ -0,0 +1,121 @@
+package cactusfold.router.lane
+
+import cactusfold.decisions.queue.QueueRefusal
+import cactusfold.node.launch.NodeCore
+import cactusfold.node.peer.PeerResult
+import cactusfold.node.rows.Shards
+import cactusfold.protocol.ModelDemand
+import cactusfold.protocol.ModelPlacement
+import cactusfold.protocol.Replica
+import cactusfold.settings.schema.HostPort
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+
+/**
+ * Watches the placement of each model in use: one long poll for each model, however many requests
+ * wait, ended early when the first request begins to wait.
+ */
+public class ModelWatchers(
+    private val core: NodeCore,
+    private val targetMillisOf: (String) -> Long
+) {
+    private class Watcher(val kicks: Channel<Unit>)
+
+    private val watchers = ConcurrentHashMap<String, Watcher>()
+
+    /** Watches the placement of [lane] while it is in use; reports new demand at once. */
+    public fun watch(lane: Lane) {
+        var isNew = false
+        val watcher = watchers.computeIfAbsent(lane.name) {
+            isNew = true
+            Watcher(Channel(Channel.CONFLATED))
+        }
+        if (isNew) {
+            core.scope.launch {
+                try {
+                    run(lane, watcher)
+                } finally {
+                    watchers.remove(lane.name, watcher)
+                }
+            }
+        } else if (lane.targets.isEmpty()) {
+            watcher.kicks.trySend(Unit)
+        }
+    }
+
+    private suspend fun run(lane: Lane, watcher: Watcher) {
+        var version = 0L
+        var arrivalsReported = 0
+        while (isInUse(lane)) {
+            val arrivals = lane.arrivals.get()
+            val wait = if (lane.waiting > 0) WAITING_POLL_MILLIS else IDLE_POLL_MILLIS
+            val placement = ask(lane, version, wait, arrivals - arrivalsReported)
+            if (placement == null) {
+                withTimeoutOrNull(RETRY_MILLIS) { watcher.kicks.receive() }
+                continue
+            }
+            arrivalsReported = arrivals
+            version = placement.version
+            lane.retarget(placement.replicasList.map(::targetOf))
+            if (placement.outcome == ModelPlacement.Outcome.NO_CAPACITY) {
+                lane.refuseAll(QueueRefusal.LATE)
+                delay(RETRY_MILLIS)
+            }
+        }
+    }
+
+    private fun isInUse(lane: Lane): Boolean = lane.waiting + lane.running > 0 ||
+        core.clock.nowMillis() - lane.usedAtMillis < LINGER_MILLIS
+
+    private suspend fun ask(
+        lane: Lane,
+        version: Long,
+        waitMillis: Long,
+        arrivals: Int
+    ): ModelPlacement? {
+        val holder = holderOf(lane.name) ?: return null
+        val now = core.clock.nowMillis()
+        val demand = ModelDemand.newBuilder()
+            .setModel(lane.name)
+            .setRouter(core.sessions.session)
+            .setKnownVersion(version)
+            .setWaitMillis(waitMillis)
+            .setWaiting(lane.waiting)
+            .setRunning(lane.running)
+            .setEarliestDeadlineMillis(
+                lane.earliestDeadlineMillis?.let { (it - now).coerceAtLeast(1) } ?: 0
+            )
+            .setTargetMillis(targetMillisOf(lane.name))
+            .setArrivals(arrivals)
+            .build()
+        val limit = waitMillis + CALL_MARGIN_MILLIS
+        val answer = core.peers.holder(holder, limit) { watchModel(demand) }
+        return (answer as? PeerResult.Answer)?.value
+            ?.takeIf { it.outcome != ModelPlacement.Outcome.NOT_HOLDER }
+    }
+
+    private fun holderOf(model: String): HostPort? {
+        val cell = core.config.current.cellOf(model) ?: return null
+        return core.sessions.holderOf(Shards.ofCell(cell))?.address
+    }
+
+    private fun targetOf(replica: Replica): Target = Target(
+        replica.upstream,
+        HostPort(replica.host, replica.port),
+        replica.zone,
+        replica.slots,
+        replica.reportedRunning,
+        replica.reportedWaiting
+    )
+
+    private companion object {
+        const val WAITING_POLL_MILLIS = 250L
+        const val IDLE_POLL_MILLIS = 1_000L
+        const val CALL_MARGIN_MILLIS = 500L
+        const val RETRY_MILLIS = 100L
+        const val LINGER_MILLIS = 15_000L
+    }
+}
--- /dev/null
+++ b/settings/src/main/kotlin/cactusfold/settings/ini/IniText.kt
@@ -0,0 +1,48 @@
+package cactusfold.settings.ini
+
+import java.io.StringReader
+import org.apache.commons.configuration2.INIConfiguration
+import org.apache.commons.configuration2.ex.ConfigurationException
+
+/** The values of an INI document by section and key; the nameless section is `""`. */
+public data class IniDocument(
+    public val sections: Map<String, Map<String, String>>,
+    public val lines: IniLines
+)
+
+/** The outcome of parsing INI text. */
+public sealed interface IniResult {
+    /** The text is well-formed. */
+    public data class Parsed(public val document: IniDocument) : IniResult
+
+    /** The text is not an INI document. */
+    public data class Malformed(public val line: Int?, public val reason: String) : IniResult
+}
+
+/** Reads INI text; comments begin with `;` or `#`. */
+public object IniText {
+    /** Parses [text]. */
+    public fun parse(text: String): IniResult {
+        val lines = IniLines.of(text)
+        val doubled = lines.firstDuplicate
+        if (doubled != null) {
+            return IniResult.Malformed(doubled.line, "${doubled.name} is given twice")
+        }
+        val ini = INIConfiguration()
+        try {
+            ini.read(StringReader(text))
+        } catch (e: ConfigurationException) {
+            return IniResult.Malformed(null, e.message ?: "not an INI document")
+        }
+        return IniResult.Parsed(IniDocument(valuesOf(ini), lines))
+    }
+
+    private fun valuesOf(ini: INIConfiguration): Map<String, Map<String, String>> =
+        ini.sections.associate { name ->
+            val section = ini.getSection(name)
+            val keys = section.keys.asSequence().toList()
+            (name ?: "") to keys.associate { unescape(it) to section.getString(it).orEmpty() }
+        }.filter { (name, values) -> name.isNotEmpty() || values.isNotEmpty() }
+
+    private fun unescape(key: String): String = key.replace("..", ".")
+}
--- /dev/null
+++ b/settings/src/main/kotlin/cactusfold/settings/schema/SchemaCheck.kt
@@ -0,0 +1,65 @@
+package cactusfold.settings.schema
+
+import cactusfold.settings.ini.IniDocument
+
+/** Something wrong with a document. [line] is null when nothing stands in the text. */
+public data class Problem(public val line: Int?, public val message: String) {
+    /** Returns the problem as `FILE:LINE: message`. */
+    public fun describe(file: String): String =
+        if (line == null) "$file: $message" else "$file:$line: $message"
+}
+
+/** Checks documents against a [Schema]. */
+public object SchemaCheck {
+    /** Returns every problem of [document]. */
+    public fun problems(schema: Schema, document: IniDocument): List<Problem> {
+        val inSections = document.sections.flatMap { (name, values) ->
+            sectionProblems(schema, document, name, values)
+        }
+        return (inSections + missingSections(schema, document)).sortedBy { it.line ?: 0 }
+    }
+
+    /** Returns [values] with the defaults of [spec] filled in. */
+    public fun withDefaults(spec: SectionSpec, values: Map<String, String>): Map<String, String> {
+        val defaults = spec.keys.mapNotNull { key -> key.default?.let { key.name to it } }
+        return defaults.toMap() + values
+    }
+
+    private fun sectionProblems(
+        schema: Schema,
+        document: IniDocument,
+        name: String,
+        values: Map<String, String>
+    ): List<Problem> {
+        val line = document.lines.find(name, null)
+        val spec = schema.sectionFor(name)
+            ?: return listOf(Problem(line, "unknown section [$name]; expected ${kinds(schema)}"))
+        val wrong = values.mapNotNull { (key, value) ->
+            valueProblem(spec, key, value)?.let { Problem(document.lines.find(name, key), it) }
+        }
+        val missing = spec.keys
+            .filter { it.default == null && !it.optional && it.name !in values }
+            .map { Problem(line, "missing ${it.name} in [$name]; expected ${it.type.expected}") }
+        return wrong + missing
+    }
+
+    private fun valueProblem(spec: SectionSpec, key: String, value: String): String? {
+        val known = spec.keys.find { it.name == key }
+        return when {
+            known == null -> "unknown key $key; expected one of ${spec.keys.joinToString {
+                it.name
+            }}"
+            known.type.accepts(value) -> null
+            else -> "$key is '$value'; expected ${known.type.expected}"
+        }
+    }
+
+    private fun missingSections(schema: Schema, document: IniDocument): List<Problem> =
+        schema.sections
+            .filter { !it.named && it.kind !in document.sections }
+            .filter { spec -> spec.keys.any { it.default == null && !it.optional } }
+            .map { Problem(null, "missing section [${it.kind}]") }
+
+    private fun kinds(schema: Schema): String =
+        schema.sections.joinToString { if (it.named) "[${it.kind} NAME]" else "[${it.kind}]" }
+}
--- /dev/null
+++ b/settings/src/main/kotlin/cactusfold/settings/schema/SectionReader.kt
@@ -0,0 +1,40 @@
+package cactusfold.settings.schema
+
+/** Typed access to the checked values of one section. */
+public class SectionReader(private val values: Map<String, String>) {
+    /** Returns the text of [key], or null. */
+    public fun textOrNull(key: String): String? = values[key]?.takeIf { it.isNotBlank() }
+
+    /** Returns the text of [key]. */
+    public fun text(key: String): String = requireNotNull(values[key]) { "no value for $key" }
+
+    /** Returns the whole number of [key]. */
+    public fun long(key: String): Long = text(key).toLong()
+
+    /** Returns the whole number of [key]. */
+    public fun int(key: String): Int = text(key).toInt()
+
+    /** Returns the number of [key]. */
+    public fun double(key: String): Double = text(key).toDouble()
+
+    /** Returns the flag of [key]. */
+    public fun flag(key: String): Boolean = text(key).toBooleanStrict()
+
+    /** Returns the names of [key], separated by commas. */
+    public fun names(key: String): List<String> =
+        values[key].orEmpty().split(',').map { it.trim() }.filter { it.isNotEmpty() }
+
+    /** Returns the address of [key]. */
+    public fun address(key: String): HostPort = HostPort.parse(text(key))
+}
+
+/** A numeric address and a port. */
+public data class HostPort(public val host: String, public val port: Int) {
+    override fun toString(): String = "$host:$port"
+
+    public companion object {
+        /** Parses `host:port`. */
+        public fun parse(text: String): HostPort =
+            HostPort(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
+    }
+}
--- /dev/null
+++ b/settings/src/main/kotlin/cactusfold/settings/schema/Settings.kt
@@ -0,0 +1,45 @@
+package cactusfold.settings.schema
+
+import cactusfold.settings.ini.IniResult
+import cactusfold.settings.ini.IniText
+
+/** Checked settings of a process, defaults filled in. */
+public class Settings internal constructor(
+    private val schema: Schema,
+    private val sections: Map<String, Map<String, String>>
+) {
+    /** Returns the section `[name]`; its keys were checked before. */
+    public fun section(name: String): SectionReader {
+        val spec =
+            requireNotNull(schema.sectionFor(name)) { "no section [$name] in ${schema.title}" }
+        return SectionReader(SchemaCheck.withDefaults(spec, sections[name].orEmpty()))
+    }
+
+    /** Returns the names of the sections `[kind NAME]`. */
+    public fun names(kind: String): List<String> =
+        sections.keys.filter { it.startsWith("$kind ") }.map { it.substringAfter(' ') }
+}
+
+/** The outcome of reading settings. */
+public sealed interface SettingsResult {
+    /** The settings are complete and valid. */
+    public data class Valid(public val settings: Settings) : SettingsResult
+
+    /** The settings can't be used, for every reason in [problems]. */
+    public data class Invalid(public val problems: List<Problem>) : SettingsResult
+}
+
+/** Reads [text] as settings of [schema]. */
+public fun readSettings(schema: Schema, text: String): SettingsResult =
+    when (val parsed = IniText.parse(text)) {
+        is IniResult.Malformed ->
+            SettingsResult.Invalid(listOf(Problem(parsed.line, parsed.reason)))
+        is IniResult.Parsed -> {
+            val problems = SchemaCheck.problems(schema, parsed.document)
+            if (problems.isEmpty()) {
+                SettingsResult.Valid(Settings(schema, parsed.document.sections))
+            } else {
+                SettingsResult.Invalid(problems)
+            }
+        }
+    }
--- /dev/null
+++ b/standins/src/main/kotlin/cactusfold/standins/StandinFleet.kt
@@ -0,0 +1,65 @@
+package cactusfold.standins
+
+import cactusfold.standins.platform.ObjectsStandin
+import cactusfold.standins.platform.TableStandin
+import cactusfold.standins.platform.VmsStandin
+import cactusfold.standins.platform.WeightStore
+import cactusfold.standins.runner.RunnerOptions
+import cactusfold.standins.runner.RunnerStandin
+import cactusfold.standins.service.ServiceStandin
+import io.vertx.core.Vertx
+
+/** Ports and sizes of a set of stand-ins; a port of 0 takes any free one. */
+public data class StandinOptions(
+    public val tablePort: Int = 0,
+    public val objectsPort: Int = 0,
+    public val vmsPort: Int = 0,
+    public val vmLagMillis: Long = 1_000,
+    public val loadsPerSecond: Double = 4.0,
+    public val fullSpeedLoads: Int = 4,
+    public val remoteBytesPerSecond: Long = 2_000_000_000,
+    public val runners: List<RunnerOptions> = emptyList(),
+    public val servicePorts: List<Int> = emptyList()
+)
+
+/** The platform, weight store, runners and plain services, all on loopback. */
+public class StandinFleet(vertx: Vertx, options: StandinOptions) {
+    /** The table service. */
+    public val table: TableStandin = TableStandin(vertx, options.tablePort)
+
+    /** The object store. */
+    public val objects: ObjectsStandin = ObjectsStandin(vertx, options.objectsPort)
+
+    /** The list of VMs. */
+    public val vms: VmsStandin = VmsStandin(vertx, options.vmsPort, options.vmLagMillis)
+
+    /** The weight store. */
+    public val weights: WeightStore =
+        WeightStore(options.loadsPerSecond, options.fullSpeedLoads, options.remoteBytesPerSecond)
+
+    /** The runners, by name. */
+    public val runners: Map<String, RunnerStandin> =
+        options.runners.associate { it.name to RunnerStandin(vertx, it, weights) }
+
+    /** The plain services. */
+    public val services: List<ServiceStandin> =
+        options.servicePorts.map { ServiceStandin(vertx, it) }
+
+    /** Starts all of them. */
+    public suspend fun start() {
+        table.start()
+        objects.start()
+        vms.start()
+        runners.values.forEach { it.start() }
+        services.forEach { it.start() }
+    }
+
+    /** Stops all of them. */
+    public suspend fun stop() {
+        services.forEach { it.stop() }
+        runners.values.forEach { it.stop() }
+        vms.stop()
+        objects.stop()
+        table.stop()
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/cactusfold/standins/StandinServer.kt
@@ -0,0 +1,56 @@
+package cactusfold.standins
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
+
+/** An HTTP server on loopback that handles each request in a coroutine, begun at once. */
+public class StandinServer(
+    private val vertx: Vertx,
+    private val port: Int,
+    private val handle: suspend (HttpServerRequest) -> Unit
+) {
+    private val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher())
+    private var server: HttpServer? = null
+
+    /** The port that is listened on. */
+    public val actualPort: Int get() = server?.actualPort() ?: port
+
+    /** Begins to listen. */
+    public suspend fun start() {
+        server = vertx.createHttpServer().requestHandler(::accept).listen(port, LOOPBACK).coAwait()
+    }
+
+    /** Stops listening and closes all connections. */
+    public suspend fun stop() {
+        server?.close()?.coAwait()
+        scope.cancel()
+    }
+
+    private fun accept(request: HttpServerRequest) {
+        val context = vertx.getOrCreateContext()
+        scope.launch(context.dispatcher(), CoroutineStart.UNDISPATCHED) {
+            try {
+                handle(request)
+            } catch (e: Exception) {
+                log.warn("request {} failed", request.path(), e)
+                request.connection().close()
+            }
+        }
+    }
+
+    public companion object {
+        /** The only address that stand-ins listen on. */
+        public const val LOOPBACK: String = "127.0.0.1"
+
+        private val log = LogManager.getLogger(StandinServer::class.java)
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/cactusfold/standins/platform/VmsStandin.kt
@@ -0,0 +1,51 @@
+package cactusfold.standins.platform
+
+import cactusfold.standins.StandinServer
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import io.vertx.kotlin.coroutines.coAwait
+import java.util.concurrent.ConcurrentHashMap
+
+/** Stands in for the platform's list of VMs, which shows a change [lagMillis] after it happened. */
+public class VmsStandin(vertx: Vertx, port: Int, private val lagMillis: Long) {
+    private class Change(val zone: String, val state: String, val visibleAtMillis: Long)
+
+    private val changes = ConcurrentHashMap<String, List<Change>>()
+    private val server = StandinServer(vertx, port, ::handle)
+
+    /** The port that is listened on. */
+    public val port: Int get() = server.actualPort
+
+    /** Begins to listen. */
+    public suspend fun start() {
+        server.start()
+    }
+
+    /** Stops listening. */
+    public suspend fun stop() {
+        server.stop()
+    }
+
+    /** Sets the state of a VM, `live` or `leaving`. */
+    public fun set(name: String, zone: String, state: String) {
+        val visible = nowMillis() + if (changes.containsKey(name)) lagMillis else 0
+        changes.merge(name, listOf(Change(zone, state, visible))) { old, new -> old + new }
+    }
+
+    private suspend fun handle(request: HttpServerRequest) {
+        val now = nowMillis()
+        val vms = changes.mapNotNull { (name, list) ->
+            val seen = list.lastOrNull { it.visibleAtMillis <= now } ?: return@mapNotNull null
+            JsonObject().put("name", name).put("zone", seen.zone).put("state", seen.state)
+        }
+        request.response().end(JsonObject().put("vms", JsonArray(vms)).toBuffer()).coAwait()
+    }
+
+    private fun nowMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/cactusfold/standins/runner/RunnerStandin.kt
@@ -0,0 +1,153 @@
+package cactusfold.standins.runner
+
+import cactusfold.standins.StandinServer
+import cactusfold.standins.platform.WeightStore
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import io.vertx.kotlin.coroutines.coAwait
+import java.util.UUID
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+/**
+ * Stands in for a model engine: loads and unloads on order, batches requests, streams tokens, and
+ * crashes on a given prompt.
+ */
+public class RunnerStandin(vertx: Vertx, private val options: RunnerOptions, weights: WeightStore) {
+    private val loadJobs = SupervisorJob()
+    private val scope = CoroutineScope(loadJobs + Dispatchers.Default)
+    private val memory = RunnerMemory(options, weights, scope)
+    private val engine = CompletionEngine(options, memory, ::crash)
+    private val server = StandinServer(vertx, options.port, ::handle)
+    private val crashed = AtomicInteger()
+
+    @Volatile
+    private var bootId = UUID.randomUUID().toString()
+
+    @Volatile
+    private var isDown = false
+
+    @Volatile
+    private var reported = LoadReport(0, 0)
+
+    /** The port that is listened on. */
+    public val port: Int get() = server.actualPort
+
+    /** Loads begun so far. */
+    public val loads: Int get() = memory.loads.get()
+
+    /** Orders that did not fit into memory so far. */
+    public val overcommits: Int get() = memory.overcommits.get()
+
+    /** Crashes so far. */
+    public val crashes: Int get() = crashed.get()
+
+    /** Requests that were cancelled by their callers so far. */
+    public val cancelled: Int get() = engine.cancelled.get()
+
+    /** Requests that ran to their end so far. */
+    public val finished: Int get() = engine.finished.get()
+
+    /** Whether any request carried a caller's key. */
+    public val sawKey: Boolean get() = engine.sawKey
+
+    /** Begins to listen. */
+    public suspend fun start() {
+        server.start()
+        scope.launch { reportLoad() }
+    }
+
+    /** Stops listening and forgets everything. */
+    public suspend fun stop() {
+        server.stop()
+        scope.cancel()
+    }
+
+    /** Crashes now: drops all connections and memory, and is back after the restart time. */
+    public fun crash() {
+        crashed.incrementAndGet()
+        isDown = true
+        engine.dropAll()
+        (loadJobs as Job).cancelChildren()
+        memory.clear()
+        scope.launch {
+            delay(options.restartMillis)
+            bootId = UUID.randomUUID().toString()
+            isDown = false
+            reportLoad()
+        }
+    }
+
+    private suspend fun reportLoad() {
+        while (true) {
+            val seen = LoadReport(engine.running.get(), engine.waiting.get())
+            delay(options.reportLagMillis)
+            reported = seen
+        }
+    }
+
+    private suspend fun handle(request: HttpServerRequest) {
+        if (isDown) {
+            request.connection().close()
+            return
+        }
+        when (request.path()) {
+            "/admin/inventory" -> inventory(request)
+            "/admin/load" -> order(request) { body ->
+                memory.load(
+                    body.getString("order_id"),
+                    body.getString("model"),
+                    body.getLong("memory_bytes"),
+                    body.getLong("fence")
+                )
+            }
+            "/admin/unload" -> order(request) { body ->
+                memory.unload(body.getString("model"), body.getLong("fence"))
+            }
+            else -> engine.serve(request)
+        }
+    }
+
+    private suspend fun order(request: HttpServerRequest, run: (JsonObject) -> OrderReply) {
+        val reply = run(request.body().coAwait().toJsonObject())
+        val status = when (reply) {
+            OrderReply.TAKEN -> ACCEPTED
+            OrderReply.STALE_FENCE -> CONFLICT
+            OrderReply.NO_MEMORY -> INSUFFICIENT
+        }
+        val body = JsonObject().put("result", reply.name.lowercase())
+        request.response().setStatusCode(status).end(body.toBuffer()).coAwait()
+    }
+
+    private suspend fun inventory(request: HttpServerRequest) {
+        memory.showFence(request.getParam("fence")?.toLongOrNull() ?: 0)
+        val models = memory.models.values.map {
+            JsonObject().put("name", it.name).put("phase", it.phase.name.lowercase())
+        }
+        val body = JsonObject()
+            .put("boot_id", bootId)
+            .put("models", JsonArray(models))
+            .put("on_disk", JsonArray(memory.disk.toList()))
+            .put("running", reported.running)
+            .put("waiting", reported.waiting)
+            .put("fence", memory.fence.get())
+        request.response().end(body.toBuffer()).coAwait()
+    }
+
+    private class LoadReport(val running: Int, val waiting: Int)
+
+    private companion object {
+        const val ACCEPTED = 202
+        const val CONFLICT = 409
+        const val INSUFFICIENT = 422
+    }
+}
