Operators' command line: config, key, status, timeline

Cause: operators had no way to steer the fleet but the tests' calls.

Change: cactusfold config validate|apply|show|history|diff, key issue|withdraw|list, status and timeline over the controller's admin port, with exit codes after sysexits.

--- /dev/null
+++ b/cli/src/main/kotlin/cactusfold/cli/CliMain.kt
@@ -0,0 +1,80 @@
+package cactusfold.cli
+
+import cactusfold.node.launch.ExitCode
+import cactusfold.node.launch.VersionProvider
+import cactusfold.node.launch.runCommand
+import cactusfold.settings.schema.HostPort
+import cactusfold.settings.schema.ValueType
+import io.vertx.core.buffer.Buffer
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.core.config.Configurator
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Option
+import picocli.CommandLine.ParameterException
+import picocli.CommandLine.ScopeType
+import picocli.CommandLine.Spec
+
+/** The operators' command line. */
+@Command(
+    name = "cactusfold",
+    mixinStandardHelpOptions = true,
+    versionProvider = VersionProvider::class,
+    description = ["Operates a cactusfold fleet."],
+    subcommands = [
+        ConfigCommand::class,
+        KeyCommand::class,
+        StatusCommand::class,
+        TimelineCommand::class
+    ]
+)
+internal class CactusfoldCommand : Runnable {
+    @Spec
+    lateinit var spec: CommandSpec
+
+    @Option(
+        names = ["--controller"],
+        scope = ScopeType.INHERIT,
+        paramLabel = "ADDRESS:PORT",
+        description = ["A controller's admin address (\${DEFAULT-VALUE})."]
+    )
+    var controller: String = "127.0.0.1:9100"
+
+    override fun run() {
+        throw ParameterException(spec.commandLine(), "a command is missing")
+    }
+
+    fun client(): ControllerClient {
+        if (!ValueType.Address.accepts(controller)) {
+            val expected = ValueType.Address.expected
+            throw ParameterException(
+                spec.commandLine(),
+                "--controller is '$controller'; expected $expected"
+            )
+        }
+        return ControllerClient(HostPort.parse(controller))
+    }
+}
+
+/** Prints what went wrong and returns the exit code; calls [onOk] with the body otherwise. */
+internal fun ControllerAnswer.exitCode(source: String, onOk: (Buffer) -> Unit): Int = when (this) {
+    is ControllerAnswer.Ok -> ExitCode.OK.also { onOk(body) }
+    is ControllerAnswer.Invalid -> {
+        problems.forEach { System.err.println("$source:$it") }
+        ExitCode.DATA
+    }
+    is ControllerAnswer.Contention -> {
+        System.err.println("$reason; nothing was changed, look at it and try again")
+        ExitCode.TEMPORARY
+    }
+    is ControllerAnswer.Unavailable -> {
+        System.err.println(reason)
+        ExitCode.UNAVAILABLE
+    }
+}
+
+/** Entry point of `bin/cactusfold`. */
+public fun main(args: Array<String>) {
+    Configurator.setRootLevel(Level.ERROR)
+    runCommand(CactusfoldCommand(), args)
+}
--- /dev/null
+++ b/cli/src/main/kotlin/cactusfold/cli/ConfigCommand.kt
@@ -0,0 +1,133 @@
+package cactusfold.cli
+
+import cactusfold.decisions.config.ConfigDocument
+import cactusfold.node.launch.ExitCode
+import cactusfold.settings.fleet.FleetCheck
+import cactusfold.settings.fleet.FleetResult
+import cactusfold.settings.fleet.renderIni
+import cactusfold.settings.schema.Problem
+import io.vertx.core.json.JsonObject
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.time.Instant
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+import picocli.CommandLine.ParentCommand
+
+/** Commands around the configuration document. */
+@Command(name = "config", description = ["Checks, applies and shows the configuration."])
+internal class ConfigCommand {
+    @ParentCommand
+    lateinit var parent: CactusfoldCommand
+
+    @Command(description = ["Checks a document without applying it."])
+    fun validate(@Parameters(paramLabel = "FILE.ini") file: Path): Int =
+        withDocument(file) {
+            println("$file: valid, ${it.sections.size} sections")
+            ExitCode.OK
+        }
+
+    @Command(description = ["Makes a document the next version. Keys stay as they are."])
+    fun apply(
+        @Parameters(paramLabel = "FILE.ini") file: Path,
+        @Option(
+            names = ["--base"],
+            paramLabel = "VERSION",
+            description = ["Fail unless this is the version in force."]
+        ) base: Long?,
+        @Option(names = ["--comment"], description = ["Why, for the history."]) comment: String?
+    ): Int = withDocument(file) {
+        val headers = buildMap {
+            base?.let { put("X-Config-Version", it.toString()) }
+            comment?.let { put("X-Comment", it) }
+            put("X-Author", author())
+        }
+        val answer = parent.client().post("/v1/config/apply", Files.readAllBytes(file), headers)
+        answer.exitCode(file.toString()) { printVersion(it.toJsonObject()) }
+    }
+
+    @Command(description = ["Prints the document in force."])
+    fun show(): Int = parent.client().get("/v1/config").exitCode("") { print(it.toString()) }
+
+    @Command(description = ["Lists the changes: version, time, author, comment."])
+    fun history(): Int = parent.client().get("/v1/config/history").exitCode("") { body ->
+        for (item in body.toJsonArray()) {
+            val entry = item as JsonObject
+            val time = Instant.ofEpochMilli(entry.getLong("accepted_at_epoch_millis"))
+            val line = listOf(
+                entry.getLong("version").toString().padStart(VERSION_WIDTH),
+                time.toString(),
+                entry.getString("author"),
+                entry.getString("comment")
+            )
+            println(line.joinToString("  "))
+        }
+    }
+
+    @Command(description = ["Shows what applying a document would change."])
+    fun diff(@Parameters(paramLabel = "FILE.ini") file: Path): Int = withDocument(file) { target ->
+        parent.client().get("/v1/config").exitCode("") { body ->
+            when (val current = FleetCheck.check(body.toString())) {
+                is FleetResult.Invalid -> report(current.problems, "configuration in force")
+                is FleetResult.Valid -> printDiff(current.document, target)
+            }
+        }
+    }
+
+    private fun printDiff(current: ConfigDocument, target: ConfigDocument) {
+        val patch = current.patchTo(target)
+        for (name in patch.removals.filter { !it.startsWith("key ") }.sorted()) println("- [$name]")
+        for ((name, values) in patch.upserts.toSortedMap()) {
+            val before = current.sections[name].orEmpty()
+            println(if (before.isEmpty()) "+ [$name]" else "~ [$name]")
+            for (key in (before.keys + values.keys).sorted()) {
+                if (before[key] != values[key]) {
+                    before[key]?.let { println("  - $key = $it") }
+                    values[key]?.let { println("  + $key = $it") }
+                }
+            }
+        }
+        if (patch.isEmpty) println("no change")
+    }
+
+    private fun withDocument(file: Path, use: (ConfigDocument) -> Int): Int {
+        val text = try {
+            Files.readString(file)
+        } catch (e: IOException) {
+            System.err.println("$file: cannot be read: ${e.message}")
+            return ExitCode.DATA
+        }
+        return when (val result = FleetCheck.check(text)) {
+            is FleetResult.Valid -> use(result.document)
+            is FleetResult.Invalid -> ExitCode.DATA.also { report(result.problems, file.toString()) }
+        }
+    }
+
+    private fun report(problems: List<Problem>, source: String) {
+        problems.forEach { System.err.println(it.describe(source)) }
+    }
+
+    private companion object {
+        const val VERSION_WIDTH = 6
+    }
+}
+
+/** Returns the name under which this operator's changes are kept. */
+internal fun author(): String = System.getProperty("user.name") ?: "unknown"
+
+/** Prints the version that a change became. */
+internal fun printVersion(answer: JsonObject) {
+    val version = answer.getLong("version")
+    println(if (answer.getBoolean("changed")) "version $version" else "no change, version $version")
+}
+
+/** Renders sections for a patch. */
+internal fun sectionText(name: String, values: Map<String, String>): String = renderIni(
+    ConfigDocument(
+        kotlinx.collections.immutable.persistentMapOf(
+            name to kotlinx.collections.immutable.persistentMapOf<String, String>().putAll(values)
+        )
+    )
+)
--- /dev/null
+++ b/cli/src/main/kotlin/cactusfold/cli/TimelineCommand.kt
@@ -0,0 +1,70 @@
+package cactusfold.cli
+
+import io.vertx.core.json.JsonObject
+import java.net.URLEncoder
+import java.time.Instant
+import java.util.concurrent.Callable
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import picocli.CommandLine.ParentCommand
+
+/** Gathers the events of all processes in one order. */
+@Command(name = "timeline", description = ["Shows the events of all processes, in order."])
+internal class TimelineCommand : Callable<Int> {
+    @ParentCommand
+    lateinit var parent: CactusfoldCommand
+
+    @Option(names = ["--request"], paramLabel = "ID", description = ["Only this request."])
+    var request: String? = null
+
+    @Option(names = ["--model"], paramLabel = "NAME", description = ["Only this model."])
+    var model: String? = null
+
+    @Option(names = ["--workspace"], paramLabel = "NAME", description = ["Only this workspace."])
+    var workspace: String? = null
+
+    @Option(names = ["--seconds"], description = ["Only the last seconds."])
+    var seconds: Long? = null
+
+    @Option(names = ["--limit"], description = ["Events of each process (\${DEFAULT-VALUE})."])
+    var limit: Int = 200
+
+    @Option(names = ["--json"], description = ["Print a JSON object a line."])
+    var isJson: Boolean = false
+
+    override fun call(): Int = parent.client().get("/v1/timeline?" + query()).exitCode("") { body ->
+        val answer = body.toJsonObject()
+        for (item in answer.getJsonArray("events")) {
+            val event = item as JsonObject
+            println(if (isJson) event.encode() else line(event))
+        }
+        val silent = answer.getInteger("silent_processes")
+        if (silent > 0) System.err.println("$silent processes did not answer; their events are missing")
+    }
+
+    private fun query(): String {
+        val since = seconds?.let { System.currentTimeMillis() - it * MILLIS_PER_SECOND }
+        return listOfNotNull(
+            request?.let { "request=${encode(it)}" },
+            model?.let { "model=${encode(it)}" },
+            workspace?.let { "workspace=${encode(it)}" },
+            since?.let { "since=$it" },
+            "limit=$limit"
+        ).joinToString("&")
+    }
+
+    private fun line(event: JsonObject): String {
+        val time = Instant.ofEpochMilli(event.getLong("hlc") ushr COUNTER_BITS)
+        val subject = listOf("request", "model", "workspace")
+            .mapNotNull { key -> event.getString(key)?.takeIf { it.isNotEmpty() }?.let { "$key=$it" } }
+        val parts = listOf(time.toString(), event.getString("process"), event.getString("kind"))
+        return (parts + event.getString("detail") + subject).joinToString("  ")
+    }
+
+    private fun encode(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000L
+        const val COUNTER_BITS = 16
+    }
+}
