--- a/controller/src/main/kotlin/cactusfold/controller/cell/CellKeeper.kt
+++ b/controller/src/main/kotlin/cactusfold/controller/cell/CellKeeper.kt
@@ -226,7 +226,7 @@
         val control = controls[order.runner] ?: return
         val sent = NodeEvent.OrderSent(order.kind.name, order.model, order.runner, order.id)
         context.events.add(sent)
-        val event = when (control.send(order)) {
+        val event = when (control.send(order) { isHolder }) {
             OrderOutcome.TAKEN -> CellEvent.OrderAcknowledged(order.runner, order.id)
             OrderOutcome.REFUSED -> CellEvent.OrderRefused(order.runner, order.id)
             OrderOutcome.UNKNOWN -> CellEvent.OrderUnknown(order.runner, order.id)
--- a/decisions/src/main/kotlin/cactusfold/decisions/lease/LeaseMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/lease/LeaseMachine.kt
@@ -53,8 +53,9 @@
     }
 
     private fun dropLapsedHolds(state: LeaseState, nowMillis: Long): Step<LeaseState, LeaseEffect> =
-        if (state.held.isEmpty() || state.isLive(nowMillis)) state.unchanged() else dropAll(state)
+        if (state.isLive(nowMillis)) state.unchanged() else dropAll(state)
 
+    /** Also forgets takes on their way: their replies may come after somebody else's take. */
     private fun dropAll(state: LeaseState): Step<LeaseState, LeaseEffect> = Step(
         state.copy(held = persistentMapOf(), taking = persistentMapOf()),
         state.held.map { (shard, fence) -> LeaseEffect.Lost(shard, fence) }
@@ -110,14 +111,14 @@
         nowMillis: Long
     ): Step<LeaseState, LeaseEffect> {
         val known = state.shards[event.shard]?.fence ?: 0
-        invariant(event.fence >= known || state.taking[event.shard] == null) {
-            "the fence of shard ${event.shard} only rises"
-        }
-        val expected = state.taking[event.shard] == event.fence
+        val expected = state.taking[event.shard] == event.fence && event.fence >= known
         val cleared = state.copy(taking = state.taking.remove(event.shard))
         if (!expected || state.stopping || !state.isLive(nowMillis)) {
             return cleared.with(LeaseEffect.Release(event.shard, event.fence))
         }
+        invariant(event.fence > (state.held[event.shard] ?: 0)) {
+            "the fence of shard ${event.shard} only rises"
+        }
         val row = ShardRow(event.shard, event.fence, state.self, state.incarnation)
         return cleared.copy(
             held = state.held.put(event.shard, event.fence),
--- /dev/null
+++ b/decisions/src/test/kotlin/cactusfold/decisions/lease/LeaseRandomisedTest.kt
@@ -0,0 +1,196 @@
+package cactusfold.decisions.lease
+
+import cactusfold.decisions.Seeds
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** Processes that share a table, with pauses, lost replies, outages, clocks that differ in speed. */
+class LeaseRandomisedTest {
+    private val settings = LeaseSettings()
+    private val shards = (1..8).mapTo(mutableSetOf()) { "s$it" }
+
+    private class Table {
+        val sessions = mutableMapOf<String, SessionRow>()
+        val shards = mutableMapOf<String, ShardRow>()
+        val highestFence = mutableMapOf<String, Long>()
+        var isDown = false
+
+        fun put(row: ShardRow) {
+            val before = highestFence[row.shard] ?: 0
+            assertTrue(row.fence > before, "the fence of ${row.shard} did not rise")
+            highestFence[row.shard] = row.fence
+            shards[row.shard] = row
+        }
+    }
+
+    private inner class Process(
+        val name: String,
+        val table: Table,
+        val random: Random,
+        val speed: Double
+    ) {
+        val machine = LeaseMachine(settings)
+        var state = LeaseState(name, random.nextLong(1, Long.MAX_VALUE))
+        var resumesAtMillis = 0L
+        var isDead = false
+        private val late = mutableListOf<Pair<Long, () -> Unit>>()
+
+        fun clock(realMillis: Long): Long = (realMillis * speed).toLong()
+
+        fun run(event: LeaseEvent, realMillis: Long) {
+            val step = machine.step(state, event, clock(realMillis))
+            state = step.state
+            for (effect in step.effects) carryOut(effect, realMillis)
+        }
+
+        fun tick(realMillis: Long) {
+            if (isDead || realMillis < resumesAtMillis) return
+            val due = late.filter { it.first <= realMillis }
+            late.removeAll(due)
+            due.forEach { it.second() }
+            run(LeaseEvent.Tick, realMillis)
+            if (!table.isDown && random.nextInt(3) == 0) read(realMillis)
+        }
+
+        private fun read(realMillis: Long) {
+            val sessions = table.sessions.values.toList()
+            run(LeaseEvent.TableRead(sessions, table.shards.values.toList(), emptySet()), realMillis)
+        }
+
+        private fun carryOut(effect: LeaseEffect, realMillis: Long) {
+            when (effect) {
+                is LeaseEffect.Renew -> renew(effect, realMillis)
+                is LeaseEffect.Take -> take(effect, realMillis)
+                is LeaseEffect.Release -> release(effect)
+                is LeaseEffect.Acquired, is LeaseEffect.Lost -> Unit
+            }
+        }
+
+        /** Replies come later, now and then much later or never. */
+        private fun reply(realMillis: Long, deliver: () -> Unit) {
+            val delay = if (random.nextInt(15) == 0) random.nextLong(9_000) else random.nextLong(20)
+            late += realMillis + delay to deliver
+        }
+
+        private fun renew(effect: LeaseEffect.Renew, realMillis: Long) {
+            val sentAt = clock(realMillis)
+            if (table.isDown) {
+                return reply(realMillis) { run(LeaseEvent.RenewalFailed, maxOf(realMillis, now)) }
+            }
+            val row = table.sessions[name]
+            if ((row?.counter ?: 0) != effect.counter - 1) {
+                val found = row?.counter ?: 0
+                return reply(realMillis) { run(LeaseEvent.CounterFound(found), now) }
+            }
+            table.sessions[name] = SessionRow(name, state.incarnation, effect.counter, effect.leaving)
+            if (random.nextInt(20) == 0) {
+                reply(realMillis) { run(LeaseEvent.RenewalFailed, now) }
+            } else {
+                reply(realMillis) { run(LeaseEvent.Renewed(sentAt, effect.counter), now) }
+            }
+        }
+
+        private fun take(effect: LeaseEffect.Take, realMillis: Long) {
+            val current = table.shards[effect.shard]?.fence ?: 0
+            if (table.isDown || current != effect.expectedFence) {
+                return reply(realMillis) { run(LeaseEvent.TakeFailed(effect.shard), now) }
+            }
+            table.put(ShardRow(effect.shard, effect.newFence, name, state.incarnation))
+            reply(realMillis) { run(LeaseEvent.Took(effect.shard, effect.newFence), now) }
+        }
+
+        private fun release(effect: LeaseEffect.Release) {
+            val row = table.shards[effect.shard]
+            if (table.isDown || row?.fence != effect.fence) return
+            table.put(ShardRow(effect.shard, effect.fence + 1, null, 0))
+        }
+    }
+
+    private var now = 0L
+
+    private fun holders(processes: List<Process>, shard: String): List<String> = processes
+        .filter { !it.isDead && it.state.fenceOf(shard, it.clock(now)) != null }
+        .map { it.name }
+
+    @Test
+    fun `at any moment at most one process may act for a shard`() = Seeds.each { random ->
+        now = 0
+        val table = Table()
+        val speeds = listOf(1.0, 1.005, 0.995, 1.0)
+        val processes = speeds.mapIndexed { i, speed -> Process("p$i", table, random, speed) }
+        processes.forEach { it.run(LeaseEvent.ShardsWanted(shards), 0) }
+        repeat(3_000) {
+            now += random.nextLong(1, 60)
+            val victim = processes.random(random)
+            when (random.nextInt(150)) {
+                0 -> victim.resumesAtMillis = now + random.nextLong(15_000)
+                1 -> table.isDown = !table.isDown
+                2 -> if (processes.count { !it.isDead } > 2) victim.isDead = true
+                3 -> table.isDown = false
+            }
+            processes.forEach { it.tick(now) }
+            for (shard in shards) {
+                val holders = holders(processes, shard)
+                assertTrue(holders.size <= 1, "$shard is held by $holders at $now")
+            }
+        }
+    }
+
+    @Test
+    fun `every shard has a holder again after a crash`() {
+        val random = Random(1)
+        now = 0
+        val table = Table()
+        val processes = List(3) { Process("p$it", table, random, 1.0) }
+        processes.forEach { it.run(LeaseEvent.ShardsWanted(shards), 0) }
+        advance(processes, 30_000)
+        assertTrue(shards.all { holders(processes, it).size == 1 }, "not all shards were taken")
+        processes[0].isDead = true
+        advance(processes, 30_000)
+        assertTrue(shards.all { holders(processes, it).size == 1 }, "a dead holder kept its shards")
+    }
+
+    private fun advance(processes: List<Process>, millis: Long) {
+        val end = now + millis
+        while (now < end) {
+            now += 50
+            processes.forEach { it.tick(now) }
+        }
+    }
+
+    @Test
+    fun `a paused holder does nothing that counts and never joins its lost hold`() {
+        val machine = LeaseMachine(settings)
+        var state = LeaseState("a", 1, wanted = setOf("s"))
+        fun run(event: LeaseEvent, nowMillis: Long): List<LeaseEffect> {
+            val step = machine.step(state, event, nowMillis)
+            state = step.state
+            return step.effects
+        }
+        run(LeaseEvent.Tick, 0)
+        run(LeaseEvent.Renewed(0, 1), 5)
+        run(LeaseEvent.TableRead(listOf(SessionRow("a", 1, 1, false)), emptyList(), emptySet()), 10)
+        run(LeaseEvent.Took("s", 1), 15)
+        assertEquals(1, state.fenceOf("s", 20))
+        assertNull(state.fenceOf("s", 6_000), "the lease counts from before the renewal was sent")
+        val woken = run(LeaseEvent.Renewed(20_000, 2), 20_010)
+        assertEquals(listOf<LeaseEffect>(LeaseEffect.Lost("s", 1)), woken)
+        assertNull(state.fenceOf("s", 20_020), "a renewal does not bring back a lost hold")
+    }
+
+    @Test
+    fun `a process of this VM that was seen to be gone is replaced before its TTL`() {
+        val machine = LeaseMachine(settings)
+        val live = LeaseState("b", 2, 1, leaseUntilMillis = 6_000, wanted = setOf("s"))
+        val sessions = listOf(SessionRow("a", 1, 9, false), SessionRow("b", 2, 1, false))
+        val rows = listOf(ShardRow("s", 4, "a", 1))
+        val unseen = machine.step(live, LeaseEvent.TableRead(sessions, rows, emptySet()), 100)
+        assertTrue(unseen.effects.none { it is LeaseEffect.Take }, "a live holder was replaced")
+        val seen = machine.step(live, LeaseEvent.TableRead(sessions, rows, setOf("a")), 100)
+        assertNotNull(seen.effects.find { it == LeaseEffect.Take("s", 4, 5) })
+    }
+}
--- /dev/null
+++ b/decisions/src/test/kotlin/cactusfold/decisions/placement/CellRandomisedTest.kt
@@ -0,0 +1,172 @@
+package cactusfold.decisions.placement
+
+import cactusfold.decisions.Seeds
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+
+/**
+ * A cell with runners that ignore fences: orders are late, lost or doubled, holders die in the middle
+ * of a load, runners crash, the table fails.
+ */
+class CellRandomisedTest {
+    private val settings = PlacementSettings(minKeepAliveMillis = 2_000)
+    private val specs = (1..12).map { ModelSpec("m$it", it * 10L, null) } +
+        (1..6).map { ModelSpec("a$it", 5, "m$it") }
+    private val runnerSpecs = (1..3).map {
+        RunnerSpec("r$it", "127.0.0.1", it, "z", 150, 4, checksFence = false)
+    }
+
+    private inner class RunnerModel(val spec: RunnerSpec, val random: Random) {
+        val models = mutableMapOf<String, Pair<ModelPhase, Long>>()
+        val seen = mutableSetOf<String>()
+        var bootId = 0
+
+        fun load(order: Order, nowMillis: Long): Boolean {
+            if (!seen.add(order.id) || order.model in models) return true
+            val used = models.keys.sumOf { model -> specs.first { it.name == model }.memoryBytes }
+            assertTrue(
+                used + order.memoryBytes <= spec.modelMemoryBytes,
+                "${order.model} does not fit into ${spec.name} beside ${models.keys}"
+            )
+            models[order.model] = ModelPhase.LOADING to nowMillis + random.nextLong(2_000)
+            return true
+        }
+
+        fun inventory(nowMillis: Long): Inventory {
+            val now = models.mapValues { (_, value) ->
+                if (value.second <= nowMillis) ModelPhase.READY else ModelPhase.LOADING
+            }
+            return Inventory(
+                nowMillis,
+                "boot-$bootId",
+                now.mapValues { InventoryModel(it.key, it.value) }.toPersistentMap(),
+                emptySet<String>().toPersistentSet(),
+                0,
+                0
+            )
+        }
+
+        fun crash() {
+            models.clear()
+            seen.clear()
+            bootId++
+        }
+    }
+
+    private inner class World(val random: Random) {
+        val machine = CellMachine(settings)
+        val runners = runnerSpecs.associate { it.name to RunnerModel(it, random) }
+        val intents = mutableMapOf<String, Order>()
+        val inbox = mutableListOf<Pair<Long, () -> Unit>>()
+        var fence = 1L
+        var now = 0L
+        var loadsReady = 0
+        var state = CellState("c", 1)
+
+        init {
+            begin()
+        }
+
+        fun begin() {
+            state = CellState("c", fence)
+            run(CellEvent.Configured(runnerSpecs, specs))
+            run(CellEvent.Recovered(intents.values.toList()))
+        }
+
+        fun run(event: CellEvent) {
+            val step = machine.step(state, event, now)
+            state = step.state
+            step.effects.forEach(::carryOut)
+        }
+
+        private fun later(maxMillis: Long, action: () -> Unit) {
+            inbox += now + random.nextLong(1, maxMillis) to action
+        }
+
+        /** Delivers to the holder that asked only; an answer for an earlier holder is dropped. */
+        private fun answer(maxMillis: Long, event: CellEvent) {
+            val asked = fence
+            later(maxMillis) { if (fence == asked) run(event) }
+        }
+
+        private fun carryOut(effect: CellEffect) {
+            when (effect) {
+                is CellEffect.WriteIntent -> writeIntent(effect.order)
+                is CellEffect.ClearIntent -> intents.remove(effect.order.id)
+                is CellEffect.Send -> send(effect.order)
+                is CellEffect.PlacementChanged -> loadsReady++
+                is CellEffect.NoCapacity -> Unit
+            }
+        }
+
+        private fun writeIntent(order: Order) {
+            val asked = fence
+            later(200) {
+                val isWritten = asked == fence && random.nextInt(10) != 0
+                if (isWritten) {
+                    intents[order.id] = order
+                    run(CellEvent.IntentWritten(order.runner, order.id))
+                } else if (asked == fence) {
+                    run(CellEvent.IntentFailed(order.runner, order.id))
+                }
+            }
+        }
+
+        private fun send(order: Order) {
+            val runner = runners.getValue(order.runner)
+            if (random.nextInt(8) == 0) return answer(500, CellEvent.OrderUnknown(order.runner, order.id))
+            val delay = if (random.nextInt(6) == 0) 8_000L else 50L
+            val asked = fence
+            val bootId = runner.bootId
+            later(delay) {
+                // An order travels on a connection, and no connection outlives its runner's boot.
+                if (runner.bootId != bootId) return@later
+                when (order.kind) {
+                    OrderKind.LOAD -> runner.load(order, now)
+                    OrderKind.UNLOAD -> runner.models.remove(order.model)
+                }
+                if (fence == asked && random.nextInt(8) != 0) {
+                    run(CellEvent.OrderAcknowledged(order.runner, order.id))
+                }
+            }
+        }
+
+        fun step() {
+            now += random.nextLong(1, 100)
+            val due = inbox.filter { it.first <= now }
+            inbox.removeAll(due)
+            due.forEach { it.second() }
+            when (random.nextInt(400)) {
+                0 -> {
+                    fence++
+                    begin()
+                }
+                1 -> runners.values.random(random).crash()
+            }
+            if (random.nextInt(3) == 0) poll()
+            if (random.nextInt(10) == 0) run(CellEvent.Tick)
+            if (random.nextInt(6) == 0) demand()
+        }
+
+        private fun poll() {
+            val runner = runners.values.random(random)
+            run(CellEvent.InventoryRead(runner.spec.name, runner.inventory(now)))
+        }
+
+        private fun demand() {
+            val waiting = random.nextInt(3)
+            val demand = RouterDemand(waiting, 0, now + 5_000, 5_000, now)
+            run(CellEvent.Demanded(specs.random(random).name, "router", demand, waiting))
+        }
+    }
+
+    @Test
+    fun `memory of a runner that ignores fences is never overcommitted`() = Seeds.each { random ->
+        val world = World(random)
+        repeat(4_000) { world.step() }
+        assertTrue(world.loadsReady > 0, "nothing was ever loaded")
+    }
+}
