--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/AllowanceSpender.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/AllowanceSpender.kt
@@ -69,14 +69,16 @@
         val current = expire(state, nowMillis)
         val until = sentAtMillis + settings.grantValidMillis
         val usable = if (nowMillis < until) tokens else 0
-        val merged = if (current.allowanceTokens > 0 && usable > 0) {
-            minOf(current.allowanceUntilMillis, until)
-        } else {
-            until
-        }
-        return contacted(current, nowMillis).copy(
+        val contacted = contacted(current, nowMillis)
+        if (usable == 0L) return contacted
+        val hasOlder = current.allowanceTokens > 0
+        return contacted.copy(
             allowanceTokens = current.allowanceTokens + usable,
-            allowanceUntilMillis = merged
+            allowanceUntilMillis = if (hasOlder) {
+                minOf(current.allowanceUntilMillis, until)
+            } else {
+                until
+            }
         )
     }
 
