--- /dev/null
+++ b/decisions/src/test/kotlin/cactusfold/decisions/claim/ClaimMachineTest.kt
@@ -0,0 +1,79 @@
+package cactusfold.decisions.claim
+
+import cactusfold.decisions.BrokenInvariant
+import cactusfold.decisions.Seeds
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertTrue
+
+class ClaimMachineTest {
+    private fun run(vararg events: ClaimEvent): Pair<ClaimState, List<ClaimEffect>> {
+        var state: ClaimState = ClaimState.New
+        val effects = events.flatMap { event ->
+            ClaimMachine.step(state, event).also { state = it.state }.effects
+        }
+        return state to effects
+    }
+
+    @Test
+    fun `nothing is dispatched before the row is ours`() {
+        for (event in listOf(ClaimEvent.StoreDown, ClaimEvent.Exists(ExistingClaim.Pending))) {
+            val (_, effects) = run(ClaimEvent.Begin, event)
+            assertTrue(ClaimEffect.Dispatch !in effects, "$event")
+        }
+    }
+
+    @Test
+    fun `a lost reply is resolved by reading back`() {
+        val (state, effects) = run(ClaimEvent.Begin, ClaimEvent.Unknown, ClaimEvent.Inserted)
+        assertEquals(ClaimState.Dispatched, state)
+        assertEquals(
+            listOf(ClaimEffect.Insert, ClaimEffect.ReadBack, ClaimEffect.Dispatch),
+            effects
+        )
+    }
+
+    @Test
+    fun `an upstream that may have run it is never asked again`() {
+        val (state, effects) =
+            run(ClaimEvent.Begin, ClaimEvent.Inserted, ClaimEvent.InDoubt, ClaimEvent.Inserted)
+        assertEquals(ClaimState.Ended(ClaimEnd.MAY_HAVE_RUN), state)
+        assertEquals(1, effects.count { it == ClaimEffect.Dispatch })
+    }
+
+    @Test
+    fun `an insert that takes effect after the refusal is freed`() {
+        val (_, effects) = run(ClaimEvent.Begin, ClaimEvent.StoreDown, ClaimEvent.Inserted)
+        assertEquals(ClaimEffect.Free, effects.last())
+        assertTrue(ClaimEffect.Dispatch !in effects)
+    }
+
+    @Test
+    fun `a claim does not begin in the middle`() {
+        assertFailsWith<BrokenInvariant> { run(ClaimEvent.Answered) }
+    }
+
+    @Test
+    fun `whatever the order of events, at most one dispatch and one refusal`() = Seeds.each { random ->
+        val events = listOf(
+            ClaimEvent.Inserted,
+            ClaimEvent.Exists(ExistingClaim.Finished),
+            ClaimEvent.Unknown,
+            ClaimEvent.Absent,
+            ClaimEvent.StoreDown,
+            ClaimEvent.Answered,
+            ClaimEvent.NotSent,
+            ClaimEvent.InDoubt
+        )
+        repeat(200) {
+            val sequence = List(12) { events.random(random) }
+            val (_, effects) = run(ClaimEvent.Begin, *sequence.toTypedArray())
+            assertTrue(effects.count { it == ClaimEffect.Dispatch } <= 1, "$sequence")
+            assertTrue(effects.count { it is ClaimEffect.Refuse } <= 1, "$sequence")
+            val isRefusedAsNotRun = ClaimEffect.Refuse(ClaimEnd.NOT_RUN) in effects
+            val wasSent = ClaimEffect.Dispatch in effects && ClaimEvent.NotSent !in sequence
+            assertTrue(!(isRefusedAsNotRun && wasSent), "a false 'not run' in $sequence")
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/kotlin/cactusfold/decisions/config/ConfigLogTest.kt
@@ -0,0 +1,43 @@
+package cactusfold.decisions.config
+
+import cactusfold.decisions.Seeds
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlinx.collections.immutable.persistentMapOf
+
+class ConfigLogTest {
+    private fun entry(version: Long): ConfigEntry {
+        val section = "class c$version" to persistentMapOf("target_millis" to "$version")
+        val patch = ConfigPatch(persistentMapOf(section), setOf("class c${version - 1}"))
+        return ConfigEntry(version, "op$version", "a", 0, patch, "")
+    }
+
+    @Test
+    fun `entries in any order, doubled or old, lead to the same document and never down`() =
+        Seeds.each { random ->
+            val entries = (1L..30L).map(::entry)
+            var state = ConfigLogState()
+            var version = 0L
+            while (state.version < 30) {
+                state = ConfigLog.offer(state, List(3) { entries.random(random) }).state
+                assertTrue(state.version >= version)
+                version = state.version
+            }
+            assertEquals(setOf("class c30"), state.document.sections.keys)
+        }
+
+    @Test
+    fun `a gap is fetched and nothing behind it is in force`() {
+        val step = ConfigLog.offer(ConfigLogState(), listOf(entry(2)))
+        assertEquals(0, step.state.version)
+        assertEquals(listOf<ConfigLogEffect>(ConfigLogEffect.Fetch(0)), step.effects)
+    }
+
+    @Test
+    fun `a patch leads from one document to another`() {
+        val from = ConfigDocument(persistentMapOf("a" to persistentMapOf("k" to "1")))
+        val to = ConfigDocument(persistentMapOf("b" to persistentMapOf("k" to "2")))
+        assertEquals(to, from.apply(from.patchTo(to)))
+    }
+}
--- /dev/null
+++ b/settings/src/test/kotlin/cactusfold/settings/FleetCheckTest.kt
@@ -0,0 +1,86 @@
+package cactusfold.settings
+
+import cactusfold.settings.fleet.FleetCheck
+import cactusfold.settings.fleet.FleetConfig
+import cactusfold.settings.fleet.FleetResult
+import cactusfold.settings.fleet.renderIni
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+class FleetCheckTest {
+    private val valid = """
+        ; classes have targets only
+        [class bookings]
+        target_millis = 5000
+        [workspace w]
+        rate_tokens_per_second = 10.5
+        burst_tokens = 100
+        models = llama-3.1-8b
+        [model llama-3.1-8b]
+        memory_bytes = 100
+        [upstream desk.one]
+        kind = service
+        host = 127.0.0.1
+        port = 7
+        zone = z
+        [route lanes]
+        path_prefix = /lanes
+        class = bookings
+        upstreams = desk.one
+    """.trimIndent()
+
+    private fun problems(text: String): List<String> =
+        assertIs<FleetResult.Invalid>(FleetCheck.check(text)).problems.map { it.describe("f") }
+
+    @Nested
+    inner class Valid {
+        @Test
+        fun `names may hold dots, and the text of a document leads back to it`() {
+            val document = assertIs<FleetResult.Valid>(FleetCheck.check(valid)).document
+            val config = FleetConfig.of(1, document)
+            assertEquals(setOf("llama-3.1-8b"), config.models.keys)
+            assertEquals(setOf("desk.one"), config.services.keys)
+            val again = assertIs<FleetResult.Valid>(FleetCheck.check(renderIni(document)))
+            assertEquals(document, again.document)
+        }
+
+        @Test
+        fun `the longest prefix on a path boundary wins`() {
+            val document = assertIs<FleetResult.Valid>(FleetCheck.check(valid)).document
+            val config = FleetConfig.of(1, document)
+            assertEquals("lanes", config.routeFor("/lanes/3")?.name)
+            assertEquals(null, config.routeFor("/lanesides"))
+        }
+    }
+
+    @Nested
+    inner class Problems {
+        @Test
+        fun `a wrong unit names file, line and what was expected`() {
+            val found = problems(valid.replace("5000", "5s")).single()
+            assertTrue(found.startsWith("f:3: target_millis is '5s'; expected a whole number"), found)
+        }
+
+        @Test
+        fun `unknown keys and sections are named`() {
+            val found = problems("$valid\nweight = 3\n[vm x]\n")
+            assertTrue(found.any { "unknown key weight" in it }, "$found")
+            assertTrue(found.any { "unknown section [vm x]" in it }, "$found")
+        }
+
+        @Test
+        fun `a missing value and a name that does not exist are named`() {
+            assertTrue(problems("[class c]\n").single().contains("missing target_millis"))
+            val found = problems(valid.replace("class = bookings", "class = deposits"))
+            assertTrue(found.single().contains("unknown class deposits"), "$found")
+        }
+
+        @Test
+        fun `a section or key that stands twice is refused`() {
+            assertTrue(problems("$valid\n[class bookings]\ntarget_millis = 1\n").single().contains("twice"))
+        }
+    }
+}
