Claims try a single failed call again; a crashed runner closes its port

One of twelve equal bookings was refused because a single table call failed in a JVM that had just begun; a bystander was refused because the crashed runner stand-in went on accepting connections and dropped them, which no dead process does, and each drop counted as a crash.

Change: an insert that was surely not written is tried again until the deadline while the circuit is closed. The runner stand-in closes its port until its restart.

--- a/router/src/main/kotlin/cactusfold/router/claim/ClaimKeeper.kt
+++ b/router/src/main/kotlin/cactusfold/router/claim/ClaimKeeper.kt
@@ -38,6 +38,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -125,10 +126,18 @@
         }
 
         private suspend fun insert(): ClaimEvent {
-            val value = running().toByteString()
-            return outcome(table.write(listOf(RowWrite.Insert(rowKey, value))))
+            val insert = RowWrite.Insert(rowKey, running().toByteString())
+            while (true) {
+                val result = table.write(listOf(insert))
+                if (result !is WriteResult.NotWritten || !isWorthRetry()) return outcome(result)
+                delay(RETRY_MILLIS)
+            }
         }
 
+        /** A single call that failed is tried again; a store that is down is not waited for. */
+        private fun isWorthRetry(): Boolean = core.guardedTable.isUp &&
+            core.clock.nowMillis() + RETRY_MILLIS < request.deadlineMillis
+
         private suspend fun outcome(result: WriteResult): ClaimEvent = when (result) {
             WriteResult.Written -> ClaimEvent.Inserted
             is WriteResult.Conflict -> onConflict()
@@ -333,6 +342,7 @@
         const val KEY_WINDOW_MILLIS = 86_400_000L
         const val MAX_JOIN_MILLIS = 30_000L
         const val CALL_MARGIN_MILLIS = 500L
+        const val RETRY_MILLIS = 20L
         const val KEEP_LOCAL_MILLIS = 600_000L
         const val MAX_ROW_ANSWER_BYTES = 100_000
     }
--- a/standins/src/main/kotlin/cactusfold/standins/StandinServer.kt
+++ b/standins/src/main/kotlin/cactusfold/standins/StandinServer.kt
@@ -15,18 +15,28 @@
 /** An HTTP server on loopback that handles each request in a coroutine, begun at once. */
 public class StandinServer(
     private val vertx: Vertx,
-    private val port: Int,
+    port: Int,
     private val handle: suspend (HttpServerRequest) -> Unit
 ) {
     private val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher())
+    private var boundPort = port
     private var server: HttpServer? = null
 
     /** The port that is listened on. */
-    public val actualPort: Int get() = server?.actualPort() ?: port
+    public val actualPort: Int get() = server?.actualPort() ?: boundPort
 
     /** Begins to listen. */
     public suspend fun start() {
-        server = vertx.createHttpServer().requestHandler(::accept).listen(port, LOOPBACK).coAwait()
+        server =
+            vertx.createHttpServer().requestHandler(::accept).listen(boundPort, LOOPBACK).coAwait()
+    }
+
+    /** Closes the port and all connections, as the death of a process does. */
+    public suspend fun drop() {
+        val port = actualPort
+        server?.close()?.coAwait()
+        server = null
+        boundPort = port
     }
 
     /** Stops listening and closes all connections. */
--- a/standins/src/main/kotlin/cactusfold/standins/runner/RunnerStandin.kt
+++ b/standins/src/main/kotlin/cactusfold/standins/runner/RunnerStandin.kt
@@ -25,6 +25,7 @@
 public class RunnerStandin(vertx: Vertx, private val options: RunnerOptions, weights: WeightStore) {
     private val loadJobs = SupervisorJob()
     private val scope = CoroutineScope(loadJobs + Dispatchers.Default)
+    private val restarts = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val memory = RunnerMemory(options, weights, scope)
     private val engine = CompletionEngine(options, memory, ::crash)
     private val server = StandinServer(vertx, options.port, ::handle)
@@ -68,6 +69,7 @@
 
     /** Stops listening and forgets everything. */
     public suspend fun stop() {
+        restarts.cancel()
         server.stop()
         scope.cancel()
     }
@@ -79,12 +81,14 @@
         engine.dropAll()
         (loadJobs as Job).cancelChildren()
         memory.clear()
-        scope.launch {
+        restarts.launch {
+            server.drop()
             delay(options.restartMillis)
             bootId = UUID.randomUUID().toString()
             isDown = false
-            reportLoad()
+            server.start()
         }
+        scope.launch { reportLoad() }
     }
 
     private suspend fun reportLoad() {
