--- /dev/null
+++ b/bench/src/main/kotlin/cactusfold/bench/BenchMain.kt
@@ -0,0 +1,48 @@
+package cactusfold.bench
+
+import cactusfold.bench.capacity.DecisionSlopes
+import cactusfold.bench.capacity.FleetSlopes
+import cactusfold.bench.capacity.RequestSlopes
+import cactusfold.bench.capacity.Slope
+import cactusfold.bench.path.PathBench
+import cactusfold.node.launch.ExitCode
+import cactusfold.node.launch.VersionProvider
+import cactusfold.node.launch.runCommand
+import cactusfold.node.process.LogFormat
+import cactusfold.node.process.Logging
+import kotlinx.coroutines.runBlocking
+import picocli.CommandLine.Command
+
+/** Benchmarks: each prints Markdown for docs. */
+@Command(
+    name = "bench",
+    mixinStandardHelpOptions = true,
+    versionProvider = VersionProvider::class,
+    description = ["Measures cactusfold against its baselines, on loopback."]
+)
+public class BenchCommand {
+    /** Measures the slopes of docs/CAPACITY.md. */
+    @Command(description = ["Slopes of state, messages and processor time, and the target size."])
+    public fun capacity(): Int {
+        Logging.start(LogFormat.PLAIN, "error")
+        println(Slope.HEAD)
+        DecisionSlopes.all().forEach { println(it.row()) }
+        runBlocking {
+            FleetSlopes.slopes(FleetSlopes.costs()).forEach { println(it.row()) }
+            RequestSlopes.all().forEach { println(it.row()) }
+        }
+        println("\nOne configuration change: ${DecisionSlopes.changeBytes()} bytes on the wire.")
+        return ExitCode.OK
+    }
+
+    /** Measures what the router adds to a call. */
+    @Command(description = ["Latency that the router adds to a call, against a direct call."])
+    public fun path(): Int {
+        Logging.start(LogFormat.PLAIN, "error")
+        runBlocking { PathBench.run() }
+        return ExitCode.OK
+    }
+}
+
+/** Entry point of `bin/bench`. */
+public fun main(args: Array<String>): Unit = runCommand(BenchCommand(), args)
--- /dev/null
+++ b/bench/src/main/kotlin/cactusfold/bench/path/BenchFleet.kt
@@ -0,0 +1,63 @@
+package cactusfold.bench.path
+
+import cactusfold.local.DemoConfig
+import cactusfold.local.FleetOptions
+import cactusfold.local.LocalFleet
+import cactusfold.local.applyDocument
+import cactusfold.router.callers.RequestReader
+import cactusfold.standins.StandinOptions
+import cactusfold.standins.runner.RunnerOptions
+import io.vertx.core.Vertx
+import kotlinx.coroutines.delay
+
+/** A fleet with two wide runners, and clients that call a runner directly or through a router. */
+public class BenchFleet(tokenMillis: Long) {
+    private val vertx = Vertx.vertx()
+    private val runners = listOf("runner-1", "runner-2").map {
+        RunnerOptions(it, 0, MEMORY_BYTES, slots = SLOTS, tokenMillis = tokenMillis)
+    }
+
+    /** The fleet. */
+    public val fleet: LocalFleet =
+        LocalFleet(
+            FleetOptions(standins = StandinOptions(runners = runners, servicePorts = listOf(0)))
+        )
+
+    /** Starts the fleet and loads the model. */
+    public suspend fun start() {
+        fleet.start()
+        val ports = fleet.standins.runners.values.map { it.port }
+        val digest = RequestReader.digestOf(DemoConfig.KEY)
+        val text = DemoConfig.document(ports, fleet.standins.services.first().port, digest)
+        val wide = text.replace("[upstream runner", "[upstream runner")
+            .replace("kind = runner", "kind = runner\nslots = $SLOTS")
+            .replace("rate_tokens_per_second = 20000", "rate_tokens_per_second = 1000000000")
+            .replace("burst_tokens = 100000", "burst_tokens = 1000000000")
+        fleet.applyDocument(wide)
+        delay(SETTLE_MILLIS)
+        client(isDirect = false, tokens = 1, isStream = false).run(10, 1)
+    }
+
+    /** Returns a client that asks for [tokens] tokens. */
+    public fun client(isDirect: Boolean, tokens: Int, isStream: Boolean): LoadClient {
+        val body = """{"model":"drills-8b","max_tokens":$tokens,"stream":$isStream,""" +
+            """"messages":[{"role":"user","content":"A drill for juniors"}]}"""
+        val port = if (isDirect) loadedRunnerPort() else fleet.routers.first().callerPort
+        val headers = mapOf("Authorization" to "Bearer ${DemoConfig.KEY}")
+        return LoadClient(vertx, port, "/v1/chat/completions", headers, body)
+    }
+
+    /** Stops the fleet. */
+    public suspend fun stop() {
+        fleet.stop()
+        vertx.close()
+    }
+
+    private fun loadedRunnerPort(): Int = fleet.standins.runners.values.first { it.loads > 0 }.port
+
+    private companion object {
+        const val MEMORY_BYTES = 40L shl 30
+        const val SLOTS = 2_048
+        const val SETTLE_MILLIS = 4_000L
+    }
+}
--- /dev/null
+++ b/local/src/main/kotlin/cactusfold/local/ApplyDocument.kt
@@ -0,0 +1,20 @@
+package cactusfold.local
+
+import cactusfold.node.config.Proposal
+import cactusfold.node.config.SubmitResult
+import cactusfold.settings.fleet.FleetCheck
+import cactusfold.settings.fleet.FleetResult
+
+/** Makes [text] the configuration of this fleet; the text has to be valid. */
+public suspend fun LocalFleet.applyDocument(text: String) {
+    val document = when (val checked = FleetCheck.check(text)) {
+        is FleetResult.Valid -> checked.document
+        is FleetResult.Invalid -> error(checked.problems.joinToString { it.describe("document") })
+    }
+    val config = controllers.first().core.config
+    val patch = config.document.patchTo(document)
+    val proposal =
+        Proposal(config.current.version, patch, "local", "", System.currentTimeMillis())
+    val result = config.submit(proposal)
+    check(result is SubmitResult.Accepted) { "the document was not accepted: $result" }
+}
--- a/local/src/main/kotlin/cactusfold/local/LocalMain.kt
+++ b/local/src/main/kotlin/cactusfold/local/LocalMain.kt
@@ -1,16 +1,11 @@
 package cactusfold.local
 
-import cactusfold.decisions.config.ConfigDocument
-import cactusfold.node.config.Proposal
-import cactusfold.node.config.SubmitResult
 import cactusfold.node.launch.ExitCode
 import cactusfold.node.launch.VersionProvider
 import cactusfold.node.launch.runCommand
 import cactusfold.node.process.LogFormat
 import cactusfold.node.process.Logging
 import cactusfold.router.callers.RequestReader
-import cactusfold.settings.fleet.FleetCheck
-import cactusfold.settings.fleet.FleetResult
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
 import kotlinx.coroutines.delay
@@ -72,18 +67,7 @@
 
     private suspend fun applyDemo(fleet: LocalFleet) {
         val digest = RequestReader.digestOf(DemoConfig.KEY)
-        val text = DemoConfig.document(listOf(port + 4, port + 5), port + 6, digest)
-        val document = when (val checked = FleetCheck.check(text)) {
-            is FleetResult.Valid -> checked.document
-            is FleetResult.Invalid -> error(checked.problems.joinToString { it.describe("demo") })
-        }
-        val patch = ConfigDocument().patchTo(document)
-        val now = System.currentTimeMillis()
-        val proposal = Proposal(0, patch, "local", "demo configuration", now)
-        val result = fleet.controllers.first().core.config.submit(proposal)
-        check(result is SubmitResult.Accepted) {
-            "the demo configuration was not accepted: $result"
-        }
+        fleet.applyDocument(DemoConfig.document(listOf(port + 4, port + 5), port + 6, digest))
     }
 
     private suspend fun awaitReady(fleet: LocalFleet) = withTimeout(READY_MILLIS) {
