Sessions: read what has to be read often, list the rest within a budget of bytes

Change: a controller reads every second only the sessions that hold shards it is next to take, so these reads grow with shards and not with nodes; the full list is read within 3 KB/s; a router that finds no holder reads that one shard row; configuration entries are passed on by the processes that get them, and the head is polled less often the larger the fleet; routers renew every 20 s; sessions that died are cleared away after 5 minutes.

A session now counts as gone only by a read of it, up to the moment when that read was sent.

--- a/bench/src/main/kotlin/cactusfold/bench/capacity/DecisionSlopes.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/capacity/DecisionSlopes.kt
@@ -72,7 +72,7 @@
     private fun leaseState(processes: Int): Pair<LeaseState, LeaseEvent.TableRead> {
         val sessions = (1..processes).map { SessionRow("node-$it", it.toLong(), 1, it % 2 == 0) }
         val shards = (1..processes).map { ShardRow("cell/$it", 1, "node-$it", it.toLong()) }
-        val read = LeaseEvent.TableRead(sessions, shards, emptySet())
+        val read = LeaseEvent.TableRead(2, sessions, shards, emptySet())
         val wanted = shards.mapTo(mutableSetOf()) { it.shard }
         val state = LeaseState("node-1", 1, 1, leaseUntilMillis = 1_000_000, wanted = wanted)
         return LeaseMachine(LeaseSettings()).step(state, read, 1).state to read
--- a/controller/src/main/kotlin/cactusfold/controller/Controller.kt
+++ b/controller/src/main/kotlin/cactusfold/controller/Controller.kt
@@ -61,6 +61,7 @@
         core.config.listen(::configured)
         core.start(RoleService.None, listOf(holder))
         core.timers.subscribe("router-registry", REGISTRY_MILLIS) { readRegistry() }
+        core.timers.subscribe("stale-sessions", STALE_CHECK_MILLIS) { removeStale() }
         core.timers.subscribe("vm-list", VM_LIST_MILLIS) { readVms() }
     }
 
@@ -93,6 +94,11 @@
         buckets.registered(routers, readAt)
     }
 
+    /** One controller clears away what processes that died have left. */
+    private suspend fun removeStale() {
+        if (CLEANER_SHARD in core.sessions.heldShards) core.sessions.removeStale(STALE_MILLIS)
+    }
+
     private suspend fun readVms() {
         val leaving = core.vms.read()?.filter { it.leaving }?.mapTo(mutableSetOf()) { it.name }
         if (leaving.isNullOrEmpty()) return
@@ -115,6 +121,9 @@
 
     private companion object {
         const val REGISTRY_MILLIS = 1_000L
+        const val STALE_CHECK_MILLIS = 30_000L
+        const val STALE_MILLIS = 300_000L
+        const val CLEANER_SHARD = "rates/0"
         const val VM_LIST_MILLIS = 1_000L
     }
 }
--- a/decisions/src/main/kotlin/cactusfold/decisions/Rendezvous.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/Rendezvous.kt
@@ -10,6 +10,10 @@
     public fun preferred(key: String, members: Iterable<String>): String? =
         members.maxByOrNull { weight(key, it) }
 
+    /** Returns the member of [members] that [key] prefers, or null when there is none. */
+    public fun preferred(key: String, members: Sequence<String>): String? =
+        members.maxByOrNull { weight(key, it) }
+
     /** Returns the bucket from 0 until [buckets] that [key] falls into. */
     public fun bucket(key: String, buckets: Int): Int =
         Math.floorMod(hash.hashUnencodedChars(key).asLong(), buckets)
--- a/decisions/src/main/kotlin/cactusfold/decisions/lease/LeaseMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/lease/LeaseMachine.kt
@@ -6,14 +6,17 @@
 import cactusfold.decisions.unchanged
 import cactusfold.decisions.with
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
 
 /**
  * Decides when to renew the own session, which shards to take, and when a hold is lost.
  *
  * A holder counts its lease from before it sent the renewal. A taker counts TTL and skew on its own
- * clock since it last saw the holder's counter change. Wall clocks of two VMs are never compared.
+ * clock since it last saw the holder's counter change, up to the moment when it sent the read that
+ * shows the counter unchanged. Wall clocks of two VMs are never compared.
  * A lost hold is never joined again: the shard is taken anew with a higher fence.
  */
 public class LeaseMachine(private val settings: LeaseSettings) {
@@ -45,6 +48,8 @@
         LeaseEvent.Superseded -> superseded(state)
         is LeaseEvent.ShardsWanted -> wanted(state, event.shards)
         is LeaseEvent.TableRead -> tableRead(state, event, nowMillis)
+        is LeaseEvent.WatchedRead -> watchedRead(state, event, nowMillis)
+        is LeaseEvent.ShardRead -> shardRead(state, event)
         is LeaseEvent.Took -> took(state, event, nowMillis)
         is LeaseEvent.TakeFailed -> state.copy(
             taking = state.taking.remove(event.shard)
@@ -137,12 +142,52 @@
         )
         val dispossessed = dropDispossessed(seen)
         if (!seen.isLive(nowMillis) || seen.stopping) return dispossessed
-        val live = liveSessions(seen, event.goneHere, nowMillis)
+        val live = liveSessions(seen, event.goneHere, event.sentAtMillis)
         val moved = handOver(dispossessed.state, live)
-        val takes = takes(moved.state, live, event.goneHere, nowMillis)
-        return Step(takes.state, dispossessed.effects + moved.effects + takes.effects)
+        val takes = takes(moved.state, live, event.goneHere, event.sentAtMillis)
+        val watching = takes.state.copy(watched = watchList(takes.state, live))
+        return Step(watching, dispossessed.effects + moved.effects + takes.effects)
     }
 
+    private fun watchedRead(
+        state: LeaseState,
+        event: LeaseEvent.WatchedRead,
+        nowMillis: Long
+    ): Step<LeaseState, LeaseEffect> {
+        val present = event.sessions.values.filterNotNull()
+        val removed = event.sessions.filterValues { it == null }.keys
+        val observed = state.sessions.putAll(observe(state.sessions, present, nowMillis))
+        val seen = state.copy(sessions = removed.fold(observed) { map, name -> map.remove(name) })
+        if (!seen.isLive(nowMillis) || seen.stopping) return seen.unchanged()
+        val candidates = seen.watched.filterTo(mutableSetOf()) {
+            // An unread session has no new counter to show, which must not look like its end.
+            seen.shards[it]?.session in event.sessions &&
+                isFree(seen, it, event.goneHere, event.sentAtMillis)
+        }
+        if (candidates.isEmpty()) return seen.unchanged()
+        val live = liveSessions(seen, event.goneHere, event.sentAtMillis)
+        return takes(seen, live, event.goneHere, event.sentAtMillis, candidates)
+    }
+
+    private fun shardRead(
+        state: LeaseState,
+        event: LeaseEvent.ShardRead
+    ): Step<LeaseState, LeaseEffect> {
+        val known = state.shards[event.row.shard]
+        if (known != null && known.fence >= event.row.fence) return state.unchanged()
+        return dropDispossessed(state.copy(shards = state.shards.put(event.row.shard, event.row)))
+    }
+
+    /** Shards of live holders that would prefer this process if their holder were gone. */
+    private fun watchList(state: LeaseState, live: Set<String>): PersistentSet<String> =
+        state.wanted.filter { shard ->
+            val holder = state.shards[shard]?.session
+            val others = live.asSequence().filter { it != holder }
+            holder != null &&
+                holder != state.self &&
+                Rendezvous.preferred(shard, others) == state.self
+        }.toPersistentSet()
+
     private fun observe(
         known: PersistentMap<String, ObservedSession>,
         rows: List<SessionRow>,
@@ -196,13 +241,14 @@
         state: LeaseState,
         live: Set<String>,
         goneHere: Set<String>,
-        nowMillis: Long
+        nowMillis: Long,
+        candidates: Set<String> = state.wanted
     ): Step<LeaseState, LeaseEffect> {
-        val mine = state.wanted.filter { shard ->
+        val mine = candidates.filter { shard ->
             shard !in state.held &&
                 shard !in state.taking &&
-                Rendezvous.preferred(shard, live) == state.self &&
-                isFree(state, shard, goneHere, nowMillis)
+                isFree(state, shard, goneHere, nowMillis) &&
+                Rendezvous.preferred(shard, live) == state.self
         }
         val effects = mine.map { shard ->
             val fence = state.shards[shard]?.fence ?: 0
--- a/decisions/src/main/kotlin/cactusfold/decisions/lease/LeaseModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/lease/LeaseModel.kt
@@ -1,7 +1,9 @@
 package cactusfold.decisions.lease
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 
 /**
  * Times of a session lease.
@@ -44,6 +46,8 @@
  *
  * @property leaseUntilMillis end of the own lease, counted from before the renewal was sent.
  * @property held the shards held, with their fences.
+ * @property watched shards of others that this process is next to take. Only their holders' sessions
+ *   have to be read often, so reads grow with shards, not with nodes.
  * @property taking shards for which a take is on its way.
  */
 public data class LeaseState(
@@ -58,8 +62,13 @@
     public val wanted: Set<String> = emptySet(),
     public val held: PersistentMap<String, Long> = persistentMapOf(),
     public val taking: PersistentMap<String, Long> = persistentMapOf(),
+    public val watched: PersistentSet<String> = persistentSetOf(),
     public val stopping: Boolean = false
 ) {
+    /** The sessions that hold the watched shards now. */
+    public val watchedSessions: Set<String>
+        get() = watched.mapNotNullTo(mutableSetOf()) { shards[it]?.session }
+
     /** Whether the own lease covers [nowMillis]. */
     public fun isLive(nowMillis: Long): Boolean = nowMillis < leaseUntilMillis
 
@@ -92,15 +101,30 @@
     public data class ShardsWanted(public val shards: Set<String>) : LeaseEvent
 
     /**
-     * The table was read. [goneHere] names sessions of this VM and this boot whose process was
+     * The table was read by a call sent at [sentAtMillis]: what it shows was true then, and may be
+     * old by now. [goneHere] names sessions of this VM and this boot whose process was
      * seen not to exist any more; only those may be judged gone before their TTL.
      */
     public data class TableRead(
+        public val sentAtMillis: Long,
         public val sessions: List<SessionRow>,
         public val shards: List<ShardRow>,
         public val goneHere: Set<String>
     ) : LeaseEvent
 
+    /**
+     * The rows of watched sessions were read by calls sent from [sentAtMillis] on; a session without
+     * a row was removed.
+     */
+    public data class WatchedRead(
+        public val sentAtMillis: Long,
+        public val sessions: Map<String, SessionRow?>,
+        public val goneHere: Set<String>
+    ) : LeaseEvent
+
+    /** One shard row was read. */
+    public data class ShardRead(public val row: ShardRow) : LeaseEvent
+
     /** A take of [shard] took effect with [fence]. */
     public data class Took(public val shard: String, public val fence: Long) : LeaseEvent
 
--- a/decisions/src/test/kotlin/cactusfold/decisions/lease/LeaseRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/lease/LeaseRandomisedTest.kt
@@ -53,15 +53,26 @@
             late.removeAll(due)
             due.forEach { it.second() }
             run(LeaseEvent.Tick, realMillis)
-            if (!table.isDown && random.nextInt(3) == 0) read(realMillis)
+            if (table.isDown) return
+            if (random.nextInt(3) == 0) readWatched(realMillis)
+            if (random.nextInt(30) == 0) read(realMillis)
+        }
+
+        private fun readWatched(realMillis: Long) {
+            val rows = state.watchedSessions.associateWith { table.sessions[it] }
+            val sentAt = clock(realMillis)
+            reply(realMillis) { run(LeaseEvent.WatchedRead(sentAt, rows, emptySet()), now) }
+            val shard = state.wanted.randomOrNull(random) ?: return
+            table.shards[shard]?.let { run(LeaseEvent.ShardRead(it), realMillis) }
         }
 
         private fun read(realMillis: Long) {
             val sessions = table.sessions.values.toList()
-            run(
-                LeaseEvent.TableRead(sessions, table.shards.values.toList(), emptySet()),
-                realMillis
-            )
+            val shards = table.shards.values.toList()
+            val sentAt = clock(realMillis)
+            reply(realMillis) {
+                run(LeaseEvent.TableRead(sentAt, sessions, shards, emptySet()), now)
+            }
         }
 
         private fun carryOut(effect: LeaseEffect, realMillis: Long) {
@@ -177,7 +188,10 @@
         }
         run(LeaseEvent.Tick, 0)
         run(LeaseEvent.Renewed(0, 1), 5)
-        run(LeaseEvent.TableRead(listOf(SessionRow("a", 1, 1, false)), emptyList(), emptySet()), 10)
+        run(
+            LeaseEvent.TableRead(10, listOf(SessionRow("a", 1, 1, false)), emptyList(), emptySet()),
+            10
+        )
         run(LeaseEvent.Took("s", 1), 15)
         assertEquals(1, state.fenceOf("s", 20))
         assertNull(state.fenceOf("s", 6_000), "the lease counts from before the renewal was sent")
@@ -192,9 +206,9 @@
         val live = LeaseState("b", 2, 1, leaseUntilMillis = 6_000, wanted = setOf("s"))
         val sessions = listOf(SessionRow("a", 1, 9, false), SessionRow("b", 2, 1, false))
         val rows = listOf(ShardRow("s", 4, "a", 1))
-        val unseen = machine.step(live, LeaseEvent.TableRead(sessions, rows, emptySet()), 100)
+        val unseen = machine.step(live, LeaseEvent.TableRead(100, sessions, rows, emptySet()), 100)
         assertTrue(unseen.effects.none { it is LeaseEffect.Take }, "a live holder was replaced")
-        val seen = machine.step(live, LeaseEvent.TableRead(sessions, rows, setOf("a")), 100)
+        val seen = machine.step(live, LeaseEvent.TableRead(100, sessions, rows, setOf("a")), 100)
         assertNotNull(seen.effects.find { it == LeaseEffect.Take("s", 4, 5) })
     }
 }
--- a/node/src/main/kotlin/cactusfold/node/config/ConfigKeeper.kt
+++ b/node/src/main/kotlin/cactusfold/node/config/ConfigKeeper.kt
@@ -76,6 +76,9 @@
     @Volatile
     private var fleet: FleetConfig = FleetConfig.EMPTY
 
+    @Volatile
+    private var lastPollAtMillis: Long? = null
+
     @Volatile
     private var lastContactAtMillis: Long? = null
 
@@ -96,14 +99,23 @@
 
     /** Begins to poll. */
     public fun start(pollMillis: Long) {
-        timers.subscribe("config-poll", pollMillis) { poll() }
+        timers.subscribe("config-poll", pollMillis) { pollIfDue(pollMillis) }
     }
 
     /** Returns how long ago the store or a peer last confirmed what is in force, or null. */
     public fun contactAgeMillis(): Long? = lastContactAtMillis?.let { clock.nowMillis() - it }
 
+    /** In a large fleet, entries come by gossip and polls only catch what gossip missed. */
+    private suspend fun pollIfDue(pollMillis: Long) {
+        val peers = peerAddresses().size
+        val period = (peers * POLL_MILLIS_PER_PEER).coerceIn(pollMillis, MAX_POLL_MILLIS)
+        val age = lastPollAtMillis?.let { clock.nowMillis() - it } ?: Long.MAX_VALUE
+        if (age >= period) poll()
+    }
+
     /** Reads entries above the version in force from the table, or from a peer. */
     public suspend fun poll() {
+        lastPollAtMillis = clock.nowMillis()
         val after = Rows.configSort(state.value.version)
         when (val rows = table.list(Rows.CONFIG, after)) {
             is ReadResult.Found -> {
@@ -134,6 +146,15 @@
         return state.value.version
     }
 
+    /** Takes entries that a peer offered, and offers them to others when they are new here. */
+    public fun gossiped(entries: List<ConfigEntry>): Long {
+        val before = state.value.version
+        val version = offer(entries)
+        lastContactAtMillis = clock.nowMillis()
+        if (version > before) push(entries.filter { it.version > before })
+        return version
+    }
+
     private fun append(
         known: PersistentList<ConfigEntry>,
         fresh: List<ConfigEntry>
@@ -196,13 +217,14 @@
 
     private fun accepted(entry: ConfigEntry): SubmitResult {
         offer(listOf(entry))
-        push(entry)
+        push(listOf(entry))
         return SubmitResult.Accepted(entry.version)
     }
 
-    /** Offers [entry] to some peers at random; the others poll. */
-    private fun push(entry: ConfigEntry) {
-        val message = ConfigEntries.newBuilder().addEntries(entry.toMessage()).build()
+    /** Offers [entries] to some peers at random, which do the same. */
+    private fun push(entries: List<ConfigEntry>) {
+        val messages = entries.map { it.toMessage() }
+        val message = ConfigEntries.newBuilder().addAllEntries(messages).build()
         peerAddresses().shuffled(Random.Default).take(PUSH_FANOUT).forEach { peer ->
             scope.launch { peers.peer(peer, PEER_TIMEOUT_MILLIS) { offerConfig(message) } }
         }
@@ -210,6 +232,8 @@
 
     private companion object {
         const val PEER_TIMEOUT_MILLIS = 1_000L
-        const val PUSH_FANOUT = 16
+        const val PUSH_FANOUT = 5
+        const val POLL_MILLIS_PER_PEER = 10L
+        const val MAX_POLL_MILLIS = 8_000L
     }
 }
--- a/node/src/main/kotlin/cactusfold/node/launch/NodeCore.kt
+++ b/node/src/main/kotlin/cactusfold/node/launch/NodeCore.kt
@@ -97,7 +97,7 @@
             settings.adminAddress,
             ProcessIdentity.current(settings.vm)
         ),
-        settings.lease,
+        if (role == Role.ROUTER) settings.routerLease else settings.lease,
         table(StorePurpose.RENEWAL),
         clock,
         timers,
@@ -203,6 +203,6 @@
         const val CIRCUIT_FAILURES = 5
         const val CIRCUIT_OPEN_MILLIS = 1_000L
         const val STOP_GRACE_MILLIS = 2_000L
-        const val MAX_CONTACT_AGE_MILLIS = 5_000L
+        const val MAX_CONTACT_AGE_MILLIS = 20_000L
     }
 }
--- a/node/src/main/kotlin/cactusfold/node/launch/NodeSettings.kt
+++ b/node/src/main/kotlin/cactusfold/node/launch/NodeSettings.kt
@@ -8,6 +8,7 @@
 import cactusfold.settings.schema.ValueType
 
 private const val HOUR_MILLIS = 3_600_000L
+private const val ROUTER_RENEWALS_IN_TTL = 3
 
 /** Adds the sections that every daemon has. */
 public fun SchemaBuilder.nodeSections() {
@@ -33,6 +34,12 @@
         millis("ttl_millis", 500L..HOUR_MILLIS, "How long a holder may act without renewal.", 6_000)
         millis("skew_millis", 0L..HOUR_MILLIS, "What a taker waits beyond that.", 1_000)
         millis("renew_every_millis", 100L..HOUR_MILLIS, "Period of renewals.", 2_000)
+        millis(
+            "router_ttl_millis",
+            1_500L..HOUR_MILLIS,
+            "The same for routers, which hold nothing that others wait for.",
+            60_000
+        )
         millis("read_every_millis", 100L..HOUR_MILLIS, "Period of reading the table.", 1_000)
         millis("config_poll_millis", 100L..10_000L, "Period of polling the configuration.", 1_000)
     }
@@ -58,6 +65,7 @@
     public val eventsMax: Int,
     public val platform: PlatformSettings,
     public val lease: LeaseSettings,
+    public val routerLease: LeaseSettings,
     public val readEveryMillis: Long,
     public val configPollMillis: Long
 ) {
@@ -80,6 +88,11 @@
                     lease.long("skew_millis"),
                     lease.long("renew_every_millis")
                 ),
+                LeaseSettings(
+                    lease.long("router_ttl_millis"),
+                    lease.long("skew_millis"),
+                    lease.long("router_ttl_millis") / ROUTER_RENEWALS_IN_TTL
+                ),
                 lease.long("read_every_millis"),
                 lease.long("config_poll_millis")
             )
--- a/node/src/main/kotlin/cactusfold/node/peer/PeerService.kt
+++ b/node/src/main/kotlin/cactusfold/node/peer/PeerService.kt
@@ -40,7 +40,7 @@
 ) : PeerCoroutineImplBase(Dispatchers.Default) {
 
     override suspend fun offerConfig(request: ConfigEntries): ConfigPosition {
-        val version = config.offer(request.entriesList.map { it.toEntry() })
+        val version = config.gossiped(request.entriesList.map { it.toEntry() })
         return ConfigPosition.newBuilder().setVersion(version).build()
     }
 
--- a/node/src/main/kotlin/cactusfold/node/session/SessionKeeper.kt
+++ b/node/src/main/kotlin/cactusfold/node/session/SessionKeeper.kt
@@ -22,6 +22,7 @@
 import cactusfold.protocol.StoredSession
 import cactusfold.protocol.StoredShard
 import cactusfold.settings.schema.HostPort
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.ThreadLocalRandom
 import kotlinx.coroutines.CoroutineScope
@@ -96,6 +97,11 @@
     @Volatile
     private var lastReadAtMillis: Long? = null
 
+    @Volatile
+    private var listBytes = 0L
+
+    private val refreshedAtMillis = ConcurrentHashMap<String, Long>()
+
     /** The name of the session, which no other process ever has. */
     public val session: String get() = state.value.self
 
@@ -117,10 +123,14 @@
         listeners += listener
     }
 
-    /** Begins to renew and to read. */
+    /**
+     * Begins to renew and to read. Sessions that this process is next to follow are read every
+     * [readEveryMillis]; the whole list less often the longer it is, within a budget of bytes.
+     */
     public fun start(readEveryMillis: Long) {
         timers.subscribe("session-renewal", RENEWAL_CHECK_MILLIS) { apply(LeaseEvent.Tick) }
-        timers.subscribe("session-read", readEveryMillis) { readTable() }
+        timers.subscribe("session-watch", readEveryMillis) { readWatched() }
+        timers.subscribe("session-list", readEveryMillis) { readTableIfDue(readEveryMillis) }
     }
 
     /** Says which shards should have a holder. */
@@ -144,20 +154,64 @@
         renew(state.value.counter + 1, true, clock.nowMillis())
     }
 
+    private suspend fun readTableIfDue(readEveryMillis: Long) {
+        val last = lastReadAtMillis ?: return readTable()
+        val period = (listBytes * MILLIS_PER_SECOND / LIST_BYTES_PER_SECOND)
+            .coerceIn(readEveryMillis, MAX_LIST_MILLIS)
+        if (clock.nowMillis() - last >= period || hasShardsToFind()) readTable()
+    }
+
+    /** Whether a wanted shard was never seen with a holder; then the list is worth its bytes. */
+    private fun hasShardsToFind(): Boolean =
+        state.value.wanted.any { shard -> shardRows[shard]?.session.isNullOrEmpty() }
+
     /** Reads sessions and shards once. */
     public suspend fun readTable() {
+        val sentAt = clock.nowMillis()
         val sessions = rows(Rows.SESSIONS) ?: return
         val shards = rows(Rows.SHARDS) ?: return
+        listBytes = (sessions + shards)
+            .sumOf { it.value.size() * ENCODING_FACTOR + ROW_OVERHEAD_BYTES }
         known = sessions.associate { it.key.sort to StoredSession.parseFrom(it.value) }
         shardRows = shards.associate { it.key.sort to StoredShard.parseFrom(it.value) }
         lastReadAtMillis = clock.nowMillis()
-        apply(
-            LeaseEvent.TableRead(
-                sessions.map(::sessionRow),
-                shardRows.values.map(::shardRow),
-                gone()
-            )
-        )
+        val rows = shardRows.values.map(::shardRow)
+        apply(LeaseEvent.TableRead(sentAt, sessions.map(::sessionRow), rows, gone()))
+    }
+
+    private suspend fun readWatched() {
+        val watched = state.value.watchedSessions
+        if (watched.isEmpty()) return
+        val sentAt = clock.nowMillis()
+        val rows = mutableMapOf<String, SessionRow?>()
+        for (session in watched) {
+            val found = table.get(Rows.session(session)) as? ReadResult.Found ?: continue
+            val row = found.value
+            if (row != null) known = known + (session to StoredSession.parseFrom(row.value))
+            rows[session] = row?.let(::sessionRow)
+        }
+        apply(LeaseEvent.WatchedRead(sentAt, rows, gone()))
+    }
+
+    /** Reads who holds [shard] now, after a call to the known holder failed. */
+    public suspend fun refreshHolder(shard: String) {
+        val now = clock.nowMillis()
+        val last = refreshedAtMillis[shard]
+        if (last != null && now - last < MIN_REFRESH_MILLIS) return
+        refreshedAtMillis[shard] = now
+        val found = table.get(Rows.shard(shard)) as? ReadResult.Found ?: return
+        val stored = found.value?.let { StoredShard.parseFrom(it.value) } ?: return
+        shardRows = shardRows + (shard to stored)
+        apply(LeaseEvent.ShardRead(shardRow(stored)))
+    }
+
+    /** Removes the rows of sessions that have not been renewed for [ageMillis]. */
+    public suspend fun removeStale(ageMillis: Long) {
+        val now = clock.nowMillis()
+        for ((session, observed) in state.value.sessions) {
+            if (session == this.session || now - observed.changedAtMillis < ageMillis) continue
+            table.write(listOf(RowWrite.Delete(Rows.session(session), observed.row.counter)))
+        }
     }
 
     private suspend fun rows(partition: String): List<Row>? =
@@ -244,10 +298,15 @@
         when (table.write(listOf(write))) {
             WriteResult.Written -> apply(LeaseEvent.Took(effect.shard, effect.newFence))
             is WriteResult.Unknown -> resolveTake(effect)
-            else -> apply(LeaseEvent.TakeFailed(effect.shard))
+            else -> takeFailed(effect.shard)
         }
     }
 
+    private suspend fun takeFailed(shard: String) {
+        apply(LeaseEvent.TakeFailed(shard))
+        refreshHolder(shard)
+    }
+
     private suspend fun resolveTake(effect: LeaseEffect.Take) {
         val found = (table.get(Rows.shard(effect.shard)) as? ReadResult.Found)?.value
         val stored = found?.let { StoredShard.parseFrom(it.value) }
@@ -324,6 +383,12 @@
 
     private companion object {
         const val RENEWAL_CHECK_MILLIS = 200L
+        const val MIN_REFRESH_MILLIS = 200L
+        const val MAX_LIST_MILLIS = 180_000L
+        const val LIST_BYTES_PER_SECOND = 3_000L
+        const val ROW_OVERHEAD_BYTES = 150L
+        const val ENCODING_FACTOR = 2L
+        const val MILLIS_PER_SECOND = 1_000L
         const val RADIX = 36
         val log = LogManager.getLogger(SessionKeeper::class.java)
     }
--- a/router/src/main/kotlin/cactusfold/router/lane/ModelWatchers.kt
+++ b/router/src/main/kotlin/cactusfold/router/lane/ModelWatchers.kt
@@ -74,6 +74,8 @@
             }
             val placement = (asked as Asked.Answered).placement
             if (placement == null) {
+                core.config.current.cellOf(lane.name)
+                    ?.let { core.sessions.refreshHolder(Shards.ofCell(it)) }
                 withTimeoutOrNull(RETRY_MILLIS) { watcher.kicks.receive() }
                 continue
             }
--- a/router/src/main/kotlin/cactusfold/router/rate/Admission.kt
+++ b/router/src/main/kotlin/cactusfold/router/rate/Admission.kt
@@ -54,6 +54,9 @@
         while (true) {
             if (spend(account, workspace.limit, tokens)) return AdmissionResult.Admitted
             val wait = account.asking.withLock { askUnlessThere(account, workspace, tokens) }
+                ?: HOLDER_RETRY_MILLIS.also {
+                    core.sessions.refreshHolder(Shards.ofRate(workspace.name))
+                }
             if (wait == 0L) continue
             val now = core.clock.nowMillis()
             if (now + wait >= deadlineMillis) return AdmissionResult.OverRate(wait)
@@ -67,18 +70,25 @@
             step.state to (step.outcome == Spend.Admitted)
         }
 
-    /** Asks the holder; returns 0 when it is worth trying again at once, else how long to wait. */
-    private suspend fun askUnlessThere(account: Account, workspace: Workspace, tokens: Long): Long {
+    /**
+     * Asks the holder. Returns 0 when it is worth trying again at once, how long to wait when tokens
+     * lack, and null when the holder did not answer.
+     */
+    private suspend fun askUnlessThere(
+        account: Account,
+        workspace: Workspace,
+        tokens: Long
+    ): Long? {
         val missing = tokens - usable(account)
         if (missing <= 0) return 0
         val holder = core.sessions.holderOf(Shards.ofRate(workspace.name))
-            ?: return HOLDER_RETRY_MILLIS
+            ?: return null
         val sentAt = core.clock.nowMillis()
         val request = requestFor(account, workspace, missing)
         val answer = core.peers.holder(holder.address, ASK_TIMEOUT_MILLIS) {
             requestTokens(request)
         }
-        val grant = (answer as? PeerResult.Answer)?.value ?: return HOLDER_RETRY_MILLIS
+        val grant = (answer as? PeerResult.Answer)?.value ?: return null
         val now = core.clock.nowMillis()
         return when (grant.outcome) {
             TokenGrant.Outcome.GRANTED -> {
@@ -89,7 +99,7 @@
                 account.state.update { spender.contacted(it, now) }
                 grant.retryAfterMillis.coerceAtLeast(1)
             }
-            else -> HOLDER_RETRY_MILLIS
+            else -> null
         }
     }
 
