Pages for users and operators, examples, traffic between processes counted

The configuration page is generated from the schemas and compared by a test; the examples are checked by it too. A long poll for a model in use lasts 8 s unless load reports between replicas are wanted: a change of placement ends it anyway.

--- a/bench/src/main/kotlin/cactusfold/bench/capacity/FleetSlopes.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/capacity/FleetSlopes.kt
@@ -30,8 +30,11 @@
     private const val MILLIS_PER_SECOND = 1_000.0
     private const val PERCENT = 100.0
 
-    /** Measures fleets of each size. */
-    public suspend fun costs(): List<FleetCost> = SIZES.map { measure(it) }
+    /** Measures fleets of each size, after one that warms the JVM up. */
+    public suspend fun costs(): List<FleetCost> {
+        measure(SIZES.last())
+        return SIZES.map { measure(it) }
+    }
 
     /** Returns the slopes of [costs]. */
     public fun slopes(costs: List<FleetCost>): List<Slope> = listOf(
--- a/bench/src/main/kotlin/cactusfold/bench/capacity/RequestSlopes.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/capacity/RequestSlopes.kt
@@ -4,6 +4,9 @@
 import cactusfold.bench.Point
 import cactusfold.bench.path.BenchFleet
 import cactusfold.bench.path.LoadClient
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 
 /**
  * Processor time of requests and tokens at a router: the same load through the router and directly,
@@ -17,6 +20,12 @@
     private const val REQUESTS_PER_NODE = 11_000 / 430.0
     private const val TOKENS_PER_REQUEST = 4_100_000 / 11_000.0
     private const val PERCENT = 100.0
+    private val ADAPTERS = listOf(4, 8, 16, 32)
+    private const val LINGER_SECONDS = 15
+    private const val ADAPTERS_IN_USE = REQUESTS_PER_NODE * LINGER_SECONDS
+    private const val CONTROL_RATE = 26
+    private const val CONTROL_SECONDS = 20
+    private const val NANOS_PER_SECOND = 1e9
 
     /** Measures both slopes. */
     public suspend fun all(): List<Slope> {
@@ -52,6 +61,50 @@
         )
     }
 
+    /** Bytes and calls between processes as more adapters are in use, at a steady rate of requests. */
+    private suspend fun control(): List<Slope> {
+        val fleet = BenchFleet(tokenMillis = 1, adapters = ADAPTERS.last())
+        fleet.start()
+        val costs = ADAPTERS.map { count -> count to controlCost(fleet, count) }
+        fleet.stop()
+        return listOf(
+            Slope(
+                "router: messages between processes at $CONTROL_RATE requests/s",
+                "bytes/s",
+                "adapters in use at a router",
+                ADAPTERS_IN_USE,
+                costs.map { (count, cost) -> Point(count.toDouble(), cost.bytesPerSecond) }
+            ),
+            Slope(
+                "router: calls between processes at $CONTROL_RATE requests/s",
+                "calls/s",
+                "adapters in use at a router",
+                ADAPTERS_IN_USE,
+                costs.map { (count, cost) -> Point(count.toDouble(), cost.callsPerSecond) }
+            )
+        )
+    }
+
+    private class ControlCost(val bytesPerSecond: Double, val callsPerSecond: Double)
+
+    private suspend fun controlCost(fleet: BenchFleet, adapters: Int): ControlCost {
+        val clients = (1..adapters).map { fleet.client(false, 4, false, "adapter-$it") }
+        clients.forEach { it.run(1, 1) }
+        val traffic = fleet.fleet.routers.first().core.peers.traffic
+        val bytes = traffic.bytes
+        val calls = traffic.calls
+        val began = System.nanoTime()
+        coroutineScope {
+            clients.map {
+                async { it.runSparse(CONTROL_RATE / adapters.toDouble(), CONTROL_SECONDS) }
+            }
+                .awaitAll()
+        }
+        val seconds = (System.nanoTime() - began) / NANOS_PER_SECOND
+        clients.forEach { it.close() }
+        return ControlCost((traffic.bytes - bytes) / seconds, (traffic.calls - calls) / seconds)
+    }
+
     private suspend fun warmUp(fleet: BenchFleet) {
         for (isStream in listOf(false, true)) {
             for (isDirect in listOf(false, true)) {
--- a/bench/src/main/kotlin/cactusfold/bench/path/BenchFleet.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/path/BenchFleet.kt
@@ -11,7 +11,7 @@
 import kotlinx.coroutines.delay
 
 /** A fleet with two wide runners, and clients that call a runner directly or through a router. */
-public class BenchFleet(tokenMillis: Long) {
+public class BenchFleet(tokenMillis: Long, private val adapters: Int = 0) {
     private val vertx = Vertx.vertx()
     private val runners = listOf("runner-1", "runner-2").map {
         RunnerOptions(it, 0, MEMORY_BYTES, slots = SLOTS, tokenMillis = tokenMillis)
@@ -33,14 +33,19 @@
             .replace("kind = runner", "kind = runner\nslots = $SLOTS")
             .replace("rate_tokens_per_second = 20000", "rate_tokens_per_second = 1000000000")
             .replace("burst_tokens = 100000", "burst_tokens = 1000000000")
-        fleet.applyDocument(wide)
+        fleet.applyDocument(wide + adapterSections())
         delay(SETTLE_MILLIS)
         client(isDirect = false, tokens = 1, isStream = false).run(10, 1)
     }
 
     /** Returns a client that asks for [tokens] tokens. */
-    public fun client(isDirect: Boolean, tokens: Int, isStream: Boolean): LoadClient {
-        val body = """{"model":"drills-8b","max_tokens":$tokens,"stream":$isStream,""" +
+    public fun client(
+        isDirect: Boolean,
+        tokens: Int,
+        isStream: Boolean,
+        model: String = "drills-8b"
+    ): LoadClient {
+        val body = """{"model":"$model","max_tokens":$tokens,"stream":$isStream,""" +
             """"messages":[{"role":"user","content":"A drill for juniors"}]}"""
         val port = if (isDirect) loadedRunnerPort() else fleet.routers.first().callerPort
         val headers = mapOf("Authorization" to "Bearer ${DemoConfig.KEY}")
@@ -53,6 +58,10 @@
         vertx.close()
     }
 
+    private fun adapterSections(): String = (1..adapters).joinToString("") {
+        "[model adapter-$it]\nmemory_bytes = 1000000\nbase = drills-8b\n"
+    }
+
     private fun loadedRunnerPort(): Int = fleet.standins.runners.values.first { it.loads > 0 }.port
 
     private companion object {
--- a/bench/src/main/kotlin/cactusfold/bench/path/LoadClient.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/path/LoadClient.kt
@@ -27,13 +27,17 @@
     )
 
     /** Sends [perSecond] requests a second for [seconds]; times count from the due moment. */
-    public suspend fun run(perSecond: Int, seconds: Int): LoadResult {
+    public suspend fun run(perSecond: Int, seconds: Int): LoadResult =
+        runSparse(perSecond.toDouble(), seconds)
+
+    /** The same, for rates below one a second too. */
+    public suspend fun runSparse(perSecond: Double, seconds: Int): LoadResult {
         val histogram = ConcurrentHistogram(HIGHEST_MICROS, DIGITS)
         val failures = AtomicInteger()
         val done = AtomicInteger()
-        val total = perSecond * seconds
+        val total = (perSecond * seconds).toInt()
         val began = System.nanoTime()
-        val gapNanos = NANOS_PER_SECOND / perSecond
+        val gapNanos = (NANOS_PER_SECOND / perSecond).toLong()
         var sent = 0
         while (sent < total) {
             while (sent < total && began + sent * gapNanos <= System.nanoTime()) {
--- a/cli/src/main/kotlin/cactusfold/cli/ConfigCommand.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/ConfigCommand.kt
@@ -4,8 +4,10 @@
 import cactusfold.node.launch.ExitCode
 import cactusfold.settings.fleet.FleetCheck
 import cactusfold.settings.fleet.FleetResult
+import cactusfold.settings.fleet.fleetSchema
 import cactusfold.settings.fleet.renderIni
 import cactusfold.settings.schema.Problem
+import cactusfold.settings.schema.renderReference
 import io.vertx.core.json.JsonObject
 import java.io.IOException
 import java.nio.file.Files
@@ -65,6 +67,12 @@
         }
     }
 
+    @Command(description = ["Prints every section and key as Markdown."])
+    fun reference(): Int {
+        print(renderReference(fleetSchema))
+        return ExitCode.OK
+    }
+
     @Command(description = ["Shows what applying a document would change."])
     fun diff(@Parameters(paramLabel = "FILE.ini") file: Path): Int = withDocument(file) { target ->
         parent.client().get("/v1/config").exitCode("") { body ->
--- /dev/null
+++ b/local/src/test/kotlin/cactusfold/local/ConfigurationPageTest.kt
@@ -0,0 +1,48 @@
+package cactusfold.local
+
+import cactusfold.controller.controllerSchema
+import cactusfold.router.routerSchema
+import cactusfold.settings.fleet.FleetCheck
+import cactusfold.settings.fleet.FleetResult
+import cactusfold.settings.fleet.fleetSchema
+import cactusfold.settings.schema.SettingsResult
+import cactusfold.settings.schema.readSettings
+import cactusfold.settings.schema.renderReference
+import cactusfold.standins.standinsSchema
+import java.nio.file.Path
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class ConfigurationPageTest {
+    private val root = Path.of("..")
+    private val page = root.resolve("docs/CONFIGURATION.md")
+
+    /** `-Dcactusfold.write.pages=true` writes the page instead of comparing it. */
+    @Test
+    fun `the configuration page says what the schemas check`() {
+        val schemas = listOf(fleetSchema, routerSchema, controllerSchema, standinsSchema)
+        val text =
+            "# Configuration and settings\n\nGenerated from the schemas that check them.\n\n" +
+                schemas.joinToString("") { renderReference(it) }
+        if (System.getProperty("cactusfold.write.pages") == "true") page.writeText(text)
+        assertEquals(text, page.readText(), "write it with -Dcactusfold.write.pages=true")
+    }
+
+    @Test
+    fun `the examples are valid`() {
+        val examples = root.resolve("examples")
+        assertIs<FleetResult.Valid>(FleetCheck.check(examples.resolve("fleet.ini").readText()))
+        val settings = mapOf(
+            "standins.ini" to standinsSchema,
+            "router-1.ini" to routerSchema,
+            "controller-1.ini" to controllerSchema
+        )
+        for ((file, schema) in settings) {
+            val result = readSettings(schema, examples.resolve(file).readText())
+            assertIs<SettingsResult.Valid>(result, "$file: $result")
+        }
+    }
+}
--- a/node/src/main/kotlin/cactusfold/node/launch/NodeCore.kt
+++ b/node/src/main/kotlin/cactusfold/node/launch/NodeCore.kt
@@ -183,6 +183,8 @@
         metrics.gauge("cactusfold.store.reads", guardedTable) { it.counts.reads.toDouble() }
         metrics.gauge("cactusfold.store.writes", guardedTable) { it.counts.writes.toDouble() }
         metrics.gauge("cactusfold.store.failures", guardedTable) { it.counts.failures.toDouble() }
+        metrics.gauge("cactusfold.peer.calls", peers.traffic) { it.calls.toDouble() }
+        metrics.gauge("cactusfold.peer.bytes", peers.traffic) { it.bytes.toDouble() }
         metrics.gauge("cactusfold.shards.held", sessions) { it.heldShards.size.toDouble() }
     }
 
--- a/node/src/main/kotlin/cactusfold/node/peer/PeerClients.kt
+++ b/node/src/main/kotlin/cactusfold/node/peer/PeerClients.kt
@@ -25,6 +25,9 @@
 
 /** Channels to other processes, one for each address, made when first used. */
 public class PeerClients(private val loops: EventLoopGroup) {
+    /** What went over the channels. */
+    public val traffic: PeerTraffic = PeerTraffic()
+
     private val channels = ConcurrentHashMap<HostPort, ManagedChannel>()
 
     /** Calls the peer service at [address]. */
@@ -60,6 +63,7 @@
     private fun channel(address: HostPort): ManagedChannel = channels.computeIfAbsent(address) {
         NettyChannelBuilder.forAddress(InetSocketAddress(it.host, it.port))
             .usePlaintext()
+            .intercept(traffic)
             .directExecutor()
             .eventLoopGroup(loops)
             .channelType(NioSocketChannel::class.java)
--- /dev/null
+++ b/node/src/main/kotlin/cactusfold/node/peer/PeerTraffic.kt
@@ -0,0 +1,46 @@
+package cactusfold.node.peer
+
+import io.grpc.CallOptions
+import io.grpc.Channel
+import io.grpc.ClientCall
+import io.grpc.ClientInterceptor
+import io.grpc.ClientStreamTracer
+import io.grpc.Metadata
+import io.grpc.MethodDescriptor
+import java.util.concurrent.atomic.AtomicLong
+
+/** Counts calls to other processes and the bytes of their messages, both ways. */
+public class PeerTraffic : ClientInterceptor {
+    private val callCount = AtomicLong()
+    private val byteCount = AtomicLong()
+
+    /** Calls made so far. */
+    public val calls: Long get() = callCount.get()
+
+    /** Bytes of messages sent and received so far, without the headers of HTTP/2. */
+    public val bytes: Long get() = byteCount.get()
+
+    override fun <A, B> interceptCall(
+        method: MethodDescriptor<A, B>,
+        options: CallOptions,
+        next: Channel
+    ): ClientCall<A, B> {
+        callCount.incrementAndGet()
+        return next.newCall(method, options.withStreamTracerFactory(Tracers()))
+    }
+
+    private inner class Tracers : ClientStreamTracer.Factory() {
+        override fun newClientStreamTracer(
+            info: ClientStreamTracer.StreamInfo,
+            headers: Metadata
+        ): ClientStreamTracer = object : ClientStreamTracer() {
+            override fun outboundWireSize(bytes: Long) {
+                byteCount.addAndGet(bytes)
+            }
+
+            override fun inboundWireSize(bytes: Long) {
+                byteCount.addAndGet(bytes)
+            }
+        }
+    }
+}
--- a/router/src/main/kotlin/cactusfold/router/lane/ModelWatchers.kt
+++ b/router/src/main/kotlin/cactusfold/router/lane/ModelWatchers.kt
@@ -59,7 +59,7 @@
         var arrivalsReported = 0
         while (isInUse(lane)) {
             val arrivals = lane.arrivals.get()
-            val wait = if (lane.waiting > 0) WAITING_POLL_MILLIS else IDLE_POLL_MILLIS
+            val wait = pollMillis(lane)
             val asked = interruptible(watcher) {
                 ask(
                     lane,
@@ -110,6 +110,13 @@
         }
     }
 
+    /** Load reports matter only between replicas; a change of placement ends the poll anyway. */
+    private fun pollMillis(lane: Lane): Long = when {
+        lane.waiting > 0 -> WAITING_POLL_MILLIS
+        lane.running > 0 && lane.targets.size > 1 -> REPORT_POLL_MILLIS
+        else -> IDLE_POLL_MILLIS
+    }
+
     private fun isInUse(lane: Lane): Boolean = lane.waiting + lane.running > 0 ||
         core.clock.nowMillis() - lane.usedAtMillis < LINGER_MILLIS
 
@@ -156,7 +163,8 @@
 
     private companion object {
         const val WAITING_POLL_MILLIS = 250L
-        const val IDLE_POLL_MILLIS = 1_000L
+        const val REPORT_POLL_MILLIS = 1_000L
+        const val IDLE_POLL_MILLIS = 8_000L
         const val CALL_MARGIN_MILLIS = 500L
         const val RETRY_MILLIS = 100L
         const val MIN_REPORT_MILLIS = 20L
