Hand-overs are noticed within a second; waits for tokens are bounded; cut-off routers refuse

Cause: a shard let go by its holder was found by the next one only with its next full list; everybody waiting for tokens asked the holder by itself; a router cut off from store and peers went on taking keys that might be withdrawn; a registry older than 5 s set the whole fleet's reserves aside although lists are now read less often.

Change: the next in line reads the shard rows it watches; those who wait for a workspace's tokens ask only once the holder said so, and their number is bounded; a cut-off router refuses as not run; a reserve needs a registration of 240 s, longer than any list's period; retries are bounded to a tenth of the answers; runners are asked every 2 s unless an order or a wait is open; status shows the cells of all controllers.

Found on the way: a wait computed from Long.MIN_VALUE overflowed and hung every request that lacked tokens (all tests through real processes hung).

--- a/bench/src/main/kotlin/cactusfold/bench/BenchMain.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/BenchMain.kt
@@ -12,6 +12,7 @@
 import cactusfold.node.process.Logging
 import kotlinx.coroutines.runBlocking
 import picocli.CommandLine.Command
+import picocli.CommandLine.Option
 
 /** Benchmarks: each prints Markdown for docs. */
 @Command(
@@ -23,13 +24,19 @@
 public class BenchCommand {
     /** Measures the slopes of docs/CAPACITY.md. */
     @Command(description = ["Slopes of state, messages and processor time, and the target size."])
-    public fun capacity(): Int {
+    public fun capacity(
+        @Option(names = ["--part"], description = ["all, decisions, fleet or requests."])
+        part: String?
+    ): Int {
         Logging.start(LogFormat.PLAIN, "error")
         println(Slope.HEAD)
-        DecisionSlopes.all().forEach { println(it.row()) }
+        val isAll = part == null || part == "all"
+        if (isAll || part == "decisions") DecisionSlopes.all().forEach { println(it.row()) }
         runBlocking {
-            FleetSlopes.slopes(FleetSlopes.costs()).forEach { println(it.row()) }
-            RequestSlopes.all().forEach { println(it.row()) }
+            if (isAll || part == "fleet") {
+                FleetSlopes.slopes(FleetSlopes.costs()).forEach { println(it.row()) }
+            }
+            if (isAll || part == "requests") RequestSlopes.all().forEach { println(it.row()) }
         }
         println("\nOne configuration change: ${DecisionSlopes.changeBytes()} bytes on the wire.")
         return ExitCode.OK
--- a/bench/src/main/kotlin/cactusfold/bench/capacity/FleetSlopes.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/capacity/FleetSlopes.kt
@@ -17,7 +17,7 @@
     public val readsPerSecond: Double,
     public val writesPerSecond: Double,
     public val storeBytesPerNodeSecond: Double,
-    public val cpuPercentPerNode: Double
+    public val cpuPercent: Double
 )
 
 /** Slopes of real routers and controllers against the platform's stand-ins, in one JVM. */
@@ -44,11 +44,11 @@
         },
         slope("store: bytes a second of one node", "bytes/s", costs) { it.storeBytesPerNodeSecond },
         slope(
-            "control: processor time of one idle node, stand-ins included",
+            "control: processor time of all idle nodes, stand-ins included",
             "% of a core",
             costs
         ) {
-            it.cpuPercentPerNode
+            it.cpuPercent
         }
     )
 
@@ -104,7 +104,7 @@
             (table.reads.get() - reads) / seconds,
             (table.writes.get() - writes) / seconds,
             (table.bytes.get() - bytes) / seconds / nodes,
-            (Meter.processCpuNanos() - cpu) / nanos * PERCENT / nodes
+            (Meter.processCpuNanos() - cpu) / nanos * PERCENT
         )
         fleet.routers.forEach { it.core.halt() }
         fleet.controllers.forEach { it.core.halt() }
--- a/bench/src/main/kotlin/cactusfold/bench/capacity/RequestSlopes.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/capacity/RequestSlopes.kt
@@ -89,7 +89,7 @@
 
     private suspend fun controlCost(fleet: BenchFleet, adapters: Int): ControlCost {
         val clients = (1..adapters).map { fleet.client(false, 4, false, "adapter-$it") }
-        clients.forEach { it.run(1, 1) }
+        coroutineScope { clients.map { async { it.run(1, 1) } }.awaitAll() }
         val traffic = fleet.fleet.routers.first().core.peers.traffic
         val bytes = traffic.bytes
         val calls = traffic.calls
--- a/cli/src/main/kotlin/cactusfold/cli/CliMain.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/CliMain.kt
@@ -28,9 +28,9 @@
         TimelineCommand::class
     ]
 )
-internal class CactusfoldCommand : Runnable {
+public class CactusfoldCommand : Runnable {
     @Spec
-    lateinit var spec: CommandSpec
+    internal lateinit var spec: CommandSpec
 
     @Option(
         names = ["--controller"],
@@ -38,11 +38,11 @@
         paramLabel = "ADDRESS:PORT",
         description = ["A controller's admin address (\${DEFAULT-VALUE})."]
     )
-    var controller: String = "127.0.0.1:9100"
+    internal var controller: String = "127.0.0.1:9100"
 
     override fun run(): Unit = throw ParameterException(spec.commandLine(), "a command is missing")
 
-    fun client(): ControllerClient {
+    internal fun client(): ControllerClient {
         if (!ValueType.Address.accepts(controller)) {
             val expected = ValueType.Address.expected
             throw ParameterException(
--- a/cli/src/main/kotlin/cactusfold/cli/StatusCommand.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/StatusCommand.kt
@@ -1,12 +1,13 @@
 package cactusfold.cli
 
+import cactusfold.settings.schema.HostPort
 import io.vertx.core.json.JsonObject
 import java.util.concurrent.Callable
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import picocli.CommandLine.ParentCommand
 
-/** Shows processes, store, cells and models as one controller sees them. */
+/** Shows processes, store, cells and models. */
 @Command(name = "status", description = ["Shows processes, store, cells and models."])
 internal class StatusCommand : Callable<Int> {
     @ParentCommand
@@ -17,9 +18,28 @@
 
     override fun call(): Int = parent.client().get("/v1/status").exitCode("") { body ->
         val status = body.toJsonObject()
+        addOtherCells(status)
         if (isJson) println(status.encodePrettily()) else print(status)
     }
 
+    /** Each controller knows the cells that it holds; those of the others are asked for. */
+    private fun addOtherCells(status: JsonObject) {
+        val others = status.getJsonArray("members").map { it as JsonObject }.filter {
+            it.getString("role") == "controller" &&
+                it.getString("session") != status.getString("session")
+        }
+        for (member in others) {
+            val address = HostPort.parse(member.getString("admin_address"))
+            when (val answer = ControllerClient(address).get("/v1/status")) {
+                is ControllerAnswer.Ok ->
+                    status.getJsonArray(
+                        "cells"
+                    ).addAll(answer.body.toJsonObject().getJsonArray("cells"))
+                else -> System.err.println("$address does not answer; its cells are missing")
+            }
+        }
+    }
+
     private fun print(status: JsonObject) {
         val store = if (status.getBoolean("store_up")) "up" else "down"
         println("configuration  version ${status.getLong("config_version")}")
--- a/controller/src/main/kotlin/cactusfold/controller/cell/CellKeeper.kt
+++ b/controller/src/main/kotlin/cactusfold/controller/cell/CellKeeper.kt
@@ -73,6 +73,8 @@
     private val controls = ConcurrentHashMap<String, RunnerControl>()
     private val pollers = ConcurrentHashMap<String, TimerSubscription>()
     private val versions = ConcurrentHashMap<String, MutableStateFlow<Long>>()
+    private val polledAtMillis = ConcurrentHashMap<String, Long>()
+    private val askedFor = ConcurrentHashMap.newKeySet<String>()
     private val withoutCapacity = ConcurrentHashMap<String, Long>()
 
     /** The cell's state now. */
@@ -114,6 +116,7 @@
     ): Placement {
         withoutCapacity.remove(event.model)
         apply(event)
+        if (event.demand.waiting > 0) askFor(event.model)
         if (placement(event.model).version == knownVersion) {
             val known = knownVersion - (fence shl VERSION_BITS)
             withTimeoutOrNull(waitMillis) { versionFlow(event.model).first { it > known } }
@@ -121,6 +124,11 @@
         return placement(event.model)
     }
 
+    /** Requests that wait though their model is ready may know more than the last inventory. */
+    private fun askFor(model: String) {
+        CellAccount.ready(state.value, model).forEach { askedFor += it.spec.name }
+    }
+
     /** Returns the placement of [model] now. */
     public fun placement(model: String): Placement {
         val now = state.value
@@ -153,13 +161,23 @@
         for (runner in runners) {
             controls[runner.name] = context.controlOf(runner)
             pollers.computeIfAbsent(runner.name) { name ->
-                timers.subscribe("inventory-$name", POLL_MILLIS) { readInventory(name) }
+                timers.subscribe("inventory-$name", POLL_MILLIS) { pollIfDue(name) }
             }
         }
     }
 
+    /** A runner is asked often while an order to it is open or its requests wait, else seldom. */
+    private suspend fun pollIfDue(runner: String) {
+        val now = context.clock.nowMillis()
+        val isOpen = state.value.runners[runner]?.orders?.isNotEmpty() ?: false
+        val isAsked = askedFor.remove(runner)
+        val age = now - (polledAtMillis[runner] ?: Long.MIN_VALUE / 2)
+        if (isOpen || isAsked || age >= IDLE_POLL_MILLIS) readInventory(runner)
+    }
+
     private suspend fun readInventory(runner: String) {
         if (!isHolder) return
+        polledAtMillis[runner] = context.clock.nowMillis()
         val inventory = controls[runner]?.inventory(fence, context.clock.nowMillis())
         if (inventory == null) {
             apply(CellEvent.RunnerFailed(runner))
@@ -238,6 +256,7 @@
     private companion object {
         const val TICK_MILLIS = 500L
         const val POLL_MILLIS = 100L
+        const val IDLE_POLL_MILLIS = 2_000L
         const val RECOVERY_RETRY_MILLIS = 200L
         const val VERSION_BITS = 32
     }
--- a/controller/src/main/kotlin/cactusfold/controller/operators/OperatorRoutes.kt
+++ b/controller/src/main/kotlin/cactusfold/controller/operators/OperatorRoutes.kt
@@ -132,6 +132,7 @@
                 .put("session", it.session)
                 .put("role", it.role.name.lowercase())
                 .put("vm", it.vm)
+                .put("admin_address", it.adminAddress.toString())
                 .put("zone", it.zone)
                 .put("leaving", it.isLeaving)
         }
@@ -140,6 +141,7 @@
         }
         val body = JsonObject()
             .put("process", core.settings.name)
+            .put("session", core.sessions.session)
             .put("config_version", core.config.current.version)
             .put("store_up", core.guardedTable.isUp)
             .put("store_latency_millis", core.guardedTable.latencyMillis)
--- a/decisions/src/main/kotlin/cactusfold/decisions/lease/LeaseMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/lease/LeaseMachine.kt
@@ -159,10 +159,11 @@
         val observed = state.sessions.putAll(observe(state.sessions, present, nowMillis))
         val seen = state.copy(sessions = removed.fold(observed) { map, name -> map.remove(name) })
         if (!seen.isLive(nowMillis) || seen.stopping) return seen.unchanged()
-        val candidates = seen.watched.filterTo(mutableSetOf()) {
+        val candidates = seen.watched.filterTo(mutableSetOf()) { shard ->
             // An unread session has no new counter to show, which must not look like its end.
-            seen.shards[it]?.session in event.sessions &&
-                isFree(seen, it, event.goneHere, event.sentAtMillis)
+            val holder = seen.shards[shard]?.session
+            val isRead = holder == null || holder in event.sessions
+            isRead && isFree(seen, shard, event.goneHere, event.sentAtMillis)
         }
         if (candidates.isEmpty()) return seen.unchanged()
         val live = liveSessions(seen, event.goneHere, event.sentAtMillis)
@@ -178,14 +179,12 @@
         return dropDispossessed(state.copy(shards = state.shards.put(event.row.shard, event.row)))
     }
 
-    /** Shards of live holders that would prefer this process if their holder were gone. */
+    /** Shards not held here that would prefer this process if their holder went or let go. */
     private fun watchList(state: LeaseState, live: Set<String>): PersistentSet<String> =
         state.wanted.filter { shard ->
             val holder = state.shards[shard]?.session
             val others = live.asSequence().filter { it != holder }
-            holder != null &&
-                holder != state.self &&
-                Rendezvous.preferred(shard, others) == state.self
+            shard !in state.held && Rendezvous.preferred(shard, others) == state.self
         }.toPersistentSet()
 
     private fun observe(
--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/AllowanceSpender.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/AllowanceSpender.kt
@@ -42,8 +42,18 @@
         return AllowanceState(limit, reserveFromMillis = reserveFrom, reserveAtMillis = reserveFrom)
     }
 
-    /** Tries to spend [tokens] at [nowMillis]. */
-    public fun spend(state: AllowanceState, tokens: Long, nowMillis: Long): SpendStep {
+    /**
+     * Tries to spend [tokens] at [nowMillis].
+     *
+     * @param mayUseReserve whether the router's registration is in force: only then does the holder
+     *   set its share aside.
+     */
+    public fun spend(
+        state: AllowanceState,
+        tokens: Long,
+        nowMillis: Long,
+        mayUseReserve: Boolean
+    ): SpendStep {
         val current = refillReserve(expire(state, nowMillis), nowMillis)
         if (current.allowanceTokens >= tokens) {
             val next = current.copy(
@@ -52,7 +62,7 @@
             )
             return SpendStep(next, Spend.Admitted)
         }
-        if (current.reserveTokens >= tokens) {
+        if (mayUseReserve && current.reserveTokens >= tokens) {
             val next = current.copy(reserveTokens = current.reserveTokens - tokens)
             return SpendStep(next, Spend.Admitted)
         }
--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/RateModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/RateModel.kt
@@ -18,14 +18,12 @@
  * @property skewMillis what each side waits longer, in the safe direction.
  * @property registryFreshMillis how old the holder's list of registered routers may be before every
  *   free slot counts as taken. A router uses no reserve before it has been registered this long.
- * @property registrationMillis how long after its last renewal a router may use its reserve.
  * @property routerSlots how many routers may exist; each one's reserve is 1/routerSlots of the rate.
  */
 public data class ContactSettings(
     public val grantValidMillis: Long = 1_000,
     public val contactMillis: Long = 3_000,
     public val skewMillis: Long = 250,
-    public val registryFreshMillis: Long = 5_000,
-    public val registrationMillis: Long = 120_000,
+    public val registryFreshMillis: Long = 240_000,
     public val routerSlots: Int = 16
 )
--- a/decisions/src/test/kotlin/cactusfold/decisions/rate/FleetBucketRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/rate/FleetBucketRandomisedTest.kt
@@ -8,7 +8,7 @@
 /** Many routers and one holder at a time, with pauses, partitions, lost replies and takeovers. */
 class FleetBucketRandomisedTest {
     private val limit = RateLimit(rateTokensPerSecond = 1_000.0, burstTokens = 2_000.0)
-    private val settings = ContactSettings(routerSlots = 6)
+    private val settings = ContactSettings(routerSlots = 6, registryFreshMillis = 5_000)
 
     /** The bucket that the workspace should see over all VMs together. */
     private class Reference(private val limit: RateLimit) {
@@ -58,7 +58,7 @@
         private fun spendAll(router: RouterModel) {
             val tokens = router.state.allowanceTokens
             if (tokens == 0L) return
-            val step = spender.spend(router.state, tokens, now)
+            val step = spender.spend(router.state, tokens, now, true)
             router.state = step.state
             if (step.outcome == Spend.Admitted) {
                 admitted += tokens
@@ -131,7 +131,7 @@
 
         private fun demand(router: RouterModel) {
             val tokens = random.nextLong(1, 100)
-            val step = spender.spend(router.state, tokens, now)
+            val step = spender.spend(router.state, tokens, now, true)
             router.state = step.state
             when (val outcome = step.outcome) {
                 Spend.Admitted -> {
@@ -195,7 +195,7 @@
                 states = states + (name to state)
                 if (answer is TokenAnswer.Granted && isBusy) {
                     val granted = spender.granted(state, answer.tokens, now, now)
-                    states = states + (name to spender.spend(granted, need, now).state)
+                    states = states + (name to spender.spend(granted, need, now, false).state)
                     admitted += need
                 }
             }
--- a/local/src/test/kotlin/cactusfold/local/FleetFailureTest.kt
+++ b/local/src/test/kotlin/cactusfold/local/FleetFailureTest.kt
@@ -156,6 +156,21 @@
                 standins.table.faults.isDown = false
             }
 
+        @Test
+        fun `a router cut off from store and peers is not ready and takes no request`() =
+            withFleet {
+                chat("big")
+                standins.table.faults.isDown = true
+                fleet.controllers.first().core.halt()
+                eventually("the router did not see that it is cut off") { routers[0].core.isCutOff }
+                val refused = chat("big")
+                assertEquals(503, refused.statusCode(), refused.body())
+                assertEquals("not-run", refused.headers().firstValue(RUN_HEADER).get())
+                standins.table.faults.isDown = false
+                fleet.addController()
+                eventually("the router did not come back") { chat("big").statusCode() == 200 }
+            }
+
         @Test
         fun `a withdrawn key stops at once, for a running stream too`() = withFleet {
             chat("big")
--- a/node/src/main/kotlin/cactusfold/node/config/ConfigKeeper.kt
+++ b/node/src/main/kotlin/cactusfold/node/config/ConfigKeeper.kt
@@ -76,6 +76,11 @@
     @Volatile
     private var fleet: FleetConfig = FleetConfig.EMPTY
 
+    /** The period of polls now; it grows with the fleet. */
+    @Volatile
+    public var periodMillis: Long = 0
+        private set
+
     @Volatile
     private var lastPollAtMillis: Long? = null
 
@@ -108,9 +113,9 @@
     /** In a large fleet, entries come by gossip and polls only catch what gossip missed. */
     private suspend fun pollIfDue(pollMillis: Long) {
         val peers = peerAddresses().size
-        val period = (peers * POLL_MILLIS_PER_PEER).coerceIn(pollMillis, MAX_POLL_MILLIS)
+        periodMillis = (peers * POLL_MILLIS_PER_PEER).coerceIn(pollMillis, MAX_POLL_MILLIS)
         val age = lastPollAtMillis?.let { clock.nowMillis() - it } ?: Long.MAX_VALUE
-        if (age >= period) poll()
+        if (age >= periodMillis) poll()
     }
 
     /** Reads entries above the version in force from the table, or from a peer. */
--- a/node/src/main/kotlin/cactusfold/node/launch/NodeCore.kt
+++ b/node/src/main/kotlin/cactusfold/node/launch/NodeCore.kt
@@ -194,10 +194,16 @@
         .map { it.address }
         .ifEmpty { settings.peers }
 
+    /**
+     * Whether neither the store nor a peer has confirmed the configuration for too long: a key that
+     * was withdrawn meanwhile would still be taken.
+     */
+    public val isCutOff: Boolean get() = contactReason() != null
+
     private fun contactReason(): String? {
         val ageMillis = config.contactAgeMillis() ?: return "no contact with store or peers yet"
-        return "cut off from store and peers for $ageMillis ms"
-            .takeIf { ageMillis > MAX_CONTACT_AGE_MILLIS }
+        val limit = maxOf(MIN_CONTACT_AGE_MILLIS, 2 * config.periodMillis)
+        return "cut off from store and peers for $ageMillis ms".takeIf { ageMillis > limit }
     }
 
     private companion object {
@@ -205,6 +211,6 @@
         const val CIRCUIT_FAILURES = 5
         const val CIRCUIT_OPEN_MILLIS = 1_000L
         const val STOP_GRACE_MILLIS = 2_000L
-        const val MAX_CONTACT_AGE_MILLIS = 20_000L
+        const val MIN_CONTACT_AGE_MILLIS = 5_000L
     }
 }
--- a/node/src/main/kotlin/cactusfold/node/launch/NodeSettings.kt
+++ b/node/src/main/kotlin/cactusfold/node/launch/NodeSettings.kt
@@ -38,7 +38,7 @@
             "router_ttl_millis",
             1_500L..HOUR_MILLIS,
             "The same for routers, which hold nothing that others wait for.",
-            60_000
+            180_000
         )
         millis("read_every_millis", 100L..HOUR_MILLIS, "Period of reading the table.", 1_000)
         millis("config_poll_millis", 100L..10_000L, "Period of polling the configuration.", 1_000)
--- a/node/src/main/kotlin/cactusfold/node/session/SessionKeeper.kt
+++ b/node/src/main/kotlin/cactusfold/node/session/SessionKeeper.kt
@@ -100,6 +100,9 @@
     @Volatile
     private var listBytes = 0L
 
+    @Volatile
+    private var registeredAtMillis: Long? = null
+
     private val refreshedAtMillis = ConcurrentHashMap<String, Long>()
 
     /** The name of the session, which no other process ever has. */
@@ -114,6 +117,12 @@
     /** Whether the own lease covers this moment. */
     public val isLive: Boolean get() = state.value.isLive(clock.nowMillis())
 
+    /** Whether the own session has been registered for [ageMillis] and its lease is in force. */
+    public fun isRegisteredFor(ageMillis: Long): Boolean {
+        val since = registeredAtMillis ?: return false
+        return isLive && clock.nowMillis() - since >= ageMillis
+    }
+
     /** The shards held now, with their fences. */
     public val heldShards: Map<String, Long>
         get() = state.value.takeIf { it.isLive(clock.nowMillis()) }?.held.orEmpty()
@@ -180,8 +189,9 @@
     }
 
     private suspend fun readWatched() {
+        if (state.value.watched.isEmpty()) return
+        for (shard in state.value.watched) refreshHolder(shard)
         val watched = state.value.watchedSessions
-        if (watched.isEmpty()) return
         val sentAt = clock.nowMillis()
         val rows = mutableMapOf<String, SessionRow?>()
         for (session in watched) {
@@ -258,7 +268,10 @@
             RowWrite.Replace(key, counter - 1, value)
         }
         when (table.write(listOf(write))) {
-            WriteResult.Written -> apply(LeaseEvent.Renewed(sentAtMillis, counter))
+            WriteResult.Written -> {
+                if (registeredAtMillis == null) registeredAtMillis = clock.nowMillis()
+                apply(LeaseEvent.Renewed(sentAtMillis, counter))
+            }
             is WriteResult.Conflict -> resolveRenewal()
             is WriteResult.NotWritten, is WriteResult.Unknown -> apply(LeaseEvent.RenewalFailed)
         }
@@ -283,6 +296,7 @@
     private fun restart() {
         log.warn("session {} was removed by another process; a new one begins", session)
         apply(LeaseEvent.Superseded)
+        registeredAtMillis = null
         val wanted = state.value.wanted
         state.update { freshState().copy(wanted = wanted) }
     }
--- a/router/src/main/kotlin/cactusfold/router/Router.kt
+++ b/router/src/main/kotlin/cactusfold/router/Router.kt
@@ -55,7 +55,7 @@
         settings.callers,
         CallerServices(
             lanes,
-            Admission(core, settings.contact),
+            Admission(core, settings.contact, settings.queueMaxPerWorkspace),
             Dispatcher(client, upstreams, suspects, core.events, core.clock::nowMillis),
             claims,
             running
--- a/router/src/main/kotlin/cactusfold/router/callers/CallerHandler.kt
+++ b/router/src/main/kotlin/cactusfold/router/callers/CallerHandler.kt
@@ -129,6 +129,7 @@
             val isStillValid = request.keyDigest == null ||
                 request.keyDigest in core.config.current.keysByDigest
             if (!isStillValid) return reply.refuse(Refusal.INVALID_KEY)
+            if (core.isCutOff) return reply.refuse(Refusal.CUT_OFF)
             finish(request, reply, process(request, reply))
         } finally {
             services.running.ended(request.raw.id)
--- a/router/src/main/kotlin/cactusfold/router/callers/Refusal.kt
+++ b/router/src/main/kotlin/cactusfold/router/callers/Refusal.kt
@@ -65,6 +65,15 @@
                 retryAfterMillis = 0
             )
 
+        /** This router can't learn of withdrawn keys at present. */
+        public val CUT_OFF: Refusal = Refusal(
+            503,
+            OVERLOADED,
+            "cut_off",
+            "this router is cut off from the others; send the request again",
+            retryAfterMillis = 0
+        )
+
         /** The store is needed to make sure that the request runs once, and it is down. */
         public val CLAIM_UNAVAILABLE: Refusal = Refusal(
             503,
@@ -127,6 +136,8 @@
                 "the workspace is above its rate",
                 retryAfterMillis = result.retryAfterMillis
             )
+            AdmissionResult.HolderSilent ->
+                overloaded("rate_unavailable", "the workspace's rate can't be looked up now")
             is AdmissionResult.NeverFits -> Refusal(
                 422,
                 RATE,
--- a/router/src/main/kotlin/cactusfold/router/forward/Dispatcher.kt
+++ b/router/src/main/kotlin/cactusfold/router/forward/Dispatcher.kt
@@ -1,9 +1,11 @@
 package cactusfold.router.forward
 
 import cactusfold.decisions.queue.WaitingRequest
+import cactusfold.decisions.routing.RetryBudget
 import cactusfold.decisions.suspect.SuspectVerdict
 import cactusfold.node.events.EventRing
 import cactusfold.node.events.NodeEvent
+import cactusfold.node.state.Guarded
 import cactusfold.router.callers.CallerRequest
 import cactusfold.router.callers.Refusal
 import cactusfold.router.callers.RunState
@@ -39,11 +41,15 @@
     private val events: EventRing,
     private val nowMillis: () -> Long
 ) {
+    private val budget = RetryBudget(RETRY_SHARE, MAX_RETRIES)
+    private val retries = Guarded(budget.start())
+
     /** Runs [request] through [lane]. */
     public suspend fun run(request: CallerRequest, lane: Lane, sink: StreamSink?): DispatchEnd {
         var last: Refusal? = null
         repeat(MAX_ATTEMPTS) { attempt ->
             if (isRefusedAsSuspect(request)) return DispatchEnd.Refused(Refusal.CRASHES_UPSTREAMS)
+            if (attempt > 0 && !mayRetry()) return DispatchEnd.Refused(last!!)
             val wait = lane.await(waitingRequest(request, attempt))
             val target = when (wait) {
                 is WaitEnd.Go -> wait.target
@@ -61,6 +67,7 @@
             when (end) {
                 is AttemptEnd.Whole -> {
                     if (!isModelMissing(request, end)) return DispatchEnd.Whole(end.answer)
+                    lane.drop(target)
                     last = Refusal.upstream("the model left its upstream", RunState.NOT_RUN)
                 }
                 is AttemptEnd.Streamed -> return DispatchEnd.Streamed(end.status)
@@ -75,6 +82,12 @@
         return DispatchEnd.Refused(last!!)
     }
 
+    /** Takes one retry out of the budget. */
+    private fun mayRetry(): Boolean = retries.exchange { state ->
+        val next = budget.retry(state)
+        (next ?: state) to (next != null)
+    }
+
     private suspend fun attempt(
         request: CallerRequest,
         number: Int,
@@ -114,6 +127,7 @@
 
     private fun finished(request: CallerRequest, target: Target, firstByteMillis: Long) {
         upstreams.answered(target.upstream, firstByteMillis)
+        retries.update(budget::succeeded)
         if (!suspects.isEmpty) suspects.finished(request.fingerprint)
     }
 
@@ -167,6 +181,8 @@
 
     private companion object {
         const val MAX_ATTEMPTS = 3
+        const val RETRY_SHARE = 0.1
+        const val MAX_RETRIES = 50.0
         const val NOT_FOUND = 404
         const val ALONE_WAIT_MILLIS = 10L
     }
--- a/router/src/main/kotlin/cactusfold/router/lane/Lane.kt
+++ b/router/src/main/kotlin/cactusfold/router/lane/Lane.kt
@@ -94,6 +94,11 @@
         pump()
     }
 
+    /** Sends nothing more to [target] until its holder names it again: the model is not there. */
+    public fun drop(target: Target) {
+        targets = targets.filter { it.upstream != target.upstream }
+    }
+
     /** Refuses requests whose deadline has come. */
     public fun expire() {
         if (waiting == 0) return
--- a/router/src/main/kotlin/cactusfold/router/rate/Admission.kt
+++ b/router/src/main/kotlin/cactusfold/router/rate/Admission.kt
@@ -12,6 +12,7 @@
 import cactusfold.protocol.TokenRequest
 import cactusfold.settings.fleet.Workspace
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -24,17 +25,32 @@
     /** The workspace is above its rate; enough tokens will be there after [retryAfterMillis]. */
     public data class OverRate(public val retryAfterMillis: Long) : AdmissionResult
 
+    /** Nobody who knows the workspace's tokens could be asked in time. */
+    public data object HolderSilent : AdmissionResult
+
     /** The request asks for more tokens than the workspace's burst. */
     public data class NeverFits(public val burstTokens: Long) : AdmissionResult
 }
 
 /** Spends workspaces' tokens at this router, and asks the holders for more. */
-public class Admission(private val core: NodeCore, private val settings: ContactSettings) {
+public class Admission(
+    private val core: NodeCore,
+    private val settings: ContactSettings,
+    private val maxWaiting: Int
+) {
     private inner class Account(workspace: Workspace) {
         val state = Guarded(spender.start(workspace.limit, core.clock.nowMillis()))
         val asking = Mutex()
         var recentTokens = 0.0
         var recentAtMillis = core.clock.nowMillis()
+        val waiting = AtomicInteger()
+
+        /** Until when the holder has said that tokens lack; nobody asks before. */
+        @Volatile
+        var blockedUntilMillis: Long? = null
+
+        fun blockedMillis(): Long =
+            blockedUntilMillis?.let { (it - core.clock.nowMillis()).coerceAtLeast(0) } ?: 0
     }
 
     private val spender = AllowanceSpender(settings)
@@ -51,22 +67,52 @@
         }
         val account = accounts.computeIfAbsent(workspace.name) { Account(workspace) }
         noteUse(account, tokens)
+        if (account.waiting.incrementAndGet() > maxWaiting) {
+            account.waiting.decrementAndGet()
+            return AdmissionResult.OverRate(account.blockedMillis().coerceAtLeast(1))
+        }
+        try {
+            return awaitTokens(account, workspace, tokens, deadlineMillis)
+        } finally {
+            account.waiting.decrementAndGet()
+        }
+    }
+
+    private suspend fun awaitTokens(
+        account: Account,
+        workspace: Workspace,
+        tokens: Long,
+        deadlineMillis: Long
+    ): AdmissionResult {
         while (true) {
             if (spend(account, workspace.limit, tokens)) return AdmissionResult.Admitted
-            val wait = account.asking.withLock { askUnlessThere(account, workspace, tokens) }
-                ?: HOLDER_RETRY_MILLIS.also {
-                    core.sessions.refreshHolder(Shards.ofRate(workspace.name))
-                }
+            val blocked = account.blockedMillis()
+            val answer = if (blocked > 0) {
+                blocked
+            } else {
+                account.asking.withLock { askUnlessThere(account, workspace, tokens) }
+            }
+            if (answer == null) core.sessions.refreshHolder(Shards.ofRate(workspace.name))
+            val wait = answer ?: HOLDER_RETRY_MILLIS
             if (wait == 0L) continue
-            val now = core.clock.nowMillis()
-            if (now + wait >= deadlineMillis) return AdmissionResult.OverRate(wait)
+            if (core.clock.nowMillis() + wait >= deadlineMillis) {
+                return if (answer ==
+                    null
+                ) {
+                    AdmissionResult.HolderSilent
+                } else {
+                    AdmissionResult.OverRate(wait)
+                }
+            }
             delay(wait)
         }
     }
 
     private fun spend(account: Account, limit: RateLimit, tokens: Long): Boolean =
         account.state.exchange { state ->
-            val step = spender.spend(state.copy(limit = limit), tokens, core.clock.nowMillis())
+            val now = core.clock.nowMillis()
+            val mayUseReserve = core.sessions.isRegisteredFor(settings.registryFreshMillis)
+            val step = spender.spend(state.copy(limit = limit), tokens, now, mayUseReserve)
             step.state to (step.outcome == Spend.Admitted)
         }
 
@@ -97,7 +143,9 @@
             }
             TokenGrant.Outcome.WAIT -> {
                 account.state.update { spender.contacted(it, now) }
-                grant.retryAfterMillis.coerceAtLeast(1)
+                val wait = grant.retryAfterMillis.coerceAtLeast(1)
+                account.blockedUntilMillis = now + wait
+                wait
             }
             else -> null
         }
