--- a/bench/src/main/kotlin/cactusfold/bench/capacity/RequestSlopes.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/capacity/RequestSlopes.kt
@@ -43,7 +43,7 @@
             Point(tokens.toDouble(), routed - direct)
         }
         fleet.stop()
-        return listOf(
+        return control() + listOf(
             Slope(
                 "router: whole requests",
                 "% of a core",
