--- a/bench/src/main/kotlin/cactusfold/bench/path/BenchFleet.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/path/BenchFleet.kt
@@ -29,7 +29,7 @@
         val ports = fleet.standins.runners.values.map { it.port }
         val digest = RequestReader.digestOf(DemoConfig.KEY)
         val text = DemoConfig.document(ports, fleet.standins.services.first().port, digest)
-        val wide = text.replace("[upstream runner", "[upstream runner")
+        val wide = text
             .replace("kind = runner", "kind = runner\nslots = $SLOTS")
             .replace("rate_tokens_per_second = 20000", "rate_tokens_per_second = 1000000000")
             .replace("burst_tokens = 100000", "burst_tokens = 1000000000")
--- a/decisions/src/main/kotlin/cactusfold/decisions/Rendezvous.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/Rendezvous.kt
@@ -8,7 +8,7 @@
 
     /** Returns the member of [members] that [key] prefers, or null when there is none. */
     public fun preferred(key: String, members: Iterable<String>): String? =
-        members.maxByOrNull { weight(key, it) }
+        preferred(key, members.asSequence())
 
     /** Returns the member of [members] that [key] prefers, or null when there is none. */
     public fun preferred(key: String, members: Sequence<String>): String? =
