--- a/cli/src/main/kotlin/cactusfold/cli/ControllerClient.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/ControllerClient.kt
@@ -1,8 +1,8 @@
 package cactusfold.cli
 
-import cactusfold.platform.http.HttpCall
-import cactusfold.platform.http.HttpOutcome
-import cactusfold.platform.http.PlatformHttp
+import cactusfold.ports.http.HttpCall
+import cactusfold.ports.http.HttpOutcome
+import cactusfold.ports.http.PlatformHttp
 import cactusfold.settings.schema.HostPort
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
--- a/controller/src/main/kotlin/cactusfold/controller/Controller.kt
+++ b/controller/src/main/kotlin/cactusfold/controller/Controller.kt
@@ -16,9 +16,9 @@
 import cactusfold.node.rows.Shards
 import cactusfold.node.session.Role
 import cactusfold.node.session.ShardListener
-import cactusfold.platform.http.PlatformHttp
-import cactusfold.platform.runner.HttpRunnerControl
-import cactusfold.platform.runner.RunnerControl
+import cactusfold.ports.http.PlatformHttp
+import cactusfold.ports.runner.HttpRunnerControl
+import cactusfold.ports.runner.RunnerControl
 import cactusfold.settings.fleet.FleetConfig
 import cactusfold.settings.schema.HostPort
 import io.vertx.core.Vertx
--- a/controller/src/main/kotlin/cactusfold/controller/cell/CellKeeper.kt
+++ b/controller/src/main/kotlin/cactusfold/controller/cell/CellKeeper.kt
@@ -18,12 +18,12 @@
 import cactusfold.node.time.MonotonicClock
 import cactusfold.node.time.TimerService
 import cactusfold.node.time.TimerSubscription
-import cactusfold.platform.runner.OrderOutcome
-import cactusfold.platform.runner.RunnerControl
-import cactusfold.platform.table.ReadResult
-import cactusfold.platform.table.RowWrite
-import cactusfold.platform.table.TableStore
-import cactusfold.platform.table.WriteResult
+import cactusfold.ports.runner.OrderOutcome
+import cactusfold.ports.runner.RunnerControl
+import cactusfold.ports.table.ReadResult
+import cactusfold.ports.table.RowWrite
+import cactusfold.ports.table.TableStore
+import cactusfold.ports.table.WriteResult
 import cactusfold.protocol.StoredIntent
 import cactusfold.settings.fleet.FleetConfig
 import java.util.concurrent.ConcurrentHashMap
@@ -218,7 +218,7 @@
             RowWrite.Insert(Rows.intent(cell, order.id), order.toIntent(cell).toByteString())
         )
         val written = when (context.table.write(writes)) {
-            WriteResult.Written -> true
+            is WriteResult.Written -> true
             is WriteResult.Unknown -> isIntentThere(order)
             else -> false
         }
--- /dev/null
+++ b/decisions/src/main/kotlin/cactusfold/decisions/holding/HoldMachine.kt
@@ -0,0 +1,148 @@
+package cactusfold.decisions.holding
+
+/**
+ * The lease row as the store shows it.
+ *
+ * @property version of the row; rises with each write.
+ * @property isReleased whether its holder has given it up.
+ */
+public data class HoldRecord(
+    public val holder: String,
+    public val fence: Long,
+    public val version: Long,
+    public val isReleased: Boolean
+)
+
+/** A process's part in holding one lease. */
+public sealed interface HoldState {
+    /**
+     * Another process holds it, or nobody.
+     *
+     * @property record the row as last read; null when there is none.
+     * @property unchangedSinceMillis when the row was first read in this version.
+     * @property quietFence a fence whose holder has promised to act no more.
+     */
+    public data class Watching(
+        public val record: HoldRecord? = null,
+        public val unchangedSinceMillis: Long? = null,
+        public val quietFence: Long = 0
+    ) : HoldState
+
+    /**
+     * This process holds it.
+     *
+     * @property confirmedAtMillis when the last write that succeeded was sent.
+     * @property actsFromMillis when the predecessor's last action is surely past.
+     */
+    public data class Holding(
+        public val fence: Long,
+        public val version: Long,
+        public val confirmedAtMillis: Long,
+        public val actsFromMillis: Long
+    ) : HoldState
+}
+
+/**
+ * Times of a lease.
+ *
+ * @property validMillis how long a holder may act after it sent a write that succeeded.
+ * @property quietMillis the time that must lie between the actions of two holders.
+ * @property marginMillis what a taker waits longer, for clocks that run at different speeds.
+ */
+public data class HoldTimes(
+    public val validMillis: Long,
+    public val quietMillis: Long,
+    public val marginMillis: Long
+)
+
+/**
+ * Decides who holds a lease that is kept as one row, renewed by conditional writes.
+ *
+ * Each process counts on a clock of its own that goes on while it is suspended. A holder counts from
+ * the sending of its renewal; a taker counts from its first reading of a row that has not changed
+ * since, which its own conditional write proves.
+ */
+public class HoldMachine(private val times: HoldTimes) {
+    /** Returns the state after the row was read as [record]. */
+    public fun observed(state: HoldState, record: HoldRecord?, nowMillis: Long): HoldState =
+        when (state) {
+            is HoldState.Holding -> state
+            is HoldState.Watching -> {
+                val isSame = state.unchangedSinceMillis != null && state.record == record
+                val since = if (isSame) state.unchangedSinceMillis else nowMillis
+                state.copy(record = record, unchangedSinceMillis = since)
+            }
+        }
+
+    /** Returns the state after the holder under [fence] has promised to act no more. */
+    public fun promised(state: HoldState, fence: Long): HoldState = when (state) {
+        is HoldState.Holding -> state
+        is HoldState.Watching -> state.copy(quietFence = maxOf(state.quietFence, fence))
+    }
+
+    /** Returns whether a process that watches may write the row for itself. */
+    public fun mayTake(state: HoldState, nowMillis: Long): Boolean {
+        if (state !is HoldState.Watching || state.unchangedSinceMillis == null) return false
+        val record = state.record ?: return true
+        if (isQuiet(state, record)) return true
+        val waited = nowMillis - state.unchangedSinceMillis
+        return waited >= times.validMillis + times.marginMillis
+    }
+
+    /** Returns the fence to take the lease with. */
+    public fun nextFence(state: HoldState.Watching): Long = (state.record?.fence ?: 0) + 1
+
+    /**
+     * Returns the state after the row was written for this process.
+     *
+     * @param sentAtMillis when the write was sent.
+     */
+    public fun took(
+        state: HoldState.Watching,
+        version: Long,
+        sentAtMillis: Long,
+        nowMillis: Long
+    ): HoldState.Holding {
+        // A first holder has no predecessor whose actions it has to wait for.
+        val actsFrom = if (state.record == null) nowMillis else nowMillis + quiet()
+        return HoldState.Holding(nextFence(state), version, sentAtMillis, actsFrom)
+    }
+
+    /** Returns the state after a renewal sent at [sentAtMillis] has succeeded. */
+    public fun renewed(
+        state: HoldState.Holding,
+        version: Long,
+        sentAtMillis: Long
+    ): HoldState.Holding = state.copy(
+        version = version,
+        confirmedAtMillis = maxOf(state.confirmedAtMillis, sentAtMillis)
+    )
+
+    /**
+     * Returns the state after a renewal met another version of the row. The holder's own write whose
+     * reply was lost teaches the version and lengthens nothing.
+     */
+    public fun conflicted(
+        state: HoldState.Holding,
+        record: HoldRecord?,
+        self: String,
+        nowMillis: Long
+    ): HoldState = if (record != null && record.holder == self && record.fence == state.fence) {
+        state.copy(version = record.version)
+    } else {
+        HoldState.Watching(record, nowMillis)
+    }
+
+    /** Returns whether this process may act as the holder. */
+    public fun mayAct(state: HoldState, nowMillis: Long): Boolean =
+        state is HoldState.Holding && nowMillis >= state.actsFromMillis && isValid(state, nowMillis)
+
+    /** Returns whether the lease has not lapsed. */
+    public fun isValid(state: HoldState, nowMillis: Long): Boolean =
+        state is HoldState.Holding && nowMillis - state.confirmedAtMillis < times.validMillis
+
+    private fun isQuiet(state: HoldState.Watching, record: HoldRecord): Boolean =
+        record.isReleased || state.quietFence >= record.fence
+
+    private fun quiet(): Long = times.quietMillis + times.marginMillis
+}
--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketHolder.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketHolder.kt
@@ -114,6 +114,23 @@
         return grant(settled, known.copy(lastSequence = ask.sequence), ask, nowMillis)
     }
 
+    /**
+     * Returns the bucket after [router] was heard from without an ask. A router that has asked for
+     * nothing yet gets into contact too, so that no reserve is set aside for it.
+     */
+    public fun heard(
+        state: BucketState,
+        router: String,
+        incarnation: String,
+        nowMillis: Long
+    ): BucketState {
+        val untilMillis = nowMillis + settings.contactMillis
+        val known = state.contacts[router]?.takeIf { it.incarnation == incarnation }
+            ?: RouterContact(incarnation, 0, 0, 0, 0.0, nowMillis, untilMillis)
+        val renewed = known.copy(contactUntilMillis = untilMillis)
+        return refill(state.copy(contacts = state.contacts.put(router, renewed)), nowMillis)
+    }
+
     private fun grant(
         state: BucketState,
         contact: RouterContact,
--- /dev/null
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -0,0 +1,98 @@
+package cactusfold.decisions.residency
+
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.ImmutableSet
+
+/** A model's size and the time that a load takes, by where its weights are. */
+public data class ModelCost(
+    public val name: String,
+    public val weightMegabytes: Double,
+    public val adapterMegabytes: Double,
+    public val storeLoadMillis: Long,
+    public val diskLoadMillis: Long,
+    public val memoryLoadMillis: Long
+)
+
+/**
+ * What the runners of one service may hold.
+ *
+ * @property slots requests that one runner processes at once.
+ * @property storeLoadsAtOnce loads from the weight store that run at full speed together.
+ */
+public data class RunnerBounds(
+    public val slots: Int,
+    public val weightMegabytes: Double,
+    public val adapterSlots: Int,
+    public val storeLoadsAtOnce: Int,
+    public val models: ImmutableMap<String, ModelCost>
+)
+
+/**
+ * A runner as its holder knows it.
+ *
+ * @property adaptersByModel what is in memory.
+ * @property loading the model that an order on its way will add; its memory is taken already.
+ * @property isBusy whether an order for a model is on its way.
+ * @property inFlight requests that run there, by model.
+ * @property lastUsedMillis when each model in memory was last used.
+ */
+public data class RunnerState(
+    public val id: String,
+    public val adaptersByModel: ImmutableMap<String, ImmutableSet<String>>,
+    public val modelsInHostMemory: ImmutableSet<String>,
+    public val modelsOnDisk: ImmutableSet<String>,
+    public val loading: String?,
+    public val loadsFromStore: Boolean,
+    public val isBusy: Boolean,
+    public val adapterOrders: Int,
+    public val inFlight: ImmutableMap<String, Int>,
+    public val lastUsedMillis: ImmutableMap<String, Long>
+)
+
+/**
+ * Requests for a model or an adapter of it.
+ *
+ * @property waiting requests that no runner can take now.
+ * @property targetAtMillis the earliest moment at which one of them should have been answered.
+ * @property limitAtMillis the last moment at which an answer is of use to any of them.
+ * @property arrivalsPerSecond of the model, smoothed.
+ */
+public data class ModelDemand(
+    public val model: String,
+    public val adapter: String?,
+    public val waiting: Int,
+    public val targetAtMillis: Long,
+    public val limitAtMillis: Long
+)
+
+/** Where a load takes the weights from. */
+public enum class WeightSource { HOST_MEMORY, DISK, STORE }
+
+/** A decision of the planner. */
+public sealed interface Residency {
+    public val runner: String
+
+    /** Load [model], after having unloaded [evicted]. */
+    public data class Load(
+        override val runner: String,
+        public val model: String,
+        public val source: WeightSource,
+        public val evicted: List<String>,
+        public val loadMillis: Long
+    ) : Residency
+
+    /** Load an adapter, after having dropped [evicted], which is a model and its adapter. */
+    public data class LoadAdapter(
+        override val runner: String,
+        public val model: String,
+        public val adapter: String,
+        public val evicted: Pair<String, String>?
+    ) : Residency
+}
+
+/** What the planner decided: [steps] to take, and demands that no load can meet in time. */
+public data class ResidencyPlan(
+    public val steps: List<Residency>,
+    public val hopeless: List<String>,
+    public val readyAtMillis: Map<String, Long>
+)
--- /dev/null
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -0,0 +1,255 @@
+package cactusfold.decisions.residency
+
+/**
+ * What the planner sees of one service at one moment.
+ *
+ * @property arrivalsPerSecond by model, smoothed.
+ * @property adaptersInUse adapters with running or recent requests, as model to adapter, by runner.
+ */
+public data class ResidencyView(
+    public val bounds: RunnerBounds,
+    public val runners: List<RunnerState>,
+    public val demands: List<ModelDemand>,
+    public val arrivalsPerSecond: Map<String, Double>,
+    public val adaptersInUse: Map<String, Set<Pair<String, String>>>,
+    public val storeLoadsAllowed: Int
+)
+
+/**
+ * Decides which models runners hold.
+ *
+ * A model that requests wait for is loaded where it is there soonest. Loads that can still meet a
+ * target go first, then those that serve the most waiting requests in the least time. A runner makes
+ * room by giving up what costs least: a copy of which there are others, else the model whose return
+ * costs the least waiting, by its rate of arrivals and by the time that loading it again takes.
+ */
+public class ResidencyPlanner {
+    /** Returns what to do now. */
+    public fun plan(view: ResidencyView, nowMillis: Long): ResidencyPlan = Planning(view, nowMillis).run()
+}
+
+private class Candidate(
+    val demand: ModelDemand,
+    val runner: RunnerState,
+    val source: WeightSource,
+    val evicted: List<String>,
+    val loadMillis: Long,
+    val evictionCost: Double
+)
+
+private class Planning(private val view: ResidencyView, private val nowMillis: Long) {
+    private val bounds = view.bounds
+    private val steps = mutableListOf<Residency>()
+    private val hopeless = mutableListOf<String>()
+    private val readyAt = mutableMapOf<String, Long>()
+    private val taken = mutableSetOf<String>()
+    private val wanted = view.demands.mapTo(mutableSetOf()) { it.model }
+    private var storeLoads = view.runners.count { it.loadsFromStore }
+    private var storeStarts = view.storeLoadsAllowed
+    private val replicas = view.runners.flatMap { it.adaptersByModel.keys }.groupingBy { it }
+        .eachCount().toMutableMap()
+
+    fun run(): ResidencyPlan {
+        val (present, absent) = view.demands.filter { it.waiting > 0 }
+            .partition { demand -> view.runners.any { demand.model in it.adaptersByModel } }
+        present.filter { it.adapter != null }.forEach(::placeAdapter)
+        loadAbsent(absent)
+        addReplicas()
+        return ResidencyPlan(steps, hopeless, readyAt)
+    }
+
+    private fun loadAbsent(absent: List<ModelDemand>) {
+        val loading = view.runners.mapNotNullTo(mutableSetOf()) { it.loading }
+        val merged = absent.groupBy { it.model }.filterKeys { it !in loading }
+            .map { (_, demands) -> merge(demands) }
+        val ordered = merged.sortedWith(
+            compareByDescending<ModelDemand> { canMeetTarget(it) }
+                .thenByDescending { it.waiting / soonestMillis(it.model).toDouble() }
+                .thenBy { it.limitAtMillis }
+        )
+        var queuedStoreMillis = 0L
+        for (demand in ordered) {
+            val candidate = bestCandidate(demand)
+            if (candidate != null && nowMillis + candidate.loadMillis <= demand.limitAtMillis) {
+                take(candidate)
+                continue
+            }
+            queuedStoreMillis += soonestMillis(demand.model) / bounds.storeLoadsAtOnce.coerceAtLeast(1)
+            val earliest = nowMillis + queuedStoreMillis + soonestMillis(demand.model)
+            if (earliest > demand.limitAtMillis) hopeless += demand.model else readyAt[demand.model] = earliest
+        }
+    }
+
+    private fun merge(demands: List<ModelDemand>): ModelDemand = demands.first().copy(
+        adapter = null,
+        waiting = demands.sumOf { it.waiting },
+        targetAtMillis = demands.minOf { it.targetAtMillis },
+        limitAtMillis = demands.maxOf { it.limitAtMillis }
+    )
+
+    private fun canMeetTarget(demand: ModelDemand): Boolean =
+        nowMillis + soonestMillis(demand.model) <= demand.targetAtMillis
+
+    private fun soonestMillis(model: String): Long {
+        val cost = bounds.models[model] ?: return Long.MAX_VALUE / 4
+        return view.runners.minOfOrNull { millisFrom(cost, sourceOn(it, model)) }
+            ?: cost.storeLoadMillis
+    }
+
+    private fun bestCandidate(demand: ModelDemand): Candidate? {
+        val candidates = view.runners.mapNotNull { candidateOn(it, demand) }
+        return candidates.minWithOrNull(
+            compareBy<Candidate> { it.loadMillis }.thenBy { it.evictionCost }
+                .thenBy { it.runner.inFlight.values.sum() }
+        )
+    }
+
+    private fun candidateOn(runner: RunnerState, demand: ModelDemand): Candidate? {
+        val cost = bounds.models[demand.model] ?: return null
+        if (runner.isBusy || runner.id in taken) return null
+        val source = sourceOn(runner, demand.model)
+        if (source == WeightSource.STORE && !mayLoadFromStore()) return null
+        val evicted = evictions(runner, cost.weightMegabytes) ?: return null
+        return Candidate(
+            demand,
+            runner,
+            source,
+            evicted,
+            millisFrom(cost, source),
+            evicted.sumOf { lossOf(runner, it) }
+        )
+    }
+
+    private fun mayLoadFromStore(): Boolean =
+        storeLoads < bounds.storeLoadsAtOnce && storeStarts > 0
+
+    private fun take(candidate: Candidate) {
+        taken += candidate.runner.id
+        if (candidate.source == WeightSource.STORE) {
+            storeLoads++
+            storeStarts--
+        }
+        candidate.evicted.forEach { replicas.merge(it, -1, Int::plus) }
+        replicas.merge(candidate.demand.model, 1, Int::plus)
+        readyAt[candidate.demand.model] = nowMillis + candidate.loadMillis
+        steps += Residency.Load(
+            candidate.runner.id,
+            candidate.demand.model,
+            candidate.source,
+            candidate.evicted,
+            candidate.loadMillis
+        )
+    }
+
+    /** Returns the models to unload so that [megabytes] fit, or null when they can't. */
+    private fun evictions(runner: RunnerState, megabytes: Double): List<String>? {
+        var free = bounds.weightMegabytes - usedMegabytes(runner)
+        if (free >= megabytes) return emptyList()
+        val evicted = mutableListOf<String>()
+        val removable = runner.adaptersByModel.keys
+            .filter { it !in wanted && (runner.inFlight[it] ?: 0) == 0 }
+            .sortedWith(compareBy({ lossOf(runner, it) }, { runner.lastUsedMillis[it] ?: 0 }))
+        for (model in removable) {
+            evicted += model
+            free += heldMegabytes(runner, model)
+            if (free >= megabytes) return evicted
+        }
+        return null
+    }
+
+    private fun usedMegabytes(runner: RunnerState): Double {
+        val held = runner.adaptersByModel.keys.sumOf { heldMegabytes(runner, it) }
+        val coming = runner.loading?.let { bounds.models[it]?.weightMegabytes } ?: 0.0
+        val adapters = runner.adapterOrders * (bounds.models.values.maxOfOrNull { it.adapterMegabytes } ?: 0.0)
+        return held + coming + adapters
+    }
+
+    /** A model that the configuration does not name any more is taken to fill the runner. */
+    private fun heldMegabytes(runner: RunnerState, model: String): Double {
+        val cost = bounds.models[model] ?: return bounds.weightMegabytes
+        return cost.weightMegabytes + runner.adaptersByModel[model].orEmpty().size * cost.adapterMegabytes
+    }
+
+    /** Waiting, in milliseconds a second, that is expected from dropping [model] on [runner]. */
+    private fun lossOf(runner: RunnerState, model: String): Double {
+        val cost = bounds.models[model] ?: return 0.0
+        val perSecond = (view.arrivalsPerSecond[model] ?: 0.0) + UNSEEN_ARRIVALS_PER_SECOND
+        val others = (replicas[model] ?: 1) - 1
+        if (others > 0) return perSecond * REPLICA_LOSS_MILLIS / others
+        val comesBackMillis = view.runners
+            .minOf { millisFrom(cost, if (it.id == runner.id) sourceAfterUnload(it, model) else sourceOn(it, model)) }
+        return perSecond * comesBackMillis
+    }
+
+    private fun sourceAfterUnload(runner: RunnerState, model: String): WeightSource =
+        sourceOn(runner, model)
+
+    private fun sourceOn(runner: RunnerState, model: String): WeightSource = when (model) {
+        in runner.modelsInHostMemory -> WeightSource.HOST_MEMORY
+        in runner.modelsOnDisk -> WeightSource.DISK
+        else -> WeightSource.STORE
+    }
+
+    private fun millisFrom(cost: ModelCost, source: WeightSource): Long = when (source) {
+        WeightSource.HOST_MEMORY -> cost.memoryLoadMillis
+        WeightSource.DISK -> cost.diskLoadMillis
+        WeightSource.STORE -> cost.storeLoadMillis
+    }
+
+    private fun placeAdapter(demand: ModelDemand) {
+        val adapter = demand.adapter ?: return
+        val holders = view.runners.filter { demand.model in it.adaptersByModel }
+        if (holders.any { adapter in it.adaptersByModel.getValue(demand.model) }) return
+        val usable = holders.filter { it.adapterOrders < MAX_ADAPTER_ORDERS && it.loading == null }
+        val runner = usable.minWithOrNull(
+            compareBy<RunnerState> { if (freeAdapterSlots(it) > 0) 0 else 1 }
+                .thenBy { it.inFlight.values.sum() }
+        ) ?: return
+        val evicted = if (freeAdapterSlots(runner) > 0) null else idleAdapter(runner) ?: return
+        steps += Residency.LoadAdapter(runner.id, demand.model, adapter, evicted)
+    }
+
+    private fun freeAdapterSlots(runner: RunnerState): Int =
+        bounds.adapterSlots - runner.adaptersByModel.values.sumOf { it.size } - runner.adapterOrders
+
+    private fun idleAdapter(runner: RunnerState): Pair<String, String>? {
+        val used = view.adaptersInUse[runner.id].orEmpty()
+        return runner.adaptersByModel.flatMap { (model, adapters) -> adapters.map { model to it } }
+            .filter { it !in used }
+            .minByOrNull { runner.lastUsedMillis[it.first] ?: 0 }
+    }
+
+    /** Adds a copy of each model whose runners are more than half full. */
+    private fun addReplicas() {
+        if (view.demands.any { it.waiting > 0 && it.model !in replicas }) return
+        val busiest = view.arrivalsPerSecond.keys
+            .filter { (replicas[it] ?: 0) > 0 && loadPerReplica(it) > FULL_SHARE }
+            .filter { model -> view.runners.none { it.loading == model } }
+            .maxByOrNull(::loadPerReplica) ?: return
+        val demand = ModelDemand(busiest, null, 1, nowMillis, Long.MAX_VALUE)
+        wanted += busiest
+        val runners = view.runners.filter { busiest !in it.adaptersByModel }
+        val candidate = runners.mapNotNull { candidateOn(it, demand) }
+            .minWithOrNull(compareBy({ it.evictionCost }, { it.loadMillis })) ?: return
+        take(candidate)
+    }
+
+    private fun loadPerReplica(model: String): Double {
+        val inFlight = view.runners.sumOf { it.inFlight[model] ?: 0 }
+        return inFlight / (replicas.getValue(model) * bounds.slots.toDouble())
+    }
+
+    private companion object {
+        /** Arrivals assumed of a model that was not asked for yet, a second: one in ten minutes. */
+        const val UNSEEN_ARRIVALS_PER_SECOND = 1.0 / 600
+
+        /** What a request loses when one of several copies goes, in milliseconds of waiting. */
+        const val REPLICA_LOSS_MILLIS = 50.0
+
+        /** Adapters that may be on their way to one runner; the engines' bound. */
+        const val MAX_ADAPTER_ORDERS = 4
+
+        /** Share of its slots from which on a runner counts as full enough for another copy. */
+        const val FULL_SHARE = 0.5
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
@@ -0,0 +1,125 @@
+package cactusfold.entry
+
+import cactusfold.entry.process.BootClock
+import cactusfold.entry.process.EntryLogging
+import cactusfold.node.launch.ExitCode
+import cactusfold.node.launch.VersionProvider
+import cactusfold.node.launch.runCommand
+import cactusfold.settings.schema.Settings
+import cactusfold.settings.schema.SettingsResult
+import cactusfold.settings.schema.readSettings
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.kotlin.coroutines.dispatcher
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.UUID
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import sun.misc.Signal
+
+/** Command line of an entry process. */
+@Command(
+    name = "cactusfold-entry",
+    description = ["Takes callers' requests on an entry VM of the users' platform."],
+    mixinStandardHelpOptions = true,
+    versionProvider = VersionProvider::class
+)
+public class EntryCommand : Callable<Int> {
+    @Option(names = ["--config"], required = true, paramLabel = "FILE.ini")
+    private lateinit var configFile: Path
+
+    @Option(names = ["--check"], description = ["Checks the settings and ends."])
+    private var isCheck: Boolean = false
+
+    override fun call(): Int = when (val read = read()) {
+        is Read.Unusable -> {
+            read.problems.forEach(System.err::println)
+            ExitCode.CONFIG
+        }
+        is Read.Usable -> if (isCheck) ExitCode.OK else run(read.settings)
+    }
+
+    private sealed interface Read {
+        class Usable(val settings: Settings) : Read
+        class Unusable(val problems: List<String>) : Read
+    }
+
+    private fun read(): Read {
+        val text = try {
+            Files.readString(configFile)
+        } catch (e: IOException) {
+            return Read.Unusable(listOf("$configFile: cannot be read: ${e.message}"))
+        }
+        return when (val result = readSettings(entrySchema, text)) {
+            is SettingsResult.Invalid ->
+                Read.Unusable(result.problems.map { it.describe(configFile.toString()) })
+            is SettingsResult.Valid -> Read.Usable(result.settings)
+        }
+    }
+
+    private fun run(settings: Settings): Int {
+        val logging = settings.section("log")
+        EntryLogging.start(logging.text("level"))
+        val vertx = Vertx.vertx(
+            VertxOptions().setEventLoopPoolSize(1)
+                .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1))
+                .setBlockedThreadCheckIntervalUnit(TimeUnit.MILLISECONDS)
+        )
+        val dispatcher = vertx.orCreateContext.dispatcher()
+        val entry = EntryProcess(
+            entrySettings(settings),
+            vertx,
+            dispatcher,
+            BootClock(),
+            UUID.randomUUID().toString(),
+            logging.int("lines-per-second")
+        )
+        val done = CountDownLatch(1)
+        val scope = CoroutineScope(dispatcher)
+        Signal.handle(Signal("TERM")) {
+            scope.launch {
+                entry.stop()
+                done.countDown()
+            }
+        }
+        Signal.handle(Signal("HUP")) { scope.launch { entry.reloaded(problemsNow()) } }
+        var exitCode = ExitCode.OK
+        try {
+            entry.listen()
+            scope.launch {
+                try {
+                    entry.start()
+                } catch (e: IOException) {
+                    exitCode = cannotStart(e)
+                    done.countDown()
+                }
+            }
+            done.await()
+        } catch (e: IOException) {
+            exitCode = cannotStart(e)
+        }
+        LogManager.shutdown()
+        return exitCode
+    }
+
+    private fun cannotStart(cause: IOException): Int {
+        LogManager.getLogger(javaClass).error("cannot start", cause)
+        return ExitCode.UNAVAILABLE
+    }
+
+    private fun problemsNow(): String? = when (val read = read()) {
+        is Read.Usable -> null
+        is Read.Unusable -> read.problems.joinToString("; ")
+    }
+}
+
+/** Entry point of `cactusfold-entry`. */
+public fun main(args: Array<String>): Unit = runCommand(EntryCommand(), args)
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
@@ -0,0 +1,103 @@
+package cactusfold.entry
+
+import cactusfold.settings.schema.HostPort
+import cactusfold.settings.schema.Schema
+import cactusfold.settings.schema.Settings
+import cactusfold.settings.schema.ValueType
+import cactusfold.settings.schema.schema
+
+/**
+ * Bounds that the platform's operators promise their users.
+ *
+ * @property stopMillis time between the order to stop and the end of the process.
+ * @property keyWithdrawalMillis how long a withdrawn key may still work.
+ * @property orderQuietMillis the time between the orders of two holders to one runner.
+ * @property retryRatio requests sent again, as a share of all, over all VMs.
+ * @property retrySlack requests that may be sent again beyond the ratio, over all VMs.
+ * @property loadWindowMillis the window in which loads from the weight store are counted.
+ */
+public data class EntryBounds(
+    public val stopMillis: Long,
+    public val keyWithdrawalMillis: Long,
+    public val orderQuietMillis: Long,
+    public val retryRatio: Double,
+    public val retryWindowMillis: Long,
+    public val retrySlack: Double,
+    public val loadWindowMillis: Long
+)
+
+/** Settings of an entry process. */
+public data class EntrySettings(
+    public val vm: String,
+    public val address: String,
+    public val zone: String,
+    public val peerPort: Int,
+    public val metricsPort: Int,
+    public val callers: HostPort,
+    public val ready: HostPort,
+    public val store: HostPort,
+    public val bounds: EntryBounds
+)
+
+private const val MILLIS_PER_SECOND = 1_000
+private val PORTS = 1L..65_535L
+private val MILLIS = 1L..3_600_000L
+
+/** The settings that an entry process takes. */
+public val entrySchema: Schema = schema("Settings of cactusfold-entry") {
+    section("vm", "The VM that the process runs on.") {
+        key("name", ValueType.Text, "name of the VM")
+        key("address", ValueType.Text, "numeric address of the VM")
+        key("zone", ValueType.Text, "availability zone of the VM")
+        whole("first-inner-port", "ports", PORTS, "port for the other entry processes")
+        whole("last-inner-port", "ports", PORTS, "port that serves metrics at /metrics")
+    }
+    section("listen", "Addresses that are served.") {
+        key("callers", ValueType.Address, "callers' requests")
+        key("ready", ValueType.Address, "the balancer's question whether the process is ready")
+    }
+    section("store", "The platform's store.") {
+        key("address", ValueType.Address, "address of the store")
+    }
+    section("bounds", "Bounds to keep.") {
+        key("stop-seconds", ValueType.Decimal("seconds"), "time to stop in", "8")
+        millis("key-withdrawal-millis", MILLIS, "how long a withdrawn key may work", 5_000)
+        millis("order-quiet-millis", MILLIS, "time between the orders of two holders", 3_000)
+        key("retry-ratio", ValueType.Decimal("requests"), "share sent again, fleet-wide", "0.2")
+        key("retry-window-seconds", ValueType.Decimal("seconds"), "window of the ratio", "10")
+        key("retry-slack", ValueType.Decimal("requests"), "sent again beyond the ratio", "100")
+        key("load-window-seconds", ValueType.Decimal("seconds"), "window of store loads", "5")
+    }
+    section("log", "Log lines on standard output.") {
+        key("level", ValueType.OneOf(setOf("debug", "info", "warn", "error")), "least level", "info")
+        whole("lines-per-second", "lines", 1L..1_000_000L, "most lines of one kind a second", 50)
+    }
+}
+
+/** Reads checked [settings]. */
+public fun entrySettings(settings: Settings): EntrySettings {
+    val vm = settings.section("vm")
+    val listen = settings.section("listen")
+    val bounds = settings.section("bounds")
+    return EntrySettings(
+        vm = vm.text("name"),
+        address = vm.text("address"),
+        zone = vm.text("zone"),
+        peerPort = vm.int("first-inner-port"),
+        metricsPort = vm.int("last-inner-port"),
+        callers = listen.address("callers"),
+        ready = listen.address("ready"),
+        store = settings.section("store").address("address"),
+        bounds = EntryBounds(
+            stopMillis = millisOf(bounds.double("stop-seconds")),
+            keyWithdrawalMillis = bounds.long("key-withdrawal-millis"),
+            orderQuietMillis = bounds.long("order-quiet-millis"),
+            retryRatio = bounds.double("retry-ratio"),
+            retryWindowMillis = millisOf(bounds.double("retry-window-seconds")),
+            retrySlack = bounds.double("retry-slack"),
+            loadWindowMillis = millisOf(bounds.double("load-window-seconds"))
+        )
+    )
+}
+
+private fun millisOf(seconds: Double): Long = (seconds * MILLIS_PER_SECOND).toLong()
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/EventCutter.kt
@@ -0,0 +1,52 @@
+package cactusfold.entry.callers
+
+import io.vertx.core.buffer.Buffer
+
+/** Cuts an event stream into whole events and remembers the id of the last one handed out. */
+public class EventCutter(lastEventId: String? = null) {
+    private var rest: Buffer = Buffer.buffer()
+
+    /** The id of the last whole event. */
+    public var lastEventId: String? = lastEventId
+        private set
+
+    /** Bytes of an event that is not whole yet. */
+    public val partial: Buffer get() = rest
+
+    /** Adds [piece] and returns the events that are whole now; empty when there are none. */
+    public fun add(piece: Buffer): Buffer {
+        val all = if (rest.length() == 0) piece else rest.copy().appendBuffer(piece)
+        val end = endOfLastEvent(all)
+        if (end == 0) {
+            rest = all
+            return EMPTY
+        }
+        val whole = all.slice(0, end)
+        rest = all.getBuffer(end, all.length())
+        idIn(whole)?.let { lastEventId = it }
+        return whole
+    }
+
+    private fun endOfLastEvent(buffer: Buffer): Int {
+        for (i in buffer.length() - 1 downTo 1) {
+            if (buffer.getByte(i) != NEWLINE) continue
+            val before = buffer.getByte(i - 1)
+            val isBlankLine = before == NEWLINE ||
+                (before == RETURN && i >= 2 && buffer.getByte(i - 2) == NEWLINE)
+            if (isBlankLine) return i + 1
+        }
+        return 0
+    }
+
+    private fun idIn(events: Buffer): String? = events.toString().lineSequence()
+        .filter { it.startsWith(ID_FIELD) }
+        .lastOrNull()
+        ?.removePrefix(ID_FIELD)?.trim()
+
+    private companion object {
+        const val NEWLINE = '\n'.code.toByte()
+        const val RETURN = '\r'.code.toByte()
+        const val ID_FIELD = "id:"
+        val EMPTY: Buffer = Buffer.buffer()
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -0,0 +1,282 @@
+package cactusfold.entry.callers
+
+import cactusfold.decisions.suspect.SuspectVerdict
+import cactusfold.entry.config.RouteTable
+import cactusfold.entry.rate.Admission
+import cactusfold.entry.rate.Allowances
+import cactusfold.entry.residency.ModelWait
+import cactusfold.entry.residency.ModelWaits
+import cactusfold.entry.upstream.Upstream
+import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.CallFacts
+import cactusfold.ports.serving.CallTranslator
+import cactusfold.ports.serving.SendFacts
+import cactusfold.ports.serving.ServingRoute
+import cactusfold.ports.serving.ServingWorkspace
+import cactusfold.entry.process.EventLog
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import kotlinx.coroutines.delay
+
+/** A caller's request, read whole. */
+public class CallerRequest(
+    public val method: HttpMethod,
+    public val uri: String,
+    public val path: String,
+    public val host: String,
+    public val headers: MultiMap,
+    public val body: Buffer,
+    public val facts: CallFacts,
+    public val arrivedAtMillis: Long
+)
+
+/** What requests are served with. */
+public class FlowParts(
+    public val table: () -> RouteTable?,
+    public val isConfigFresh: () -> Boolean,
+    public val directory: UpstreamDirectory,
+    public val waits: ModelWaits,
+    public val allowances: Allowances,
+    public val suspects: SharedSuspects,
+    public val sender: UpstreamSender,
+    public val translator: CallTranslator,
+    public val retries: RetryBook,
+    public val clock: MonotonicClock,
+    public val events: EventLog
+)
+
+/** How a request ended. */
+public sealed interface FlowEnd {
+    /** Its answer, or the end of its stream, has come from an upstream. */
+    public class Answered(public val answer: SendEnd.Whole?) : FlowEnd
+
+    /** The system answers it. */
+    public class Own(public val answer: OwnAnswer) : FlowEnd
+
+    /** A stream that has begun can't be completed. */
+    public class Cut(public val reason: String) : FlowEnd
+}
+
+/** Takes a request from its route to its one end. */
+public class RequestFlow(
+    private val parts: FlowParts,
+    private val request: CallerRequest,
+    private val reply: CallerReply
+) {
+    private var runs = 0
+    private var sends = 0
+    private var mayHaveRun = false
+
+    /** Whether an upstream may have run the request, so that no refusal may say that none did. */
+    public val isUncertain: Boolean get() = mayHaveRun
+
+    /** Serves the request; cancelling it leaves nothing running. */
+    public suspend fun serve(): FlowEnd {
+        val table = parts.table() ?: return own(OwnAnswer.NotRun("starting", START_MILLIS))
+        val route = table.route(request.host, request.path)
+            ?: return own(OwnAnswer.Rejected(NOT_FOUND, "no-route"))
+        val needsKey = table.config.hasKeys && !route.needsNoKey
+        if (needsKey && !parts.isConfigFresh()) return own(OwnAnswer.NotRun("keys-unsure", STALE_MILLIS))
+        val workspace = if (needsKey) request.facts.key?.let(table::workspace) else null
+        if (needsKey && workspace == null) return own(OwnAnswer.Rejected(UNAUTHORIZED, "unknown-key"))
+        if (request.facts.id == null) return own(OwnAnswer.Rejected(BAD_REQUEST, "no-request-id"))
+        val limitAt = request.arrivedAtMillis +
+            minOf(route.timeoutMillis, request.facts.limitMillis ?: route.timeoutMillis)
+        workspace?.let { admit(it, route, limitAt) }?.let { return own(it) }
+        return send(route, workspace, limitAt)
+    }
+
+    private fun own(answer: OwnAnswer): FlowEnd = FlowEnd.Own(answer)
+
+    private suspend fun admit(
+        workspace: ServingWorkspace,
+        route: ServingRoute,
+        limitAt: Long
+    ): OwnAnswer? {
+        val patienceAt = minOf(limitAt, request.arrivedAtMillis + route.targetMillis / PATIENCE_DIVISOR)
+        return when (val admission = parts.allowances.admit(workspace, costOf(workspace), patienceAt)) {
+            Admission.Admitted -> null
+            is Admission.OverRate -> OwnAnswer.OverRate(admission.retryAfterMillis)
+            Admission.Unknown -> OwnAnswer.NotRun("rate-unsure", STALE_MILLIS)
+        }
+    }
+
+    private fun costOf(workspace: ServingWorkspace): Long {
+        val tokens = request.facts.promptTokens?.let { it + (request.facts.outputTokens ?: 0) }
+        return when {
+            !workspace.isCountedByTokens -> 1
+            else -> tokens ?: workspace.plainTokens
+        }
+    }
+
+    private suspend fun send(
+        route: ServingRoute,
+        workspace: ServingWorkspace?,
+        limitAt: Long
+    ): FlowEnd {
+        val service = serviceOf(route)
+        val model = request.facts.model
+        val adapter = request.facts.adapter
+        parts.retries.requested(service)
+        model?.let(parts.waits::arrived)
+        val fingerprint = parts.suspects.fingerprint(request, workspace)
+        var last: SendEnd? = null
+        var fullSinceMillis: Long? = null
+        while (true) {
+            if (parts.suspects.verdict(fingerprint) == SuspectVerdict.REFUSE) {
+                return refused("crashes-upstreams", null)
+            }
+            val candidates = parts.directory.serving(service, model, adapter)
+            if (candidates.isEmpty() && model != null) {
+                val targetAt = request.arrivedAtMillis + route.targetMillis
+                val wait = parts.waits.await(service, model, adapter, targetAt, limitAt)
+                if (wait is ModelWait.Refused) return refused("model-not-in-time", wait.retryAfterMillis)
+                continue
+            }
+            val upstream = parts.directory.choose(candidates, request.facts.promptPart)
+            if (upstream == null) {
+                val now = parts.clock.nowMillis()
+                val since = fullSinceMillis ?: now.also { fullSinceMillis = it }
+                if (now - since > route.targetMillis / PATIENCE_DIVISOR) return ended(last, "all-full")
+                delay(FULL_MILLIS)
+                continue
+            }
+            if (sends > 0 && !parts.retries.mayRepeat(service)) return ended(last, "retry-budget")
+            val end = sendTo(upstream, route, workspace, limitAt)
+            last = end
+            when (end) {
+                SendEnd.Streamed -> return FlowEnd.Answered(null)
+                is SendEnd.Whole -> if (!isWorthRepeating(end, route)) return FlowEnd.Answered(end)
+                is SendEnd.Broken -> {
+                    parts.suspects.broke(fingerprint, upstream)
+                    if (!mayGoOn(route)) return ended(end, end.reason)
+                }
+                is SendEnd.NotRun -> if (sends >= MAX_SENDS) return ended(end, end.reason)
+            }
+        }
+    }
+
+    private suspend fun sendTo(
+        upstream: Upstream,
+        route: ServingRoute,
+        workspace: ServingWorkspace?,
+        limitAt: Long
+    ): SendEnd {
+        val facts = request.facts
+        val outgoing = Outgoing(
+            id = facts.id,
+            method = request.method,
+            uri = request.uri,
+            host = request.host,
+            headers = parts.translator.towardsUpstream(
+                request.headers,
+                SendFacts(
+                    upstream = upstream.entry.id,
+                    workspace = workspace?.name,
+                    limitMillis = (limitAt - parts.clock.nowMillis()).coerceAtLeast(1),
+                    urgency = (workspace?.rank ?: route.rank).coerceIn(0, LEAST_URGENT),
+                    lastEventId = reply.lastEventId
+                )
+            ),
+            body = request.body,
+            isStream = route.isStream
+        )
+        sends++
+        val wasUncertain = mayHaveRun
+        mayHaveRun = true
+        upstream.began(facts.model)
+        try {
+            val end = parts.sender.send(upstream, outgoing, reply)
+            settle(upstream, end, wasUncertain)
+            return end
+        } finally {
+            upstream.ended(facts.model)
+        }
+    }
+
+    private fun settle(upstream: Upstream, end: SendEnd, wasUncertain: Boolean) {
+        val nowMillis = parts.clock.nowMillis()
+        when (end) {
+            is SendEnd.NotRun -> {
+                mayHaveRun = wasUncertain
+                when (end.status) {
+                    null -> upstream.failed(nowMillis)
+                    MISDIRECTED -> request.facts.model
+                        ?.let { upstream.lacks(it, request.facts.adapter, nowMillis) }
+                        ?: upstream.failed(nowMillis)
+                    else -> upstream.full(nowMillis)
+                }
+            }
+            is SendEnd.Broken -> {
+                runs++
+                upstream.failed(nowMillis)
+            }
+            is SendEnd.Whole, SendEnd.Streamed -> runs++
+        }
+        if (end !is SendEnd.Streamed && end !is SendEnd.Whole) {
+            parts.events.write(
+                "send-failed",
+                "request" to request.facts.id,
+                "upstream" to upstream.entry.id,
+                "end" to end.toString(),
+                "send" to sends
+            )
+        }
+    }
+
+    /** An upstream's failure of a request that may run again is worth another upstream. */
+    private fun isWorthRepeating(end: SendEnd.Whole, route: ServingRoute): Boolean =
+        end.start.status >= SERVER_ERROR && mayGoOn(route)
+
+    private fun mayGoOn(route: ServingRoute): Boolean {
+        if (!route.mayRunAgain || runs >= route.maxRuns) return false
+        return !reply.hasBegun || reply.lastEventId != null
+    }
+
+    private fun ended(last: SendEnd?, reason: String): FlowEnd = when {
+        reply.hasBegun -> FlowEnd.Cut(reason)
+        last is SendEnd.Whole -> FlowEnd.Answered(last)
+        else -> refused(reason, FULL_RETRY_MILLIS)
+    }
+
+    private fun refused(code: String, retryAfterMillis: Long?): FlowEnd = when {
+        reply.hasBegun -> FlowEnd.Cut(code)
+        mayHaveRun -> own(OwnAnswer.MayHaveRun(code))
+        else -> own(OwnAnswer.NotRun(code, retryAfterMillis))
+    }
+
+    /** Returns a service of the route: the same for the same request, by the services' weights. */
+    private fun serviceOf(route: ServingRoute): String {
+        val shares = route.services
+        if (shares.size == 1) return shares.first().service
+        val total = shares.sumOf { it.weight }
+        val point = Math.floorMod(request.facts.id.hashCode(), HASH_STEPS) * total / HASH_STEPS
+        var sum = 0.0
+        return shares.firstOrNull { share ->
+            sum += share.weight
+            point < sum
+        }?.service ?: shares.last().service
+    }
+
+    private companion object {
+        const val BAD_REQUEST = 400
+        const val UNAUTHORIZED = 401
+        const val NOT_FOUND = 404
+        const val MISDIRECTED = 421
+        const val SERVER_ERROR = 500
+        const val LEAST_URGENT = 9
+        const val HASH_STEPS = 10_000
+
+        /** Sends after which a request that nobody ran is given back to its caller. */
+        const val MAX_SENDS = 4
+
+        /** Share of the latency target that a request waits for tokens or a free upstream. */
+        const val PATIENCE_DIVISOR = 2
+        const val FULL_MILLIS = 10L
+        const val FULL_RETRY_MILLIS = 200L
+        const val START_MILLIS = 500L
+        const val STALE_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/SharedSuspects.kt
@@ -0,0 +1,60 @@
+package cactusfold.entry.callers
+
+import cactusfold.decisions.suspect.SuspectState
+import cactusfold.decisions.suspect.SuspectTracker
+import cactusfold.decisions.suspect.SuspectVerdict
+import cactusfold.entry.upstream.Upstream
+import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.ServingWorkspace
+import cactusfold.protocol.SuspectReport
+import com.google.common.hash.Hashing
+
+/** Requests in flight when an upstream broke down, known to all members of the fleet. */
+public class SharedSuspects(private val clock: MonotonicClock, private val wake: () -> Unit) {
+    private val tracker = SuspectTracker(KEEP_MILLIS, MAX_SUSPECTS)
+    private var state = SuspectState()
+    private val unsent = mutableListOf<SuspectReport>()
+
+    /** Returns what a request and its repetitions by the same caller have in common. */
+    public fun fingerprint(request: CallerRequest, workspace: ServingWorkspace?): String =
+        hash.newHasher()
+            .putUnencodedChars(workspace?.name.orEmpty())
+            .putChar('\n')
+            .putUnencodedChars(request.uri)
+            .putChar('\n')
+            .putBytes(request.body.bytes)
+            .hash().toString()
+
+    /** Returns what may be done with a request of [fingerprint]. */
+    public fun verdict(fingerprint: String): SuspectVerdict =
+        if (state.suspects.isEmpty()) {
+            SuspectVerdict.CLEAR
+        } else {
+            tracker.judge(state, fingerprint, clock.nowMillis())
+        }
+
+    /** Books that a request of [fingerprint] was in flight when [upstream] broke off. */
+    public fun broke(fingerprint: String, upstream: Upstream) {
+        val inFlight = upstream.inFlight.coerceAtLeast(1)
+        book(fingerprint, inFlight)
+        unsent += SuspectReport.newBuilder().setFingerprint(fingerprint)
+            .setUpstream(upstream.entry.id).setInFlight(inFlight).build()
+        wake()
+    }
+
+    /** Takes over what another member saw. */
+    public fun reported(report: SuspectReport): Unit = book(report.fingerprint, report.inFlight)
+
+    /** Returns what the others have not been told yet. */
+    public fun takeUnsent(): List<SuspectReport> = unsent.toList().also { unsent.clear() }
+
+    private fun book(fingerprint: String, inFlight: Int) {
+        state = tracker.crashed(state, fingerprint, inFlight, clock.nowMillis())
+    }
+
+    private companion object {
+        const val KEEP_MILLIS = 60_000L
+        const val MAX_SUSPECTS = 2_000
+        val hash = Hashing.murmur3_128()
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/config/RouteTable.kt
@@ -0,0 +1,26 @@
+package cactusfold.entry.config
+
+import cactusfold.ports.serving.ServiceSpec
+import cactusfold.ports.serving.ServingConfig
+import cactusfold.ports.serving.ServingRoute
+import cactusfold.ports.serving.ServingWorkspace
+
+/** One version of the configuration, indexed for requests. */
+public class RouteTable(public val config: ServingConfig) {
+    private val routesByHost: Map<String, List<ServingRoute>> = config.routes
+        .groupBy { it.host }
+        .mapValues { (_, routes) -> routes.sortedByDescending { it.prefix.length } }
+    private val workspacesByKey: Map<String, ServingWorkspace> = config.workspaces
+        .flatMap { workspace -> workspace.keys.map { it to workspace } }
+        .toMap()
+
+    /** Returns the route with the longest prefix of [path] on [host], or null. */
+    public fun route(host: String, path: String): ServingRoute? =
+        routesByHost[host.substringBefore(':').lowercase()]?.find { path.startsWith(it.prefix) }
+
+    /** Returns the workspace that [key] belongs to, or null. */
+    public fun workspace(key: String): ServingWorkspace? = workspacesByKey[key]
+
+    /** Returns the service called [name], or null. */
+    public fun service(name: String): ServiceSpec? = config.services[name]
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/process/BootClock.kt
@@ -0,0 +1,46 @@
+package cactusfold.entry.process
+
+import cactusfold.node.time.MonotonicClock
+import java.lang.invoke.MethodType
+import jdk.incubator.foreign.CLinker
+import jdk.incubator.foreign.FunctionDescriptor
+import jdk.incubator.foreign.MemoryAccess
+import jdk.incubator.foreign.MemoryAddress
+import jdk.incubator.foreign.MemorySegment
+import jdk.incubator.foreign.ResourceScope
+
+/**
+ * The clock that goes on while the VM is suspended, which [System.nanoTime] does not. Leases and
+ * the age of what is known are counted on it. Used by one thread.
+ */
+public class BootClock : MonotonicClock {
+    private val time = MemorySegment.allocateNative(TIMESPEC_BYTES, ResourceScope.globalScope())
+    private val address = time.address()
+
+    override fun nowMillis(): Long {
+        val result = clockGettime.invokeExact(CLOCK_BOOTTIME, address) as Int
+        check(result == 0) { "clock_gettime(CLOCK_BOOTTIME) failed" }
+        val seconds = MemoryAccess.getLongAtOffset(time, 0)
+        val nanos = MemoryAccess.getLongAtOffset(time, NANOS_OFFSET)
+        return seconds * MILLIS_PER_SECOND + nanos / NANOS_PER_MILLI
+    }
+
+    private companion object {
+        /** From linux/time.h. */
+        const val CLOCK_BOOTTIME = 7
+        const val TIMESPEC_BYTES = 16L
+        const val NANOS_OFFSET = 8L
+        const val MILLIS_PER_SECOND = 1_000L
+        const val NANOS_PER_MILLI = 1_000_000L
+
+        val clockGettime = CLinker.getInstance().downcallHandle(
+            CLinker.systemLookup().lookup("clock_gettime").get(),
+            MethodType.methodType(
+                Int::class.javaPrimitiveType,
+                Int::class.javaPrimitiveType,
+                MemoryAddress::class.java
+            ),
+            FunctionDescriptor.of(CLinker.C_INT, CLinker.C_INT, CLinker.C_POINTER)
+        )
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/process/EventLog.kt
@@ -0,0 +1,60 @@
+package cactusfold.entry.process
+
+import cactusfold.node.time.MonotonicClock
+import io.vertx.core.json.JsonObject
+import org.apache.logging.log4j.LogManager
+
+/**
+ * Writes decisions as structured log lines: what was decided, for which request, from which inputs.
+ * Each kind of line has a budget a second; what goes beyond is counted and the count is logged.
+ */
+public class EventLog(
+    private val vm: String,
+    private val clock: MonotonicClock,
+    private val linesPerSecond: Int
+) {
+    private class Budget(var secondsStamp: Long, var lines: Int, var dropped: Long)
+
+    private val budgets = HashMap<String, Budget>()
+
+    /** Lines left out so far. */
+    public var droppedLines: Long = 0
+        private set
+
+    /** Logs [kind] with [fields]; null values are left out. */
+    public fun write(kind: String, vararg fields: Pair<String, Any?>) {
+        val nowMillis = clock.nowMillis()
+        val budget = budgets.getOrPut(kind) { Budget(0, 0, 0) }
+        val second = nowMillis / MILLIS_PER_SECOND
+        if (budget.secondsStamp != second) {
+            if (budget.dropped > 0) {
+                emit(nowMillis, "log-lines-dropped", arrayOf("of" to kind, "lines" to budget.dropped))
+            }
+            budget.secondsStamp = second
+            budget.lines = 0
+            budget.dropped = 0
+        }
+        if (budget.lines >= linesPerSecond) {
+            budget.dropped++
+            droppedLines++
+            return
+        }
+        budget.lines++
+        emit(nowMillis, kind, fields)
+    }
+
+    private fun emit(nowMillis: Long, kind: String, fields: Array<out Pair<String, Any?>>) {
+        val line = JsonObject()
+            .put("time", System.currentTimeMillis())
+            .put("steady_ms", nowMillis)
+            .put("vm", vm)
+            .put("event", kind)
+        for ((name, value) in fields) if (value != null) line.put(name, value)
+        log.info(line.encode())
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000
+        val log = LogManager.getLogger("events")
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/process/StatusServer.kt
@@ -0,0 +1,34 @@
+package cactusfold.entry.process
+
+import cactusfold.settings.schema.HostPort
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.kotlin.coroutines.coAwait
+
+/** Answers the balancer's question and serves metrics. */
+public class StatusServer(
+    private val vertx: Vertx,
+    private val metrics: PrometheusMeterRegistry,
+    private val unreadyReason: () -> String?
+) {
+    /** Listens on [ready] for the balancer and on [metricsAddress] for `/metrics`. */
+    public suspend fun start(ready: HostPort, metricsAddress: HostPort) {
+        vertx.createHttpServer().requestHandler(::ready).listen(ready.port, ready.host).coAwait()
+        vertx.createHttpServer().requestHandler {
+            it.response().putHeader("content-type", METRICS_TYPE).end(metrics.scrape())
+        }.listen(metricsAddress.port, metricsAddress.host).coAwait()
+    }
+
+    private fun ready(request: HttpServerRequest) {
+        val reason = unreadyReason()
+        val response = request.response()
+        if (reason != null) response.setStatusCode(UNAVAILABLE)
+        response.end(reason ?: "ready")
+    }
+
+    private companion object {
+        const val UNAVAILABLE = 503
+        const val METRICS_TYPE = "text/plain; version=0.0.4"
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/Allowances.kt
@@ -0,0 +1,138 @@
+package cactusfold.entry.rate
+
+import cactusfold.decisions.rate.AllowanceSpender
+import cactusfold.decisions.rate.AllowanceState
+import cactusfold.decisions.rate.ContactSettings
+import cactusfold.decisions.rate.RateLimit
+import cactusfold.decisions.rate.Spend
+import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.ServingWorkspace
+import cactusfold.protocol.TokenGrant
+import cactusfold.protocol.TokenRequest
+import kotlinx.coroutines.delay
+
+/** Whether a request is inside its workspace's rate. */
+public sealed interface Admission {
+    /** It is. */
+    public data object Admitted : Admission
+
+    /** It is not; tokens are there after [retryAfterMillis]. */
+    public data class OverRate(public val retryAfterMillis: Long) : Admission
+
+    /** Nobody could be asked in time. */
+    public data object Unknown : Admission
+}
+
+/** The tokens of all workspaces at this process. */
+public class Allowances(
+    private val member: String,
+    private val boot: String,
+    private val clock: MonotonicClock,
+    private val memberCount: () -> Int,
+    private val ask: suspend (TokenRequest) -> TokenGrant?
+) {
+    private val states = HashMap<String, AllowanceState>()
+    private val registeredAtMillis = clock.nowMillis()
+    private var settings = ContactSettings(registryFreshMillis = 0)
+    private var spender = AllowanceSpender(settings)
+
+    /** Whether this process is registered, so that a reserve is set aside for it. */
+    public var isRegistered: Boolean = false
+
+    /** Takes note that the coordinator was heard from: reserves are not to be spent. */
+    public fun heard() {
+        val nowMillis = clock.nowMillis()
+        states.replaceAll { _, state -> spender.contacted(state, nowMillis) }
+    }
+
+    /** Takes [tokens] of [workspace], waiting for them up to [untilMillis]. */
+    public suspend fun admit(
+        workspace: ServingWorkspace,
+        tokens: Long,
+        untilMillis: Long
+    ): Admission {
+        val rate = workspace.ratePerSecond ?: return Admission.Admitted
+        val limit = RateLimit(rate, workspace.burst)
+        var wanted: Admission = Admission.Unknown
+        do {
+            val needed = trySpend(workspace.name, limit, tokens) ?: return Admission.Admitted
+            val sentAtMillis = clock.nowMillis()
+            val grant = ask(requestOf(workspace.name, needed, tokens))
+            if (grant == null) {
+                delay(RETRY_MILLIS)
+                continue
+            }
+            when (grant.outcome) {
+                TokenGrant.Outcome.GRANTED -> granted(workspace.name, grant.grantedTokens, sentAtMillis)
+                TokenGrant.Outcome.WAIT -> {
+                    contacted(workspace.name)
+                    if (clock.nowMillis() + grant.retryAfterMillis > untilMillis) {
+                        return Admission.OverRate(grant.retryAfterMillis)
+                    }
+                    wanted = Admission.OverRate(grant.retryAfterMillis)
+                    delay(grant.retryAfterMillis.coerceIn(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS))
+                }
+                else -> delay(RETRY_MILLIS)
+            }
+        } while (clock.nowMillis() < untilMillis)
+        return if (trySpend(workspace.name, limit, tokens) == null) Admission.Admitted else wanted
+    }
+
+    /** Spends [tokens] and returns null, or returns how many are lacking. */
+    private fun trySpend(workspace: String, limit: RateLimit, tokens: Long): Long? {
+        sizeReserve()
+        val before = states[workspace]?.let { if (it.limit == limit) it else it.copy(limit = limit) }
+            ?: spender.start(limit, registeredAtMillis + REGISTRATION_MILLIS)
+        val step = spender.spend(before, tokens, clock.nowMillis(), isRegistered)
+        states[workspace] = step.state
+        return when (val outcome = step.outcome) {
+            Spend.Admitted -> null
+            is Spend.Ask -> outcome.tokens
+        }
+    }
+
+    private fun sizeReserve() {
+        val slots = memberCount().coerceAtLeast(MIN_SLOTS)
+        if (slots == settings.routerSlots) return
+        settings = settings.copy(routerSlots = slots)
+        spender = AllowanceSpender(settings)
+    }
+
+    private fun requestOf(workspace: String, needed: Long, tokens: Long): TokenRequest {
+        val state = states.getValue(workspace)
+        val next = state.copy(sequence = state.sequence + 1)
+        states[workspace] = next
+        return TokenRequest.newBuilder()
+            .setWorkspace(workspace)
+            .setRouter(member)
+            .setRouterIncarnation(boot)
+            .setSequence(next.sequence)
+            .setNeededTokens(needed)
+            .setPrefetchTokens(tokens * PREFETCH_REQUESTS)
+            .setSpentTokens(next.spentTokens)
+            .setReturnedTokens(next.returnedTokens)
+            .build()
+    }
+
+    private fun granted(workspace: String, tokens: Long, sentAtMillis: Long) {
+        val state = states.getValue(workspace)
+        states[workspace] = spender.granted(state, tokens, sentAtMillis, clock.nowMillis())
+    }
+
+    private fun contacted(workspace: String) {
+        states[workspace] = spender.contacted(states.getValue(workspace), clock.nowMillis())
+    }
+
+    private companion object {
+        const val MIN_SLOTS = 4
+
+        /** Requests whose tokens are asked for ahead, to save a call for each. */
+        const val PREFETCH_REQUESTS = 2
+
+        /** From then on every coordinator's list of members names this process. */
+        const val REGISTRATION_MILLIS = 8_000L
+        const val RETRY_MILLIS = 50L
+        const val MIN_WAIT_MILLIS = 5L
+        const val MAX_WAIT_MILLIS = 250L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -0,0 +1,87 @@
+package cactusfold.entry.residency
+
+import cactusfold.decisions.residency.ModelDemand
+import cactusfold.protocol.entry.Demand
+import cactusfold.protocol.entry.MemberReport
+import kotlin.math.exp
+
+/** What the members of the fleet have reported to their coordinator. */
+public class FleetDemand {
+    private class Reported(val report: MemberReport, val atMillis: Long)
+
+    private val reports = HashMap<String, Reported>()
+    private val rates = HashMap<String, Double>()
+    private var decayedAtMillis = 0L
+
+    /** Members heard from lately. */
+    public fun members(nowMillis: Long): Int = current(nowMillis).size
+
+    /** Takes over a member's report. */
+    public fun reported(report: MemberReport, nowMillis: Long) {
+        reports[report.vm] = Reported(report, nowMillis)
+        decay(nowMillis)
+        for (demand in report.demandsList) {
+            if (demand.arrivals > 0) {
+                rates.merge(demand.model, demand.arrivals * MILLIS_PER_SECOND / RATE_MILLIS, Double::plus)
+            }
+        }
+    }
+
+    /** Forgets the member on [vm]. */
+    public fun left(vm: String) {
+        reports.remove(vm)
+    }
+
+    /** Arrivals a second of each model, smoothed. */
+    public fun arrivalsPerSecond(nowMillis: Long): Map<String, Double> {
+        decay(nowMillis)
+        return rates.toMap()
+    }
+
+    /** Returns what waits anywhere. */
+    public fun demands(nowMillis: Long): List<ModelDemand> = current(nowMillis)
+        .flatMap { member -> member.report.demandsList.filter { it.waiting > 0 }.map { member to it } }
+        .groupBy({ it.second.model to it.second.adapter }, { it })
+        .map { (key, group) -> merge(key.first, key.second, group) }
+
+    /** Requests that run at each runner, by model. */
+    public fun inFlight(nowMillis: Long): Map<String, Map<String, Int>> = current(nowMillis)
+        .flatMap { it.report.usesList }
+        .groupBy { it.runner }
+        .mapValues { (_, uses) ->
+            uses.groupBy { it.model }.mapValues { (_, same) -> same.sumOf { it.inFlight } }
+        }
+
+    private fun merge(
+        model: String,
+        adapter: String,
+        group: List<Pair<Reported, Demand>>
+    ): ModelDemand = ModelDemand(
+        model = model,
+        adapter = adapter.ifEmpty { null },
+        waiting = group.sumOf { it.second.waiting },
+        targetAtMillis = group.minOf { (member, demand) -> member.atMillis + demand.targetInMillis },
+        limitAtMillis = group.maxOf { (member, demand) -> member.atMillis + demand.limitInMillis }
+    )
+
+    private fun current(nowMillis: Long): List<Reported> =
+        reports.values.filter { nowMillis - it.atMillis < REPORT_VALID_MILLIS }
+
+    private fun decay(nowMillis: Long) {
+        val factor = exp(-(nowMillis - decayedAtMillis) / RATE_MILLIS)
+        decayedAtMillis = nowMillis
+        rates.entries.forEach { it.setValue(it.value * factor) }
+        rates.values.removeIf { it < NEGLIGIBLE_PER_SECOND }
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+
+        /** Time over which arrivals are smoothed: shorter than demand takes to move on. */
+        const val RATE_MILLIS = 5_000.0
+        const val NEGLIGIBLE_PER_SECOND = 0.0005
+
+        /** Three times the longest pause between two reports. */
+        const val REPORT_VALID_MILLIS = 1_500L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -0,0 +1,266 @@
+package cactusfold.entry.residency
+
+import cactusfold.decisions.residency.ModelCost
+import cactusfold.decisions.residency.Residency
+import cactusfold.decisions.residency.ResidencyPlan
+import cactusfold.decisions.residency.ResidencyPlanner
+import cactusfold.decisions.residency.ResidencyView
+import cactusfold.decisions.residency.RunnerBounds
+import cactusfold.decisions.residency.RunnerState
+import cactusfold.decisions.residency.WeightSource
+import cactusfold.entry.config.RouteTable
+import cactusfold.entry.process.EventLog
+import cactusfold.entry.upstream.Upstream
+import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.EngineSpec
+import cactusfold.ports.serving.RunnerOrder
+import cactusfold.ports.serving.RunnerReport
+import cactusfold.protocol.entry.Forecast
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.collections.immutable.toImmutableSet
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+/** Carries out the planner's decisions while this process is the coordinator. */
+public class LoadCoordinator(
+    private val scope: CoroutineScope,
+    private val directory: UpstreamDirectory,
+    private val demand: FleetDemand,
+    private val desk: DeskContext,
+    private val clock: MonotonicClock,
+    private val events: EventLog,
+    private val loadWindowMillis: Long,
+    private val table: () -> RouteTable?
+) {
+    private class RunnerWork(val upstream: Upstream, context: DeskContext) {
+        val desk = RunnerDesk(upstream, context)
+        var load: Residency.Load? = null
+        var adapterOrders = 0
+        val lastUsedMillis = HashMap<String, Long>()
+        val adapterUsedMillis = HashMap<Pair<String, String>, Long>()
+        var inHostMemory: ImmutableSet<String>? = null
+        var onDisk: ImmutableSet<String>? = null
+    }
+
+    private val planner = ResidencyPlanner()
+    private val works = HashMap<String, RunnerWork>()
+    private val storeLoadsAtMillis = ArrayDeque<Long>()
+    private var jobs: Job = SupervisorJob()
+
+    /** Called with runners whose holdings changed. */
+    public var onHoldings: (Upstream) -> Unit = {}
+
+    /** Called with forecasts for models that requests wait for. */
+    public var onForecasts: (List<Forecast>) -> Unit = {}
+
+    /** Drops all work; what is on its way is settled by the next coordinator. */
+    public fun stop() {
+        jobs.cancelChildren()
+        works.clear()
+    }
+
+    /** Plans and begins what is to be done now. */
+    public fun step() {
+        val current = table() ?: return
+        if (!desk.mayOrder()) return
+        val nowMillis = clock.nowMillis()
+        for (service in current.config.services.values) {
+            val engine = service.engine ?: continue
+            val runners = directory.usable.filter { it.entry.service == service.name }
+            if (runners.isEmpty()) continue
+            val plan = planner.plan(viewOf(engine, runners, nowMillis), nowMillis)
+            carryOut(plan, nowMillis)
+        }
+    }
+
+    private fun viewOf(engine: EngineSpec, runners: List<Upstream>, nowMillis: Long): ResidencyView {
+        val inFlight = demand.inFlight(nowMillis)
+        val states = runners.map { stateOf(it, inFlight[it.entry.id].orEmpty(), nowMillis) }
+        return ResidencyView(
+            bounds = boundsOf(engine),
+            runners = states,
+            demands = demand.demands(nowMillis).filter { it.model in engine.models },
+            arrivalsPerSecond = demand.arrivalsPerSecond(nowMillis).filterKeys { it in engine.models },
+            adaptersInUse = works.mapValues { (_, work) -> recentAdapters(work, nowMillis) },
+            storeLoadsAllowed = storeLoadsAllowed(engine, nowMillis)
+        )
+    }
+
+    private fun stateOf(upstream: Upstream, inFlight: Map<String, Int>, nowMillis: Long): RunnerState {
+        val work = workOf(upstream)
+        inFlight.keys.forEach { work.lastUsedMillis[it] = nowMillis }
+        val load = work.load
+        return RunnerState(
+            id = upstream.entry.id,
+            adaptersByModel = upstream.adaptersByModel,
+            modelsInHostMemory = work.inHostMemory ?: upstream.entry.modelsInHostMemory,
+            modelsOnDisk = work.onDisk ?: upstream.entry.modelsOnDisk,
+            loading = load?.model,
+            loadsFromStore = load?.source == WeightSource.STORE,
+            isBusy = load != null,
+            adapterOrders = work.adapterOrders,
+            inFlight = inFlight.toImmutableMap(),
+            lastUsedMillis = work.lastUsedMillis.toImmutableMap()
+        )
+    }
+
+    private fun workOf(upstream: Upstream): RunnerWork {
+        val known = works[upstream.entry.id]
+        if (known != null && known.upstream === upstream) return known
+        return RunnerWork(upstream, desk).also { works[upstream.entry.id] = it }
+    }
+
+    private fun recentAdapters(work: RunnerWork, nowMillis: Long): Set<Pair<String, String>> =
+        work.adapterUsedMillis.filterValues { nowMillis - it < ADAPTER_USE_MILLIS }.keys
+
+    private fun storeLoadsAllowed(engine: EngineSpec, nowMillis: Long): Int {
+        val perSecond = engine.storeLoadsPerSecond ?: return Int.MAX_VALUE
+        while (storeLoadsAtMillis.isNotEmpty() && nowMillis - storeLoadsAtMillis.first() > loadWindowMillis) {
+            storeLoadsAtMillis.removeFirst()
+        }
+        val perWindow = (perSecond * loadWindowMillis / MILLIS_PER_SECOND).toInt().coerceAtLeast(1)
+        return perWindow - storeLoadsAtMillis.size
+    }
+
+    private fun carryOut(plan: ResidencyPlan, nowMillis: Long) {
+        for (step in plan.steps) {
+            val upstream = directory.find(step.runner) ?: continue
+            val work = workOf(upstream)
+            when (step) {
+                is Residency.Load -> {
+                    work.load = step
+                    if (step.source == WeightSource.STORE) storeLoadsAtMillis.addLast(nowMillis)
+                    scope.launch(jobs) { load(work, step) }
+                }
+                is Residency.LoadAdapter -> {
+                    work.adapterOrders++
+                    scope.launch(jobs) { loadAdapter(work, step) }
+                }
+            }
+        }
+        val refused = plan.hopeless.map {
+            Forecast.newBuilder().setModel(it).setIsRefused(true).setReadyInMillis(RETRY_MILLIS).build()
+        }
+        if (refused.isNotEmpty()) onForecasts(refused)
+    }
+
+    private suspend fun load(work: RunnerWork, step: Residency.Load) {
+        val began = clock.nowMillis()
+        try {
+            val isLoaded = makeRoom(work, step.evicted) &&
+                work.desk.send(RunnerOrder.Load(step.model)) &&
+                awaitModel(work, step)
+            events.write(
+                if (isLoaded) "model-loaded" else "model-load-failed",
+                "model" to step.model,
+                "upstream" to step.runner,
+                "source" to step.source.name,
+                "expected_ms" to step.loadMillis,
+                "took_ms" to clock.nowMillis() - began
+            )
+        } finally {
+            work.load = null
+            work.lastUsedMillis[step.model] = clock.nowMillis()
+        }
+    }
+
+    private suspend fun makeRoom(work: RunnerWork, models: List<String>): Boolean {
+        for (model in models) {
+            hold(work, (work.upstream.adaptersByModel - model).toImmutableMap())
+            if (!work.desk.send(RunnerOrder.Unload(model))) return false
+        }
+        return true
+    }
+
+    private suspend fun awaitModel(work: RunnerWork, step: Residency.Load): Boolean {
+        val startedAt = clock.nowMillis()
+        delay((step.loadMillis - EARLY_MILLIS).coerceAtLeast(0))
+        while (clock.nowMillis() - startedAt < step.loadMillis * MAX_SLOWDOWN + EARLY_MILLIS) {
+            val report = work.desk.report()
+            if (report != null && step.model in report.adaptersByModel) {
+                reported(work, report)
+                return true
+            }
+            delay(REPORT_MILLIS)
+        }
+        return false
+    }
+
+    private fun reported(work: RunnerWork, report: RunnerReport) {
+        work.inHostMemory = report.modelsInHostMemory
+        work.onDisk = report.modelsOnDisk
+        hold(work, report.adaptersByModel)
+    }
+
+    private suspend fun loadAdapter(work: RunnerWork, step: Residency.LoadAdapter) {
+        try {
+            step.evicted?.let { (model, adapter) ->
+                holdAdapters(work, model) { it - adapter }
+                if (!work.desk.send(RunnerOrder.UnloadAdapter(model, adapter))) return
+            }
+            work.adapterUsedMillis[step.model to step.adapter] = clock.nowMillis()
+            if (!work.desk.send(RunnerOrder.LoadAdapter(step.model, step.adapter))) return
+            delay(ADAPTER_MILLIS)
+            holdAdapters(work, step.model) { it + step.adapter }
+        } finally {
+            work.adapterOrders--
+        }
+    }
+
+    private fun holdAdapters(work: RunnerWork, model: String, change: (Set<String>) -> Set<String>) {
+        val models = work.upstream.adaptersByModel
+        val adapters = models[model] ?: return
+        hold(work, (models + (model to change(adapters).toImmutableSet())).toImmutableMap())
+    }
+
+    private fun hold(work: RunnerWork, models: ImmutableMap<String, ImmutableSet<String>>) {
+        work.upstream.holds(models, clock.nowMillis())
+        onHoldings(work.upstream)
+        directory.changed()
+    }
+
+    private fun boundsOf(engine: EngineSpec): RunnerBounds = RunnerBounds(
+        slots = engine.slots,
+        weightMegabytes = engine.weightMegabytes,
+        adapterSlots = engine.adapterSlots,
+        storeLoadsAtOnce = STORE_LOADS_AT_ONCE,
+        models = engine.models.mapValues { (_, model) ->
+            ModelCost(
+                model.name,
+                model.weightMegabytes,
+                model.adapterMegabytes,
+                model.storeLoadMillis,
+                model.diskLoadMillis,
+                model.memoryLoadMillis
+            )
+        }.toImmutableMap()
+    )
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000
+
+        /** Loads that the weight store carries at full speed, by the users' sheets. */
+        const val STORE_LOADS_AT_ONCE = 4
+
+        /** Reports are asked for this long before a load should be done. */
+        const val EARLY_MILLIS = 50L
+        const val REPORT_MILLIS = 100L
+
+        /** How much longer than expected a load may take before it counts as failed. */
+        const val MAX_SLOWDOWN = 4
+
+        /** What an adapter's load takes at most while few are on their way, with room to spare. */
+        const val ADAPTER_MILLIS = 40L
+        const val ADAPTER_USE_MILLIS = 3_000L
+
+        /** When a caller whose model could not be loaded in time may try again. */
+        const val RETRY_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaits.kt
@@ -0,0 +1,97 @@
+package cactusfold.entry.residency
+
+import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.node.time.MonotonicClock
+import cactusfold.protocol.entry.Demand
+import cactusfold.protocol.entry.Forecast
+import kotlinx.coroutines.CompletableDeferred
+
+/** How the wait for a model ended. */
+public sealed interface ModelWait {
+    /** An upstream holds the model. */
+    public data object Ready : ModelWait
+
+    /** No load will finish in time; one might from [retryAfterMillis] on. */
+    public data class Refused(public val retryAfterMillis: Long) : ModelWait
+}
+
+/** Requests of this process that wait until a runner holds their model. */
+public class ModelWaits(
+    private val directory: UpstreamDirectory,
+    private val clock: MonotonicClock,
+    private val wake: () -> Unit
+) {
+    private class Waiting(
+        val service: String,
+        val model: String,
+        val adapter: String?,
+        val targetAtMillis: Long,
+        val limitAtMillis: Long,
+        val end: CompletableDeferred<ModelWait>
+    )
+
+    private val waiting = LinkedHashSet<Waiting>()
+    private val arrivals = HashMap<String, Int>()
+
+    init {
+        directory.listen(::release)
+    }
+
+    /** Requests that wait. */
+    public val count: Int get() = waiting.size
+
+    /** Counts a request for [model]. */
+    public fun arrived(model: String) {
+        arrivals.merge(model, 1, Int::plus)
+    }
+
+    /** Waits until an upstream of [service] holds [model] with [adapter]. */
+    public suspend fun await(
+        service: String,
+        model: String,
+        adapter: String?,
+        targetAtMillis: Long,
+        limitAtMillis: Long
+    ): ModelWait {
+        if (directory.serving(service, model, adapter).isNotEmpty()) return ModelWait.Ready
+        val one = Waiting(service, model, adapter, targetAtMillis, limitAtMillis, CompletableDeferred())
+        waiting += one
+        wake()
+        try {
+            return one.end.await()
+        } finally {
+            waiting -= one
+        }
+    }
+
+    /** Ends waits that no load can meet in time. */
+    public fun forecast(forecast: Forecast) {
+        if (!forecast.isRefused) return
+        val retryAfter = forecast.readyInMillis
+        waiting.filter { it.model == forecast.model }
+            .forEach { it.end.complete(ModelWait.Refused(retryAfter)) }
+    }
+
+    /** Returns what waits and what arrived since the last call. */
+    public fun takeDemands(): List<Demand> {
+        val nowMillis = clock.nowMillis()
+        val demands = waiting.groupBy { it.model to it.adapter }.map { (key, group) ->
+            Demand.newBuilder().setModel(key.first).setAdapter(key.second.orEmpty())
+                .setWaiting(group.size)
+                .setTargetInMillis(group.minOf { it.targetAtMillis } - nowMillis)
+                .setLimitInMillis(group.maxOf { it.limitAtMillis } - nowMillis)
+                .build()
+        }
+        val counts = arrivals.map { (model, count) ->
+            Demand.newBuilder().setModel(model).setArrivals(count).build()
+        }
+        arrivals.clear()
+        return demands + counts
+    }
+
+    private fun release() {
+        if (waiting.isEmpty()) return
+        waiting.filter { directory.serving(it.service, it.model, it.adapter).isNotEmpty() }
+            .forEach { it.end.complete(ModelWait.Ready) }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerDesk.kt
@@ -0,0 +1,96 @@
+package cactusfold.entry.residency
+
+import cactusfold.entry.process.EventLog
+import cactusfold.entry.upstream.Upstream
+import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.OrderAuthority
+import cactusfold.ports.serving.OrderReply
+import cactusfold.ports.serving.RunnerOrder
+import cactusfold.ports.serving.RunnerOrders
+import cactusfold.ports.serving.RunnerReport
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+
+/** What orders to runners are sent with. */
+public class DeskContext(
+    public val orders: RunnerOrders,
+    public val clock: MonotonicClock,
+    public val events: EventLog,
+    public val authority: () -> OrderAuthority,
+    public val mayOrder: () -> Boolean
+)
+
+/**
+ * Orders to one runner, one after the other. Each order states how many the runner must have accepted
+ * before it, so an order without an answer that arrives late takes effect once or not at all.
+ */
+public class RunnerDesk(private val upstream: Upstream, private val context: DeskContext) {
+    private val turn = Mutex()
+    private var acceptedOrders: Long? = null
+
+    /** Sends [order] and returns whether the runner took it. */
+    public suspend fun send(order: RunnerOrder): Boolean = turn.withLock {
+        val untilMillis = context.clock.nowMillis() + SETTLE_MILLIS
+        var conflicts = 0
+        var unansweredAt: Long? = null
+        while (context.clock.nowMillis() < untilMillis && context.mayOrder()) {
+            val expected = acceptedOrders ?: report()?.acceptedOrders
+            if (expected == null) {
+                delay(PAUSE_MILLIS)
+                continue
+            }
+            acceptedOrders = expected
+            val reply = context.orders
+                .order(upstream.entry, order, context.authority(), expected, context.mayOrder)
+            context.events.write(
+                "order",
+                "upstream" to upstream.entry.id,
+                "order" to order.toString(),
+                "expected" to expected,
+                "reply" to reply.toString()
+            )
+            when (reply) {
+                OrderReply.Accepted -> return settled(expected + 1)
+                OrderReply.AlreadySo -> return settled(afterAlreadySo(order, expected))
+                is OrderReply.Rejected -> return false
+                is OrderReply.Unknown -> {
+                    unansweredAt = expected
+                    delay(UNANSWERED_MILLIS)
+                }
+                OrderReply.Conflict -> {
+                    delay(PAUSE_MILLIS)
+                    if (++conflicts % CONFLICTS_BEFORE_REPORT == 0) {
+                        val seen = report()?.acceptedOrders ?: continue
+                        if (unansweredAt != null && seen > unansweredAt) return settled(seen)
+                        acceptedOrders = seen
+                    }
+                }
+            }
+        }
+        acceptedOrders = null
+        return false
+    }
+
+    /** Returns the runner's report, or null when it does not answer. */
+    public suspend fun report(): RunnerReport? = context.orders.report(upstream.entry)
+
+    private fun settled(accepted: Long): Boolean {
+        acceptedOrders = accepted
+        return true
+    }
+
+    /** Dropping an adapter takes effect at once and counts; what held already does not. */
+    private fun afterAlreadySo(order: RunnerOrder, expected: Long): Long = when (order) {
+        is RunnerOrder.UnloadAdapter -> expected + 1
+        is RunnerOrder.Load, is RunnerOrder.LoadAdapter, is RunnerOrder.Unload -> expected
+    }
+
+    private companion object {
+        /** An order without an answer is carried out within 12 s, by the engines' contract. */
+        const val SETTLE_MILLIS = 14_000L
+        const val PAUSE_MILLIS = 60L
+        const val UNANSWERED_MILLIS = 300L
+        const val CONFLICTS_BEFORE_REPORT = 4
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -0,0 +1,123 @@
+package cactusfold.entry.upstream
+
+import cactusfold.decisions.routing.ReplicaView
+import cactusfold.ports.serving.ReportedLoad
+import cactusfold.ports.serving.UpstreamEntry
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.toImmutableMap
+
+/** An upstream as this process knows it: its own announcement, corrected by what was seen since. */
+public class Upstream(entry: UpstreamEntry) {
+    /** What the upstream announced last. */
+    public var entry: UpstreamEntry = entry
+        private set
+
+    /** Models in memory, with the adapters loaded for each. */
+    public var adaptersByModel: ImmutableMap<String, ImmutableSet<String>> = entry.adaptersByModel
+        private set
+
+    /** When the holdings were last told by the coordinator, which is newer than announcements. */
+    private var heldSinceMillis: Long = Long.MIN_VALUE / 2
+
+    private val inFlightByModel = HashMap<String, Int>()
+    private var latencyMillis = 0.0
+    private var asideUntilMillis = 0L
+    private var failures = 0
+    private var load: ReportedLoad? = null
+
+    /** Requests of this process that run there. */
+    public var inFlight: Int = 0
+        private set
+
+    /** Requests of this process that run there, by model. */
+    public val inFlightOf: Map<String, Int> get() = inFlightByModel
+
+    /** Takes over a newer announcement. */
+    public fun announced(next: UpstreamEntry, nowMillis: Long) {
+        entry = next
+        if (nowMillis - heldSinceMillis >= ANNOUNCEMENT_LAG_MILLIS) {
+            adaptersByModel = next.adaptersByModel
+        }
+    }
+
+    /** Takes over what the coordinator knows the upstream to hold. */
+    public fun holds(models: ImmutableMap<String, ImmutableSet<String>>, nowMillis: Long) {
+        adaptersByModel = models
+        heldSinceMillis = nowMillis
+    }
+
+    /** Takes note that the upstream answered not to hold [model], or not its [adapter]. */
+    public fun lacks(model: String, adapter: String?, nowMillis: Long) {
+        val adapters = adaptersByModel[model] ?: return
+        val left = adaptersByModel.toMutableMap()
+        if (adapter != null && adapter in adapters) {
+            left[model] = kotlinx.collections.immutable.persistentSetOf<String>()
+                .addAll(adapters - adapter)
+        } else {
+            left.remove(model)
+        }
+        holds(left.toImmutableMap(), nowMillis)
+    }
+
+    /** Returns whether [model] is in memory, with [adapter] if one is given. */
+    public fun serves(model: String?, adapter: String?): Boolean {
+        if (model == null) return true
+        val adapters = adaptersByModel[model] ?: return false
+        return adapter == null || adapter in adapters
+    }
+
+    /** Books a request that is sent there. */
+    public fun began(model: String?) {
+        inFlight++
+        if (model != null) inFlightByModel.merge(model, 1, Int::plus)
+    }
+
+    /** Books that a request has ended. */
+    public fun ended(model: String?) {
+        inFlight--
+        if (model == null) return
+        val left = (inFlightByModel[model] ?: 1) - 1
+        if (left > 0) inFlightByModel[model] = left else inFlightByModel.remove(model)
+    }
+
+    /** Books an answer that began after [firstByteMillis]. */
+    public fun answered(firstByteMillis: Long, reported: ReportedLoad?) {
+        failures = 0
+        latencyMillis += (firstByteMillis - latencyMillis) * LATENCY_WEIGHT
+        if (reported != null) load = reported
+    }
+
+    /** Puts the upstream aside after a failure, longer with each in a row. */
+    public fun failed(nowMillis: Long) {
+        val asideMillis = FAILED_MILLIS shl failures.coerceAtMost(MAX_DOUBLINGS)
+        failures++
+        asideUntilMillis = maxOf(asideUntilMillis, nowMillis + asideMillis)
+    }
+
+    /** Puts the upstream aside for a moment: it is full. */
+    public fun full(nowMillis: Long) {
+        asideUntilMillis = maxOf(asideUntilMillis, nowMillis + FULL_MILLIS)
+    }
+
+    /** Returns the upstream for the choice among several. */
+    public fun view(): ReplicaView = ReplicaView(
+        upstream = entry.id,
+        zone = entry.zone,
+        slots = entry.slots,
+        reportedRunning = load?.running ?: 0,
+        reportedWaiting = load?.waiting ?: 0,
+        inFlight = inFlight,
+        latencyMillis = latencyMillis,
+        asideUntilMillis = asideUntilMillis
+    )
+
+    private companion object {
+        /** How long an announcement may lag behind the coordinator: one interval and one poll. */
+        const val ANNOUNCEMENT_LAG_MILLIS = 3_000L
+        const val LATENCY_WEIGHT = 0.2
+        const val FAILED_MILLIS = 250L
+        const val MAX_DOUBLINGS = 4
+        const val FULL_MILLIS = 40L
+    }
+}
--- a/node/src/main/kotlin/cactusfold/node/config/ConfigKeeper.kt
+++ b/node/src/main/kotlin/cactusfold/node/config/ConfigKeeper.kt
@@ -16,10 +16,10 @@
 import cactusfold.node.state.Guarded
 import cactusfold.node.time.MonotonicClock
 import cactusfold.node.time.TimerService
-import cactusfold.platform.table.ReadResult
-import cactusfold.platform.table.RowWrite
-import cactusfold.platform.table.TableStore
-import cactusfold.platform.table.WriteResult
+import cactusfold.ports.table.ReadResult
+import cactusfold.ports.table.RowWrite
+import cactusfold.ports.table.TableStore
+import cactusfold.ports.table.WriteResult
 import cactusfold.protocol.ConfigEntries
 import cactusfold.protocol.ConfigEntry as ConfigEntryMessage
 import cactusfold.protocol.ConfigPosition
@@ -202,7 +202,7 @@
         )
         val row = RowWrite.Insert(Rows.config(entry.version), entry.toMessage().toByteString())
         return when (val result = table.write(listOf(row))) {
-            WriteResult.Written -> accepted(entry)
+            is WriteResult.Written -> accepted(entry)
             is WriteResult.Conflict -> resolve(entry)
             is WriteResult.NotWritten -> SubmitResult.Unavailable(result.reason, false)
             is WriteResult.Unknown -> resolve(entry)
--- /dev/null
+++ b/node/src/main/kotlin/cactusfold/node/http/PieceQueue.kt
@@ -0,0 +1,25 @@
+package cactusfold.node.http
+
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientResponse
+import kotlinx.coroutines.CompletableDeferred
+
+/** Hands out the pieces of a response one at a time; the response is paused meanwhile. */
+public class PieceQueue(private val response: HttpClientResponse) {
+    private var next = CompletableDeferred<Buffer?>()
+
+    init {
+        response.pause()
+        response.handler { next.complete(it) }
+        response.endHandler { next.complete(null) }
+        response.exceptionHandler { next.completeExceptionally(it) }
+    }
+
+    /** Returns the next piece, or null at the end; throws when the response breaks off. */
+    public suspend fun next(): Buffer? {
+        response.fetch(1)
+        val piece = next.await()
+        if (piece != null) next = CompletableDeferred()
+        return piece
+    }
+}
--- a/node/src/main/kotlin/cactusfold/node/peer/PeerClients.kt
+++ b/node/src/main/kotlin/cactusfold/node/peer/PeerClients.kt
@@ -60,7 +60,8 @@
     private fun describe(status: Status): String =
         listOfNotNull(status.code.name, status.description).joinToString(": ")
 
-    private fun channel(address: HostPort): ManagedChannel = channels.computeIfAbsent(address) {
+    /** Returns the channel to [address], made when first used. */
+    public fun channel(address: HostPort): ManagedChannel = channels.computeIfAbsent(address) {
         NettyChannelBuilder.forAddress(InetSocketAddress(it.host, it.port))
             .usePlaintext()
             .intercept(traffic)
--- a/node/src/main/kotlin/cactusfold/node/rows/Rows.kt
+++ b/node/src/main/kotlin/cactusfold/node/rows/Rows.kt
@@ -5,7 +5,7 @@
 import cactusfold.decisions.placement.Order
 import cactusfold.decisions.placement.OrderKind
 import cactusfold.decisions.placement.OrderPhase
-import cactusfold.platform.table.RowKey
+import cactusfold.ports.table.RowKey
 import cactusfold.protocol.ConfigEntry as ConfigEntryMessage
 import cactusfold.protocol.ConfigSection
 import cactusfold.protocol.StoredIntent
--- a/node/src/main/kotlin/cactusfold/node/session/SessionKeeper.kt
+++ b/node/src/main/kotlin/cactusfold/node/session/SessionKeeper.kt
@@ -14,11 +14,11 @@
 import cactusfold.node.state.Guarded
 import cactusfold.node.time.MonotonicClock
 import cactusfold.node.time.TimerService
-import cactusfold.platform.table.ReadResult
-import cactusfold.platform.table.Row
-import cactusfold.platform.table.RowWrite
-import cactusfold.platform.table.TableStore
-import cactusfold.platform.table.WriteResult
+import cactusfold.ports.table.ReadResult
+import cactusfold.ports.table.Row
+import cactusfold.ports.table.RowWrite
+import cactusfold.ports.table.TableStore
+import cactusfold.ports.table.WriteResult
 import cactusfold.protocol.StoredSession
 import cactusfold.protocol.StoredShard
 import cactusfold.settings.schema.HostPort
@@ -228,7 +228,7 @@
             RowWrite.Replace(key, counter - 1, value)
         }
         when (table.write(listOf(write))) {
-            WriteResult.Written -> {
+            is WriteResult.Written -> {
                 if (registeredAtMillis == null) registeredAtMillis = clock.nowMillis()
                 apply(LeaseEvent.Renewed(sentAtMillis, counter))
             }
@@ -270,7 +270,7 @@
             RowWrite.Replace(key, effect.expectedFence, row)
         }
         when (table.write(listOf(write))) {
-            WriteResult.Written -> apply(LeaseEvent.Took(effect.shard, effect.newFence))
+            is WriteResult.Written -> apply(LeaseEvent.Took(effect.shard, effect.newFence))
             is WriteResult.Unknown -> resolveTake(effect)
             else -> takeFailed(effect.shard)
         }
--- a/platform/src/main/kotlin/cactusfold/platform/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -1,9 +1,10 @@
-package cactusfold.platform.http
+package cactusfold.ports.http
 
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientAgent
 import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
@@ -14,12 +15,22 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** A request with a small body. */
+/** Where a call goes. */
+public data class HttpTarget(public val host: String, public val port: Int)
+
+/**
+ * A request with a small body.
+ *
+ * @property target null when it goes to the client's own address.
+ * @property timeoutMillis null when the client's own time limit holds.
+ */
 public data class HttpCall(
     public val method: String,
     public val path: String,
     public val headers: Map<String, String> = emptyMap(),
-    public val body: ByteArray = ByteArray(0)
+    public val body: ByteArray = ByteArray(0),
+    public val target: HttpTarget? = null,
+    public val timeoutMillis: Long? = null
 )
 
 /** The outcome of a call, which tells apart whether the other side can have seen it. */
@@ -43,14 +54,21 @@
     public data class NoAnswer(public val reason: String) : HttpOutcome
 }
 
-/** Sends small requests to one address, each within a time limit. */
+/** Sends small requests, mostly to one address, each within a time limit. */
 public class PlatformHttp(
     vertx: Vertx,
-    private val host: String,
-    private val port: Int,
+    private val home: HttpTarget,
     private val timeoutMillis: Long,
     poolSize: Int = DEFAULT_POOL_SIZE
 ) {
+    public constructor(
+        vertx: Vertx,
+        host: String,
+        port: Int,
+        timeoutMillis: Long,
+        poolSize: Int = DEFAULT_POOL_SIZE
+    ) : this(vertx, HttpTarget(host, port), timeoutMillis, poolSize)
+
     private val client: HttpClientAgent = vertx.createHttpClient(
         HttpClientOptions()
             .setConnectTimeout(timeoutMillis.toInt())
@@ -67,9 +85,12 @@
      */
     public suspend fun send(call: HttpCall, isStillWanted: () -> Boolean = { true }): HttpOutcome {
         var sent = false
-        val outcome = withTimeoutOrNull(timeoutMillis) {
+        var open: HttpClientRequest? = null
+        val limitMillis = call.timeoutMillis ?: timeoutMillis
+        val outcome = withTimeoutOrNull(limitMillis) {
             try {
                 val request = client.request(optionsOf(call)).coAwait()
+                open = request
                 if (!isStillWanted()) {
                     request.reset()
                     return@withTimeoutOrNull HttpOutcome.NotSent("not wanted any more")
@@ -87,7 +108,10 @@
                 failure(sent, e.message ?: e.javaClass.simpleName)
             }
         }
-        return outcome ?: failure(sent, "no answer within $timeoutMillis ms")
+        if (outcome != null) return outcome
+        // A late answer must not be taken for that of the connection's next call.
+        open?.reset()
+        return failure(sent, "no answer within $limitMillis ms")
     }
 
     /** Closes the connections. */
@@ -99,10 +123,11 @@
         if (sent) HttpOutcome.NoAnswer(reason) else HttpOutcome.NotSent(reason)
 
     private fun optionsOf(call: HttpCall): RequestOptions {
+        val target = call.target ?: home
         val options = RequestOptions()
             .setMethod(HttpMethod.valueOf(call.method))
-            .setHost(host)
-            .setPort(port)
+            .setHost(target.host)
+            .setPort(target.port)
             .setURI(call.path)
         call.headers.forEach { (name, value) -> options.putHeader(name, value) }
         return options
--- a/platform/src/main/kotlin/cactusfold/platform/objects/ObjectStore.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/objects/ObjectStore.kt
@@ -1,8 +1,8 @@
-package cactusfold.platform.objects
+package cactusfold.ports.objects
 
-import cactusfold.platform.http.HttpCall
-import cactusfold.platform.http.HttpOutcome
-import cactusfold.platform.http.PlatformHttp
+import cactusfold.ports.http.HttpCall
+import cactusfold.ports.http.HttpOutcome
+import cactusfold.ports.http.PlatformHttp
 
 /** The outcome of reading an object. */
 public sealed interface ObjectResult {
--- a/platform/src/main/kotlin/cactusfold/platform/runner/RunnerControl.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/runner/RunnerControl.kt
@@ -1,13 +1,13 @@
-package cactusfold.platform.runner
+package cactusfold.ports.runner
 
 import cactusfold.decisions.placement.Inventory
 import cactusfold.decisions.placement.InventoryModel
 import cactusfold.decisions.placement.ModelPhase
 import cactusfold.decisions.placement.Order
 import cactusfold.decisions.placement.OrderKind
-import cactusfold.platform.http.HttpCall
-import cactusfold.platform.http.HttpOutcome
-import cactusfold.platform.http.PlatformHttp
+import cactusfold.ports.http.HttpCall
+import cactusfold.ports.http.HttpOutcome
+import cactusfold.ports.http.PlatformHttp
 import io.vertx.core.json.JsonObject
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
--- a/platform/src/main/kotlin/cactusfold/platform/table/DynamoTable.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/table/DynamoTable.kt
@@ -1,8 +1,8 @@
-package cactusfold.platform.table
+package cactusfold.ports.table
 
-import cactusfold.platform.http.HttpCall
-import cactusfold.platform.http.HttpOutcome
-import cactusfold.platform.http.PlatformHttp
+import cactusfold.ports.http.HttpCall
+import cactusfold.ports.http.HttpOutcome
+import cactusfold.ports.http.PlatformHttp
 import com.google.protobuf.ByteString
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
@@ -64,7 +64,7 @@
     }
 
     private fun written(answer: HttpOutcome.Answer): WriteResult {
-        if (answer.status == OK) return WriteResult.Written
+        if (answer.status == OK) return WriteResult.Written()
         val body = answer.json()
         val type = body?.getString("__type").orEmpty().substringAfterLast('#')
         return when {
--- a/platform/src/main/kotlin/cactusfold/platform/table/GuardedTable.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/table/GuardedTable.kt
@@ -1,4 +1,4 @@
-package cactusfold.platform.table
+package cactusfold.ports.table
 
 import cactusfold.decisions.store.BudgetState
 import cactusfold.decisions.store.CallBudget
--- a/platform/src/main/kotlin/cactusfold/platform/table/TableStore.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/table/TableStore.kt
@@ -1,4 +1,4 @@
-package cactusfold.platform.table
+package cactusfold.ports.table
 
 import com.google.protobuf.ByteString
 
@@ -44,8 +44,8 @@
 
 /** The outcome of a transaction. */
 public sealed interface WriteResult {
-    /** All of it took effect. */
-    public data object Written : WriteResult
+    /** All of it took effect; [version] is that of the rows, where the store tells it. */
+    public data class Written(public val version: Long? = null) : WriteResult
 
     /** None of it took effect: the condition of write number [index] did not hold. */
     public data class Conflict(public val index: Int) : WriteResult
--- a/platform/src/main/kotlin/cactusfold/platform/vms/VmList.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/vms/VmList.kt
@@ -1,8 +1,8 @@
-package cactusfold.platform.vms
+package cactusfold.ports.vms
 
-import cactusfold.platform.http.HttpCall
-import cactusfold.platform.http.HttpOutcome
-import cactusfold.platform.http.PlatformHttp
+import cactusfold.ports.http.HttpCall
+import cactusfold.ports.http.HttpOutcome
+import cactusfold.ports.http.PlatformHttp
 import io.vertx.core.json.JsonObject
 
 /** A VM in the platform's list, which lags. */
--- a/router/src/main/kotlin/cactusfold/router/claim/ClaimKeeper.kt
+++ b/router/src/main/kotlin/cactusfold/router/claim/ClaimKeeper.kt
@@ -12,13 +12,13 @@
 import cactusfold.node.launch.NodeCore
 import cactusfold.node.peer.PeerResult
 import cactusfold.node.rows.Rows
-import cactusfold.platform.objects.ObjectResult
-import cactusfold.platform.table.ReadResult
-import cactusfold.platform.table.Row
-import cactusfold.platform.table.RowKey
-import cactusfold.platform.table.RowWrite
-import cactusfold.platform.table.TableStore
-import cactusfold.platform.table.WriteResult
+import cactusfold.ports.objects.ObjectResult
+import cactusfold.ports.table.ReadResult
+import cactusfold.ports.table.Row
+import cactusfold.ports.table.RowKey
+import cactusfold.ports.table.RowWrite
+import cactusfold.ports.table.TableStore
+import cactusfold.ports.table.WriteResult
 import cactusfold.protocol.ClaimQuery
 import cactusfold.protocol.ClaimReply
 import cactusfold.protocol.StoredAnswer
@@ -139,7 +139,7 @@
             core.clock.nowMillis() + RETRY_MILLIS < request.deadlineMillis
 
         private suspend fun outcome(result: WriteResult): ClaimEvent = when (result) {
-            WriteResult.Written -> ClaimEvent.Inserted
+            is WriteResult.Written -> ClaimEvent.Inserted
             is WriteResult.Conflict -> onConflict()
             is WriteResult.NotWritten -> ClaimEvent.StoreDown
             is WriteResult.Unknown -> ClaimEvent.Unknown
--- a/router/src/main/kotlin/cactusfold/router/forward/UpstreamClient.kt
+++ b/router/src/main/kotlin/cactusfold/router/forward/UpstreamClient.kt
@@ -1,5 +1,6 @@
 package cactusfold.router.forward
 
+import cactusfold.node.http.PieceQueue
 import cactusfold.router.RouterSettings
 import cactusfold.router.lane.Target
 import io.vertx.core.Vertx
@@ -14,7 +15,6 @@
 import io.vertx.kotlin.coroutines.coAwait
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
 
@@ -174,25 +174,6 @@
     }
 }
 
-/** Hands out the pieces of a response one at a time; the response is paused meanwhile. */
-private class PieceQueue(private val response: HttpClientResponse) {
-    private var next = CompletableDeferred<Buffer?>()
-
-    init {
-        response.pause()
-        response.handler { next.complete(it) }
-        response.endHandler { next.complete(null) }
-        response.exceptionHandler { next.completeExceptionally(it) }
-    }
-
-    suspend fun next(): Buffer? {
-        response.fetch(1)
-        val piece = next.await()
-        if (piece != null) next = CompletableDeferred()
-        return piece
-    }
-}
-
 /** Remembers the end of an event stream, to see whether it was complete. */
 private class StreamTail {
     private var tail = ""
