Orders to runners: a ledger counts what may be loaded; tokens are taken at once

Cause: the planner counted confirmed holdings only, so adapters on their way were ordered again and beyond the adapter places; granted tokens occupied the bucket until reported, which refused requests inside their rate. Change: HoldingsLedger; BucketHolder.take; waits end with the caller's patience.

--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketHolder.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketHolder.kt
@@ -114,6 +114,26 @@
         return grant(settled, known.copy(lastSequence = ask.sequence), ask, nowMillis)
     }
 
+    /**
+     * Takes [tokens] that [router] spends at once. Unlike a grant they leave the bucket for good, so
+     * they occupy none of its capacity until they are reported.
+     */
+    public fun take(
+        state: BucketState,
+        router: String,
+        incarnation: String,
+        tokens: Long,
+        nowMillis: Long
+    ): BucketStep {
+        val current = heard(state, router, incarnation, nowMillis)
+        if (current.levelTokens < tokens) {
+            return BucketStep(current, TokenAnswer.Wait(timeUntil(current, tokens)))
+        }
+        val next = current.copy(levelTokens = current.levelTokens - tokens)
+        check(next)
+        return BucketStep(next, TokenAnswer.Granted(tokens))
+    }
+
     /**
      * Returns the bucket after [router] was heard from without an ask. A router that has asked for
      * nothing yet gets into contact too, so that no reserve is set aside for it.
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -30,18 +30,23 @@
 /**
  * A runner as its holder knows it.
  *
- * @property adaptersByModel what is in memory.
+ * @property served models and adapters that requests can be sent for.
+ * @property adaptersByModel what takes memory or may do so, orders on their way included.
  * @property loading the model that an order on its way will add; its memory is taken already.
- * @property isBusy whether an order for a model is on its way.
+ * @property loadedAtMillis when that load should be done.
+ * @property isBusy whether no order for a model may be sent: one is on its way, or the last failed.
+ * @property adapterOrders adapters on their way.
  * @property inFlight requests that run there, by model.
  * @property lastUsedMillis when each model in memory was last used.
  */
 public data class RunnerState(
     public val id: String,
+    public val served: ImmutableMap<String, ImmutableSet<String>>,
     public val adaptersByModel: ImmutableMap<String, ImmutableSet<String>>,
     public val modelsInHostMemory: ImmutableSet<String>,
     public val modelsOnDisk: ImmutableSet<String>,
     public val loading: String?,
+    public val loadedAtMillis: Long,
     public val loadsFromStore: Boolean,
     public val isBusy: Boolean,
     public val adapterOrders: Int,
@@ -55,7 +60,6 @@
  * @property waiting requests that no runner can take now.
  * @property targetAtMillis the earliest moment at which one of them should have been answered.
  * @property limitAtMillis the last moment at which an answer is of use to any of them.
- * @property arrivalsPerSecond of the model, smoothed.
  */
 public data class ModelDemand(
     public val model: String,
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -46,12 +46,12 @@
     private val wanted = view.demands.mapTo(mutableSetOf()) { it.model }
     private var storeLoads = view.runners.count { it.loadsFromStore }
     private var storeStarts = view.storeLoadsAllowed
-    private val replicas = view.runners.flatMap { it.adaptersByModel.keys }.groupingBy { it }
+    private val replicas = view.runners.flatMap { it.served.keys }.groupingBy { it }
         .eachCount().toMutableMap()
 
     fun run(): ResidencyPlan {
         val (present, absent) = view.demands.filter { it.waiting > 0 }
-            .partition { demand -> view.runners.any { demand.model in it.adaptersByModel } }
+            .partition { demand -> view.runners.any { demand.model in it.served } }
         present.filter { it.adapter != null }.forEach(::placeAdapter)
         loadAbsent(absent)
         addReplicas()
@@ -59,9 +59,15 @@
     }
 
     private fun loadAbsent(absent: List<ModelDemand>) {
-        val loading = view.runners.mapNotNullTo(mutableSetOf()) { it.loading }
-        val merged = absent.groupBy { it.model }.filterKeys { it !in loading }
-            .map { (_, demands) -> merge(demands) }
+        val loading = view.runners.filter { it.loading != null }
+            .associate { it.loading!! to it.loadedAtMillis }
+        val all = absent.groupBy { it.model }.map { (_, demands) -> merge(demands) }
+        val (underWay, merged) = all.partition { it.model in loading }
+        for (demand in underWay) {
+            val loadedAt = loading.getValue(demand.model)
+            if (loadedAt > demand.limitAtMillis) hopeless += demand.model
+            readyAt[demand.model] = loadedAt
+        }
         val ordered = merged.sortedWith(
             compareByDescending<ModelDemand> { canMeetTarget(it) }
                 .thenByDescending { it.waiting / soonestMillis(it.model).toDouble() }
@@ -148,7 +154,7 @@
         val evicted = mutableListOf<String>()
         val removable = runner.adaptersByModel.keys
             .filter { it !in wanted && (runner.inFlight[it] ?: 0) == 0 }
-            .sortedWith(compareBy({ lossOf(runner, it) }, { runner.lastUsedMillis[it] ?: 0 }))
+            .sortedWith(compareBy({ lossOf(runner, it) }, { runner.lastUsedMillis[it] ?: 0L }))
         for (model in removable) {
             evicted += model
             free += heldMegabytes(runner, model)
@@ -159,9 +165,9 @@
 
     private fun usedMegabytes(runner: RunnerState): Double {
         val held = runner.adaptersByModel.keys.sumOf { heldMegabytes(runner, it) }
-        val coming = runner.loading?.let { bounds.models[it]?.weightMegabytes } ?: 0.0
-        val adapters = runner.adapterOrders * (bounds.models.values.maxOfOrNull { it.adapterMegabytes } ?: 0.0)
-        return held + coming + adapters
+        val coming = runner.loading?.takeIf { it !in runner.adaptersByModel }
+            ?.let { bounds.models[it]?.weightMegabytes } ?: 0.0
+        return held + coming
     }
 
     /** A model that the configuration does not name any more is taken to fill the runner. */
@@ -198,9 +204,11 @@
 
     private fun placeAdapter(demand: ModelDemand) {
         val adapter = demand.adapter ?: return
-        val holders = view.runners.filter { demand.model in it.adaptersByModel }
-        if (holders.any { adapter in it.adaptersByModel.getValue(demand.model) }) return
-        val usable = holders.filter { it.adapterOrders < MAX_ADAPTER_ORDERS && it.loading == null }
+        val holders = view.runners.filter { demand.model in it.served }
+        if (holders.any { adapter in it.served.getValue(demand.model) || isOnItsWay(it, demand) }) {
+            return
+        }
+        val usable = holders.filter { it.adapterOrders < MAX_ADAPTER_ORDERS && !it.isBusy }
         val runner = usable.minWithOrNull(
             compareBy<RunnerState> { if (freeAdapterSlots(it) > 0) 0 else 1 }
                 .thenBy { it.inFlight.values.sum() }
@@ -209,14 +217,17 @@
         steps += Residency.LoadAdapter(runner.id, demand.model, adapter, evicted)
     }
 
+    private fun isOnItsWay(runner: RunnerState, demand: ModelDemand): Boolean =
+        runner.adapterOrders > 0 && demand.adapter in runner.adaptersByModel[demand.model].orEmpty()
+
     private fun freeAdapterSlots(runner: RunnerState): Int =
-        bounds.adapterSlots - runner.adaptersByModel.values.sumOf { it.size } - runner.adapterOrders
+        bounds.adapterSlots - runner.adaptersByModel.values.sumOf { it.size }
 
     private fun idleAdapter(runner: RunnerState): Pair<String, String>? {
         val used = view.adaptersInUse[runner.id].orEmpty()
         return runner.adaptersByModel.flatMap { (model, adapters) -> adapters.map { model to it } }
             .filter { it !in used }
-            .minByOrNull { runner.lastUsedMillis[it.first] ?: 0 }
+            .minByOrNull { runner.lastUsedMillis[it.first] ?: 0L }
     }
 
     /** Adds a copy of each model whose runners are more than half full. */
@@ -228,7 +239,7 @@
             .maxByOrNull(::loadPerReplica) ?: return
         val demand = ModelDemand(busiest, null, 1, nowMillis, Long.MAX_VALUE)
         wanted += busiest
-        val runners = view.runners.filter { busiest !in it.adaptersByModel }
+        val runners = view.runners.filter { busiest !in it.served }
         val candidate = runners.mapNotNull { candidateOn(it, demand) }
             .minWithOrNull(compareBy({ it.evictionCost }, { it.loadMillis })) ?: return
         take(candidate)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -131,7 +131,9 @@
             val candidates = parts.directory.serving(service, model, adapter)
             if (candidates.isEmpty() && model != null) {
                 val targetAt = request.arrivedAtMillis + route.targetMillis
-                val wait = parts.waits.await(service, model, adapter, targetAt, limitAt)
+                val patientUntil = route.patienceMillis?.let { request.arrivedAtMillis + it }
+                val usefulUntil = minOf(limitAt, patientUntil ?: limitAt) - FIRST_PIECE_MILLIS
+                val wait = parts.waits.await(service, model, adapter, targetAt, usefulUntil)
                 if (wait is ModelWait.Refused) return refused("model-not-in-time", wait.retryAfterMillis)
                 continue
             }
@@ -274,6 +276,9 @@
 
         /** Share of the latency target that a request waits for tokens or a free upstream. */
         const val PATIENCE_DIVISOR = 2
+
+        /** Kept back from a caller's patience for the first piece, from the engines' prefill. */
+        const val FIRST_PIECE_MILLIS = 150L
         const val FULL_MILLIS = 10L
         const val FULL_RETRY_MILLIS = 200L
         const val START_MILLIS = 500L
--- a/entry/src/main/kotlin/cactusfold/entry/rate/Allowances.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/Allowances.kt
@@ -55,15 +55,17 @@
         val limit = RateLimit(rate, workspace.burst)
         var wanted: Admission = Admission.Unknown
         do {
-            val needed = trySpend(workspace.name, limit, tokens) ?: return Admission.Admitted
-            val sentAtMillis = clock.nowMillis()
-            val grant = ask(requestOf(workspace.name, needed, tokens))
+            if (trySpend(workspace.name, limit, tokens)) return Admission.Admitted
+            val grant = ask(requestOf(workspace.name, tokens))
             if (grant == null) {
                 delay(RETRY_MILLIS)
                 continue
             }
             when (grant.outcome) {
-                TokenGrant.Outcome.GRANTED -> granted(workspace.name, grant.grantedTokens, sentAtMillis)
+                TokenGrant.Outcome.GRANTED -> {
+                    contacted(workspace.name)
+                    return Admission.Admitted
+                }
                 TokenGrant.Outcome.WAIT -> {
                     contacted(workspace.name)
                     if (clock.nowMillis() + grant.retryAfterMillis > untilMillis) {
@@ -75,19 +77,19 @@
                 else -> delay(RETRY_MILLIS)
             }
         } while (clock.nowMillis() < untilMillis)
-        return if (trySpend(workspace.name, limit, tokens) == null) Admission.Admitted else wanted
+        return if (trySpend(workspace.name, limit, tokens)) Admission.Admitted else wanted
     }
 
-    /** Spends [tokens] and returns null, or returns how many are lacking. */
-    private fun trySpend(workspace: String, limit: RateLimit, tokens: Long): Long? {
+    /** Spends [tokens] of this process's reserve, and returns whether they were there. */
+    private fun trySpend(workspace: String, limit: RateLimit, tokens: Long): Boolean {
         sizeReserve()
         val before = states[workspace]?.let { if (it.limit == limit) it else it.copy(limit = limit) }
             ?: spender.start(limit, registeredAtMillis + REGISTRATION_MILLIS)
         val step = spender.spend(before, tokens, clock.nowMillis(), isRegistered)
         states[workspace] = step.state
-        return when (val outcome = step.outcome) {
-            Spend.Admitted -> null
-            is Spend.Ask -> outcome.tokens
+        return when (step.outcome) {
+            Spend.Admitted -> true
+            is Spend.Ask -> false
         }
     }
 
@@ -98,26 +100,12 @@
         spender = AllowanceSpender(settings)
     }
 
-    private fun requestOf(workspace: String, needed: Long, tokens: Long): TokenRequest {
-        val state = states.getValue(workspace)
-        val next = state.copy(sequence = state.sequence + 1)
-        states[workspace] = next
-        return TokenRequest.newBuilder()
-            .setWorkspace(workspace)
-            .setRouter(member)
-            .setRouterIncarnation(boot)
-            .setSequence(next.sequence)
-            .setNeededTokens(needed)
-            .setPrefetchTokens(tokens * PREFETCH_REQUESTS)
-            .setSpentTokens(next.spentTokens)
-            .setReturnedTokens(next.returnedTokens)
-            .build()
-    }
-
-    private fun granted(workspace: String, tokens: Long, sentAtMillis: Long) {
-        val state = states.getValue(workspace)
-        states[workspace] = spender.granted(state, tokens, sentAtMillis, clock.nowMillis())
-    }
+    private fun requestOf(workspace: String, tokens: Long): TokenRequest = TokenRequest.newBuilder()
+        .setWorkspace(workspace)
+        .setRouter(member)
+        .setRouterIncarnation(boot)
+        .setNeededTokens(tokens)
+        .build()
 
     private fun contacted(workspace: String) {
         states[workspace] = spender.contacted(states.getValue(workspace), clock.nowMillis())
@@ -126,9 +114,6 @@
     private companion object {
         const val MIN_SLOTS = 4
 
-        /** Requests whose tokens are asked for ahead, to save a call for each. */
-        const val PREFETCH_REQUESTS = 2
-
         /** From then on every coordinator's list of members names this process. */
         const val REGISTRATION_MILLIS = 8_000L
         const val RETRY_MILLIS = 50L
--- a/entry/src/main/kotlin/cactusfold/entry/rate/FleetRates.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/FleetRates.kt
@@ -6,7 +6,6 @@
 import cactusfold.decisions.rate.RateLimit
 import cactusfold.decisions.rate.RouterRegistry
 import cactusfold.decisions.rate.TokenAnswer
-import cactusfold.decisions.rate.TokenAsk
 import cactusfold.entry.config.RouteTable
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.TokenGrant
@@ -58,16 +57,13 @@
     public fun ask(request: TokenRequest): TokenGrant {
         val bucket = bucketOf(request.workspace)
             ?: return TokenGrant.newBuilder().setOutcome(TokenGrant.Outcome.NOT_HOLDER).build()
-        val ask = TokenAsk(
+        val step = holder.take(
+            bucket,
             request.router,
             request.routerIncarnation,
-            request.sequence,
             request.neededTokens,
-            request.prefetchTokens,
-            request.spentTokens,
-            request.returnedTokens
+            clock.nowMillis()
         )
-        val step = holder.ask(bucket, ask, clock.nowMillis())
         buckets[request.workspace] = step.state
         val grant = TokenGrant.newBuilder().setValidMillis(settings.grantValidMillis)
             .setContactMillis(settings.contactMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.residency.HoldingsLedger
 import cactusfold.decisions.residency.ModelCost
 import cactusfold.decisions.residency.Residency
 import cactusfold.decisions.residency.ResidencyPlan
@@ -19,6 +20,7 @@
 import cactusfold.protocol.entry.Forecast
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.coroutines.CoroutineScope
@@ -41,12 +43,17 @@
 ) {
     private class RunnerWork(val upstream: Upstream, context: DeskContext) {
         val desk = RunnerDesk(upstream, context)
+        var ledger = HoldingsLedger()
         var load: Residency.Load? = null
+        var loadedAtMillis = 0L
+        var restsUntilMillis = 0L
         var adapterOrders = 0
         val lastUsedMillis = HashMap<String, Long>()
         val adapterUsedMillis = HashMap<Pair<String, String>, Long>()
-        var inHostMemory: ImmutableSet<String>? = null
-        var onDisk: ImmutableSet<String>? = null
+        var report: RunnerReport? = null
+        var reportedAtMillis = Long.MIN_VALUE / 2
+
+        val isIdle: Boolean get() = load == null && adapterOrders == 0
     }
 
     private val planner = ResidencyPlanner()
@@ -96,15 +103,21 @@
     private fun stateOf(upstream: Upstream, inFlight: Map<String, Int>, nowMillis: Long): RunnerState {
         val work = workOf(upstream)
         inFlight.keys.forEach { work.lastUsedMillis[it] = nowMillis }
+        // What is announced may be as old as an interval of announcements and a poll.
+        work.ledger = work.ledger
+            .said(upstream.adaptersByModel, nowMillis - ANNOUNCEMENT_LAG_MILLIS)
         val load = work.load
+        val report = work.report?.takeIf { nowMillis - work.reportedAtMillis < ANNOUNCEMENT_LAG_MILLIS }
         return RunnerState(
             id = upstream.entry.id,
-            adaptersByModel = upstream.adaptersByModel,
-            modelsInHostMemory = work.inHostMemory ?: upstream.entry.modelsInHostMemory,
-            modelsOnDisk = work.onDisk ?: upstream.entry.modelsOnDisk,
+            served = upstream.adaptersByModel,
+            adaptersByModel = work.ledger.adaptersByModel,
+            modelsInHostMemory = report?.modelsInHostMemory ?: upstream.entry.modelsInHostMemory,
+            modelsOnDisk = report?.modelsOnDisk ?: upstream.entry.modelsOnDisk,
             loading = load?.model,
+            loadedAtMillis = work.loadedAtMillis,
             loadsFromStore = load?.source == WeightSource.STORE,
-            isBusy = load != null,
+            isBusy = load != null || nowMillis < work.restsUntilMillis,
             adapterOrders = work.adapterOrders,
             inFlight = inFlight.toImmutableMap(),
             lastUsedMillis = work.lastUsedMillis.toImmutableMap()
@@ -136,11 +149,13 @@
             when (step) {
                 is Residency.Load -> {
                     work.load = step
+                    work.loadedAtMillis = nowMillis + step.loadMillis
                     if (step.source == WeightSource.STORE) storeLoadsAtMillis.addLast(nowMillis)
                     scope.launch(jobs) { load(work, step) }
                 }
                 is Residency.LoadAdapter -> {
                     work.adapterOrders++
+                    work.ledger = work.ledger.loadingAdapter(step.model, step.adapter, nowMillis)
                     scope.launch(jobs) { loadAdapter(work, step) }
                 }
             }
@@ -153,28 +168,50 @@
 
     private suspend fun load(work: RunnerWork, step: Residency.Load) {
         val began = clock.nowMillis()
+        var isLoaded = false
         try {
-            val isLoaded = makeRoom(work, step.evicted) &&
-                work.desk.send(RunnerOrder.Load(step.model)) &&
+            isLoaded = makeRoom(work, step.evicted) && order(work, RunnerOrder.Load(step.model)) &&
                 awaitModel(work, step)
             events.write(
                 if (isLoaded) "model-loaded" else "model-load-failed",
                 "model" to step.model,
                 "upstream" to step.runner,
                 "source" to step.source.name,
+                "evicted" to step.evicted.joinToString(),
                 "expected_ms" to step.loadMillis,
                 "took_ms" to clock.nowMillis() - began
             )
         } finally {
             work.load = null
             work.lastUsedMillis[step.model] = clock.nowMillis()
+            if (!isLoaded) work.restsUntilMillis = clock.nowMillis() + REST_MILLIS
         }
     }
 
+    /** Books [order] in the runner's account before it is sent, and what it frees afterwards. */
+    private suspend fun order(work: RunnerWork, order: RunnerOrder): Boolean {
+        val before = clock.nowMillis()
+        work.ledger = when (order) {
+            is RunnerOrder.Load -> work.ledger.loading(order.model, before)
+            is RunnerOrder.LoadAdapter ->
+                work.ledger.loadingAdapter(order.model, order.adapter, before)
+            is RunnerOrder.Unload, is RunnerOrder.UnloadAdapter -> work.ledger
+        }
+        if (!work.desk.send(order)) return false
+        val after = clock.nowMillis()
+        work.ledger = when (order) {
+            is RunnerOrder.Unload -> work.ledger.unloaded(order.model, after)
+            is RunnerOrder.UnloadAdapter ->
+                work.ledger.unloadedAdapter(order.model, order.adapter, after)
+            is RunnerOrder.Load, is RunnerOrder.LoadAdapter -> work.ledger.copy(changedAtMillis = after)
+        }
+        return true
+    }
+
     private suspend fun makeRoom(work: RunnerWork, models: List<String>): Boolean {
         for (model in models) {
             hold(work, (work.upstream.adaptersByModel - model).toImmutableMap())
-            if (!work.desk.send(RunnerOrder.Unload(model))) return false
+            if (!order(work, RunnerOrder.Unload(model))) return false
         }
         return true
     }
@@ -194,19 +231,23 @@
     }
 
     private fun reported(work: RunnerWork, report: RunnerReport) {
-        work.inHostMemory = report.modelsInHostMemory
-        work.onDisk = report.modelsOnDisk
-        hold(work, report.adaptersByModel)
+        work.report = report
+        work.reportedAtMillis = clock.nowMillis()
+        val model = work.load?.model ?: return
+        hold(work, (work.upstream.adaptersByModel + (model to persistentSetOf())).toImmutableMap())
     }
 
     private suspend fun loadAdapter(work: RunnerWork, step: Residency.LoadAdapter) {
         try {
             step.evicted?.let { (model, adapter) ->
                 holdAdapters(work, model) { it - adapter }
-                if (!work.desk.send(RunnerOrder.UnloadAdapter(model, adapter))) return
+                if (!order(work, RunnerOrder.UnloadAdapter(model, adapter))) return
             }
             work.adapterUsedMillis[step.model to step.adapter] = clock.nowMillis()
-            if (!work.desk.send(RunnerOrder.LoadAdapter(step.model, step.adapter))) return
+            if (!order(work, RunnerOrder.LoadAdapter(step.model, step.adapter))) {
+                work.restsUntilMillis = clock.nowMillis() + REST_MILLIS
+                return
+            }
             delay(ADAPTER_MILLIS)
             holdAdapters(work, step.model) { it + step.adapter }
         } finally {
@@ -260,6 +301,12 @@
         const val ADAPTER_MILLIS = 40L
         const val ADAPTER_USE_MILLIS = 3_000L
 
+        /** Announcements' interval, their way into the store, and one poll, with room to spare. */
+        const val ANNOUNCEMENT_LAG_MILLIS = 4_000L
+
+        /** How long a runner that did not take an order gets no other. */
+        const val REST_MILLIS = 1_000L
+
         /** When a caller whose model could not be loaded in time may try again. */
         const val RETRY_MILLIS = 1_000L
     }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaits.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaits.kt
@@ -5,6 +5,7 @@
 import cactusfold.protocol.entry.Demand
 import cactusfold.protocol.entry.Forecast
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** How the wait for a model ended. */
 public sealed interface ModelWait {
@@ -58,7 +59,8 @@
         waiting += one
         wake()
         try {
-            return one.end.await()
+            val leftMillis = limitAtMillis - clock.nowMillis()
+            return withTimeoutOrNull(leftMillis) { one.end.await() } ?: ModelWait.Refused(LATE_RETRY_MILLIS)
         } finally {
             waiting -= one
         }
@@ -89,6 +91,11 @@
         return demands + counts
     }
 
+    private companion object {
+        /** When a request that has waited in vain may come again. */
+        const val LATE_RETRY_MILLIS = 500L
+    }
+
     private fun release() {
         if (waiting.isEmpty()) return
         waiting.filter { directory.serving(it.service, it.model, it.adapter).isNotEmpty() }
--- a/ports/src/main/kotlin/cactusfold/ports/serving/ServingConfig.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/ServingConfig.kt
@@ -26,6 +26,8 @@
  *
  * @property timeoutMillis the longest time that a caller is kept waiting.
  * @property targetMillis how soon an answer should begin.
+ * @property patienceMillis how long a caller waits for the first or next piece of an answer; null
+ *   when it waits as long as it says.
  * @property maxRuns upstreams that may run one request.
  * @property rank urgency; 0 is the most urgent.
  */
@@ -37,6 +39,7 @@
     public val services: ImmutableList<ServiceShare>,
     public val timeoutMillis: Long,
     public val targetMillis: Long,
+    public val patienceMillis: Long?,
     public val maxRuns: Int,
     public val rank: Int,
     public val needsNoKey: Boolean
