Runners are learnt before the first order; adapters in use stay

Change: no order before a report was read under this lease; a count of accepted orders that this desk did not cause makes the runner unknown again; the least recently used idle adapter makes way; a model short of adapter places gets a copy. Ruled out: more adapters on their way to one runner at once (each decision has to see the one before).

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -8,6 +8,7 @@
     public val name: String,
     public val weightMegabytes: Double,
     public val adapterMegabytes: Double,
+    public val adapters: Int,
     public val storeLoadMillis: Long,
     public val diskLoadMillis: Long,
     public val memoryLoadMillis: Long
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -4,14 +4,15 @@
  * What the planner sees of one service at one moment.
  *
  * @property arrivalsPerSecond by model, smoothed.
- * @property adaptersInUse adapters with running or recent requests, as model to adapter, by runner.
+ * @property adapterUsedMillis when each adapter, as model and adapter, was last used, by runner.
+ * @property storeLoadsAllowed loads from the weight store that may begin now.
  */
 public data class ResidencyView(
     public val bounds: RunnerBounds,
     public val runners: List<RunnerState>,
     public val demands: List<ModelDemand>,
     public val arrivalsPerSecond: Map<String, Double>,
-    public val adaptersInUse: Map<String, Set<Pair<String, String>>>,
+    public val adapterUsedMillis: Map<String, Map<Pair<String, String>, Long>>,
     public val storeLoadsAllowed: Int
 )
 
@@ -43,6 +44,7 @@
     private val hopeless = mutableListOf<String>()
     private val readyAt = mutableMapOf<String, Long>()
     private val taken = mutableSetOf<String>()
+    private val crowded = mutableSetOf<String>()
     private val wanted = view.demands.mapTo(mutableSetOf()) { it.model }
     private var storeLoads = view.runners.count { it.loadsFromStore }
     private var storeStarts = view.storeLoadsAllowed
@@ -112,7 +114,7 @@
 
     private fun candidateOn(runner: RunnerState, demand: ModelDemand): Candidate? {
         val cost = bounds.models[demand.model] ?: return null
-        if (runner.isBusy || runner.id in taken) return null
+        if (runner.isBusy || runner.adapterOrders > 0 || runner.id in taken) return null
         val source = sourceOn(runner, demand.model)
         if (source == WeightSource.STORE && !mayLoadFromStore()) return null
         val evicted = evictions(runner, cost.weightMegabytes) ?: return null
@@ -179,7 +181,8 @@
     /** Waiting, in milliseconds a second, that is expected from dropping [model] on [runner]. */
     private fun lossOf(runner: RunnerState, model: String): Double {
         val cost = bounds.models[model] ?: return 0.0
-        val perSecond = (view.arrivalsPerSecond[model] ?: 0.0) + UNSEEN_ARRIVALS_PER_SECOND
+        val unseen = UNSEEN_ARRIVALS_PER_SECOND * (1 + cost.adapters)
+        val perSecond = (view.arrivalsPerSecond[model] ?: 0.0) + unseen
         val others = (replicas[model] ?: 1) - 1
         if (others > 0) return perSecond * REPLICA_LOSS_MILLIS / others
         val comesBackMillis = view.runners
@@ -208,12 +211,16 @@
         if (holders.any { adapter in it.served.getValue(demand.model) || isOnItsWay(it, demand) }) {
             return
         }
-        val usable = holders.filter { it.adapterOrders < MAX_ADAPTER_ORDERS && !it.isBusy }
+        val usable = holders.filter {
+            it.adapterOrders < MAX_ADAPTER_ORDERS && !it.isBusy && it.id !in taken
+        }
         val runner = usable.minWithOrNull(
             compareBy<RunnerState> { if (freeAdapterSlots(it) > 0) 0 else 1 }
                 .thenBy { it.inFlight.values.sum() }
         ) ?: return
+        if (freeAdapterSlots(runner) <= 0) crowded += demand.model
         val evicted = if (freeAdapterSlots(runner) > 0) null else idleAdapter(runner) ?: return
+        taken += runner.id
         steps += Residency.LoadAdapter(runner.id, demand.model, adapter, evicted)
     }
 
@@ -224,23 +231,24 @@
         bounds.adapterSlots - runner.adaptersByModel.values.sumOf { it.size }
 
     private fun idleAdapter(runner: RunnerState): Pair<String, String>? {
-        val used = view.adaptersInUse[runner.id].orEmpty()
+        val used = view.adapterUsedMillis[runner.id].orEmpty()
         return runner.adaptersByModel.flatMap { (model, adapters) -> adapters.map { model to it } }
-            .filter { it !in used }
-            .minByOrNull { runner.lastUsedMillis[it.first] ?: 0L }
+            .filter { nowMillis - (used[it] ?: 0L) > ADAPTER_IDLE_MILLIS }
+            .minByOrNull { used[it] ?: 0L }
     }
 
-    /** Adds a copy of each model whose runners are more than half full. */
+    /** Adds a copy of a model whose runners are fuller than half, or short of adapter places. */
     private fun addReplicas() {
         if (view.demands.any { it.waiting > 0 && it.model !in replicas }) return
         val busiest = view.arrivalsPerSecond.keys
             .filter { (replicas[it] ?: 0) > 0 && loadPerReplica(it) > FULL_SHARE }
-            .filter { model -> view.runners.none { it.loading == model } }
-            .maxByOrNull(::loadPerReplica) ?: return
-        val demand = ModelDemand(busiest, null, 1, nowMillis, Long.MAX_VALUE)
-        wanted += busiest
-        val runners = view.runners.filter { busiest !in it.served }
-        val candidate = runners.mapNotNull { candidateOn(it, demand) }
+            .maxByOrNull(::loadPerReplica)
+        val model = busiest ?: crowded.maxByOrNull { view.arrivalsPerSecond[it] ?: 0.0 } ?: return
+        if (view.runners.any { it.loading == model }) return
+        val demand = ModelDemand(model, null, 1, nowMillis, Long.MAX_VALUE)
+        wanted += model
+        val candidate = view.runners.filter { model !in it.served }
+            .mapNotNull { candidateOn(it, demand) }
             .minWithOrNull(compareBy({ it.evictionCost }, { it.loadMillis })) ?: return
         take(candidate)
     }
@@ -251,14 +259,17 @@
     }
 
     private companion object {
-        /** Arrivals assumed of a model that was not asked for yet, a second: one in ten minutes. */
+        /** Arrivals assumed of a model or adapter not asked for lately: one in ten minutes. */
         const val UNSEEN_ARRIVALS_PER_SECOND = 1.0 / 600
 
         /** What a request loses when one of several copies goes, in milliseconds of waiting. */
         const val REPLICA_LOSS_MILLIS = 50.0
 
-        /** Adapters that may be on their way to one runner; the engines' bound. */
-        const val MAX_ADAPTER_ORDERS = 4
+        /** Adapters on their way to one runner: one, so that each decision sees the one before. */
+        const val MAX_ADAPTER_ORDERS = 1
+
+        /** An adapter that was used more recently is not dropped for another. */
+        const val ADAPTER_IDLE_MILLIS = 500L
 
         /** Share of its slots from which on a runner counts as full enough for another copy. */
         const val FULL_SHARE = 0.5
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -220,9 +220,9 @@
 
     private fun report(): MemberReport {
         val uses = directory.usable.flatMap { upstream ->
-            upstream.inFlightOf.map { (model, count) ->
-                RunnerUse.newBuilder().setRunner(upstream.entry.id).setModel(model)
-                    .setInFlight(count).build()
+            upstream.uses.map { (use, count) ->
+                RunnerUse.newBuilder().setRunner(upstream.entry.id).setModel(use.model)
+                    .setAdapter(use.adapter.orEmpty()).setInFlight(count).build()
             }
         }
         return MemberReport.newBuilder()
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -6,6 +6,7 @@
 import cactusfold.entry.rate.Allowances
 import cactusfold.entry.residency.ModelWait
 import cactusfold.entry.residency.ModelWaits
+import cactusfold.entry.upstream.ModelUse
 import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.node.time.MonotonicClock
@@ -98,7 +99,18 @@
         val patienceAt = minOf(limitAt, request.arrivedAtMillis + route.targetMillis / PATIENCE_DIVISOR)
         return when (val admission = parts.allowances.admit(workspace, costOf(workspace), patienceAt)) {
             Admission.Admitted -> null
-            is Admission.OverRate -> OwnAnswer.OverRate(admission.retryAfterMillis)
+            is Admission.OverRate -> {
+                parts.events.write(
+                    "over-rate",
+                    "request" to request.facts.id,
+                    "workspace" to workspace.name,
+                    "tokens" to costOf(workspace),
+                    "rate_per_s" to workspace.ratePerSecond,
+                    "burst" to workspace.burst,
+                    "retry_after_ms" to admission.retryAfterMillis
+                )
+                OwnAnswer.OverRate(admission.retryAfterMillis)
+            }
             Admission.Unknown -> OwnAnswer.NotRun("rate-unsure", STALE_MILLIS)
         }
     }
@@ -188,13 +200,14 @@
         sends++
         val wasUncertain = mayHaveRun
         mayHaveRun = true
-        upstream.began(facts.model)
+        val use = facts.model?.let { ModelUse(it, facts.adapter) }
+        upstream.began(use)
         try {
             val end = parts.sender.send(upstream, outgoing, reply)
             settle(upstream, end, wasUncertain)
             return end
         } finally {
-            upstream.ended(facts.model)
+            upstream.ended(use)
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -52,6 +52,12 @@
             uses.groupBy { it.model }.mapValues { (_, same) -> same.sumOf { it.inFlight } }
         }
 
+    /** Adapters that requests run with at each runner, as model and adapter. */
+    public fun adaptersInFlight(nowMillis: Long): Map<String, Set<Pair<String, String>>> =
+        current(nowMillis).flatMap { it.report.usesList }.filter { it.adapter.isNotEmpty() }
+            .groupBy { it.runner }
+            .mapValues { (_, uses) -> uses.mapTo(mutableSetOf()) { it.model to it.adapter } }
+
     private fun merge(
         model: String,
         adapter: String,
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -20,6 +20,7 @@
 import cactusfold.protocol.entry.Forecast
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.collections.immutable.toImmutableSet
@@ -44,6 +45,8 @@
     private class RunnerWork(val upstream: Upstream, context: DeskContext) {
         val desk = RunnerDesk(upstream, context)
         var ledger = HoldingsLedger()
+        var isKnown = false
+        var isLearning = false
         var load: Residency.Load? = null
         var loadedAtMillis = 0L
         var restsUntilMillis = 0L
@@ -95,7 +98,7 @@
             runners = states,
             demands = demand.demands(nowMillis).filter { it.model in engine.models },
             arrivalsPerSecond = demand.arrivalsPerSecond(nowMillis).filterKeys { it in engine.models },
-            adaptersInUse = works.mapValues { (_, work) -> recentAdapters(work, nowMillis) },
+            adapterUsedMillis = adaptersInUse(nowMillis),
             storeLoadsAllowed = storeLoadsAllowed(engine, nowMillis)
         )
     }
@@ -103,6 +106,7 @@
     private fun stateOf(upstream: Upstream, inFlight: Map<String, Int>, nowMillis: Long): RunnerState {
         val work = workOf(upstream)
         inFlight.keys.forEach { work.lastUsedMillis[it] = nowMillis }
+        if (!work.isKnown) learn(work)
         // What is announced may be as old as an interval of announcements and a poll.
         work.ledger = work.ledger
             .said(upstream.adaptersByModel, nowMillis - ANNOUNCEMENT_LAG_MILLIS)
@@ -110,14 +114,14 @@
         val report = work.report?.takeIf { nowMillis - work.reportedAtMillis < ANNOUNCEMENT_LAG_MILLIS }
         return RunnerState(
             id = upstream.entry.id,
-            served = upstream.adaptersByModel,
+            served = if (nowMillis < work.restsUntilMillis) persistentMapOf() else upstream.adaptersByModel,
             adaptersByModel = work.ledger.adaptersByModel,
             modelsInHostMemory = report?.modelsInHostMemory ?: upstream.entry.modelsInHostMemory,
             modelsOnDisk = report?.modelsOnDisk ?: upstream.entry.modelsOnDisk,
             loading = load?.model,
             loadedAtMillis = work.loadedAtMillis,
             loadsFromStore = load?.source == WeightSource.STORE,
-            isBusy = load != null || nowMillis < work.restsUntilMillis,
+            isBusy = load != null || !work.isKnown || nowMillis < work.restsUntilMillis,
             adapterOrders = work.adapterOrders,
             inFlight = inFlight.toImmutableMap(),
             lastUsedMillis = work.lastUsedMillis.toImmutableMap()
@@ -130,8 +134,36 @@
         return RunnerWork(upstream, desk).also { works[upstream.entry.id] = it }
     }
 
-    private fun recentAdapters(work: RunnerWork, nowMillis: Long): Set<Pair<String, String>> =
-        work.adapterUsedMillis.filterValues { nowMillis - it < ADAPTER_USE_MILLIS }.keys
+    /** Reads what the runner holds before the first order to it, and whenever that is not known. */
+    private fun learn(work: RunnerWork) {
+        if (work.isLearning) return
+        work.isLearning = true
+        scope.launch(jobs) {
+            try {
+                val askedAtMillis = clock.nowMillis()
+                val report = work.desk.learn()
+                if (report == null) {
+                    delay(LEARN_MILLIS)
+                } else {
+                    work.ledger = work.ledger.said(report.adaptersByModel, askedAtMillis - REPORT_LAG_MILLIS)
+                    work.report = report
+                    work.reportedAtMillis = askedAtMillis
+                    work.isKnown = true
+                    hold(work, report.adaptersByModel)
+                }
+            } finally {
+                work.isLearning = false
+            }
+        }
+    }
+
+    private fun adaptersInUse(nowMillis: Long): Map<String, Map<Pair<String, String>, Long>> {
+        for ((runner, adapters) in demand.adaptersInFlight(nowMillis)) {
+            val used = works[runner]?.adapterUsedMillis ?: continue
+            adapters.forEach { used[it] = nowMillis }
+        }
+        return works.mapValues { (_, work) -> work.adapterUsedMillis.toMap() }
+    }
 
     private fun storeLoadsAllowed(engine: EngineSpec, nowMillis: Long): Int {
         val perSecond = engine.storeLoadsPerSecond ?: return Int.MAX_VALUE
@@ -197,7 +229,9 @@
                 work.ledger.loadingAdapter(order.model, order.adapter, before)
             is RunnerOrder.Unload, is RunnerOrder.UnloadAdapter -> work.ledger
         }
-        if (!work.desk.send(order)) return false
+        val end = work.desk.send(order)
+        if (end == OrderEnd.MOVED) work.isKnown = false
+        if (end != OrderEnd.TAKEN) return false
         val after = clock.nowMillis()
         work.ledger = when (order) {
             is RunnerOrder.Unload -> work.ledger.unloaded(order.model, after)
@@ -238,23 +272,26 @@
     }
 
     private suspend fun loadAdapter(work: RunnerWork, step: Residency.LoadAdapter) {
+        var isLoaded = false
         try {
-            step.evicted?.let { (model, adapter) ->
-                holdAdapters(work, model) { it - adapter }
-                if (!order(work, RunnerOrder.UnloadAdapter(model, adapter))) return
-            }
+            isLoaded = dropAdapter(work, step.evicted) &&
+                order(work, RunnerOrder.LoadAdapter(step.model, step.adapter))
+            if (!isLoaded) return
             work.adapterUsedMillis[step.model to step.adapter] = clock.nowMillis()
-            if (!order(work, RunnerOrder.LoadAdapter(step.model, step.adapter))) {
-                work.restsUntilMillis = clock.nowMillis() + REST_MILLIS
-                return
-            }
             delay(ADAPTER_MILLIS)
             holdAdapters(work, step.model) { it + step.adapter }
         } finally {
             work.adapterOrders--
+            if (!isLoaded) work.restsUntilMillis = clock.nowMillis() + REST_MILLIS
         }
     }
 
+    private suspend fun dropAdapter(work: RunnerWork, evicted: Pair<String, String>?): Boolean {
+        val (model, adapter) = evicted ?: return true
+        holdAdapters(work, model) { it - adapter }
+        return order(work, RunnerOrder.UnloadAdapter(model, adapter))
+    }
+
     private fun holdAdapters(work: RunnerWork, model: String, change: (Set<String>) -> Set<String>) {
         val models = work.upstream.adaptersByModel
         val adapters = models[model] ?: return
@@ -277,6 +314,7 @@
                 model.name,
                 model.weightMegabytes,
                 model.adapterMegabytes,
+                model.adapters,
                 model.storeLoadMillis,
                 model.diskLoadMillis,
                 model.memoryLoadMillis
@@ -299,11 +337,14 @@
 
         /** What an adapter's load takes at most while few are on their way, with room to spare. */
         const val ADAPTER_MILLIS = 40L
-        const val ADAPTER_USE_MILLIS = 3_000L
 
         /** Announcements' interval, their way into the store, and one poll, with room to spare. */
         const val ANNOUNCEMENT_LAG_MILLIS = 4_000L
 
+        /** How old a report may be when it comes, by the engines' contract. */
+        const val REPORT_LAG_MILLIS = 800L
+        const val LEARN_MILLIS = 200L
+
         /** How long a runner that did not take an order gets no other. */
         const val REST_MILLIS = 1_000L
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerDesk.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerDesk.kt
@@ -21,6 +21,18 @@
     public val mayOrder: () -> Boolean
 )
 
+/** What became of an order. */
+public enum class OrderEnd {
+    /** The runner took it. */
+    TAKEN,
+
+    /** The runner did not take it. */
+    NOT_TAKEN,
+
+    /** The runner has accepted an order that this desk did not send: what it holds is not known. */
+    MOVED
+}
+
 /**
  * Orders to one runner, one after the other. Each order states how many the runner must have accepted
  * before it, so an order without an answer that arrives late takes effect once or not at all.
@@ -29,18 +41,20 @@
     private val turn = Mutex()
     private var acceptedOrders: Long? = null
 
-    /** Sends [order] and returns whether the runner took it. */
-    public suspend fun send(order: RunnerOrder): Boolean = turn.withLock {
+    /** Reads what the runner holds; null while it is busy or does not answer. */
+    public suspend fun learn(): RunnerReport? {
+        val report = report()?.takeIf { !it.isBusy } ?: return null
+        acceptedOrders = report.acceptedOrders
+        return report
+    }
+
+    /** Sends [order]; what the runner holds has to be learnt before. */
+    public suspend fun send(order: RunnerOrder): OrderEnd = turn.withLock {
         val untilMillis = context.clock.nowMillis() + SETTLE_MILLIS
         var conflicts = 0
-        var unansweredAt: Long? = null
+        var isUnanswered = false
         while (context.clock.nowMillis() < untilMillis && context.mayOrder()) {
-            val expected = acceptedOrders ?: report()?.acceptedOrders
-            if (expected == null) {
-                delay(PAUSE_MILLIS)
-                continue
-            }
-            acceptedOrders = expected
+            val expected = acceptedOrders ?: return OrderEnd.MOVED
             val reply = context.orders
                 .order(upstream.entry, order, context.authority(), expected, context.mayOrder)
             context.events.write(
@@ -53,31 +67,36 @@
             when (reply) {
                 OrderReply.Accepted -> return settled(expected + 1)
                 OrderReply.AlreadySo -> return settled(afterAlreadySo(order, expected))
-                is OrderReply.Rejected -> return false
+                is OrderReply.Rejected -> return OrderEnd.NOT_TAKEN
                 is OrderReply.Unknown -> {
-                    unansweredAt = expected
+                    isUnanswered = true
                     delay(UNANSWERED_MILLIS)
                 }
                 OrderReply.Conflict -> {
                     delay(PAUSE_MILLIS)
-                    if (++conflicts % CONFLICTS_BEFORE_REPORT == 0) {
-                        val seen = report()?.acceptedOrders ?: continue
-                        if (unansweredAt != null && seen > unansweredAt) return settled(seen)
-                        acceptedOrders = seen
+                    if (++conflicts % CONFLICTS_BEFORE_REPORT != 0) continue
+                    val report = report() ?: continue
+                    if (report.acceptedOrders == expected) continue
+                    // The order that no answer came for was taken, and nothing else was.
+                    if (isUnanswered && report.acceptedOrders == expected + 1) {
+                        return settled(report.acceptedOrders)
                     }
+                    if (conflicts < CONFLICTS_BEFORE_MOVED) continue
+                    acceptedOrders = null
+                    return OrderEnd.MOVED
                 }
             }
         }
         acceptedOrders = null
-        return false
+        return OrderEnd.NOT_TAKEN
     }
 
     /** Returns the runner's report, or null when it does not answer. */
     public suspend fun report(): RunnerReport? = context.orders.report(upstream.entry)
 
-    private fun settled(accepted: Long): Boolean {
+    private fun settled(accepted: Long): OrderEnd {
         acceptedOrders = accepted
-        return true
+        return OrderEnd.TAKEN
     }
 
     /** Dropping an adapter takes effect at once and counts; what held already does not. */
@@ -92,5 +111,8 @@
         const val PAUSE_MILLIS = 60L
         const val UNANSWERED_MILLIS = 300L
         const val CONFLICTS_BEFORE_REPORT = 4
+
+        /** By then a report shows every order that was accepted before the first conflict. */
+        const val CONFLICTS_BEFORE_MOVED = 12
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -7,6 +7,9 @@
 import kotlinx.collections.immutable.ImmutableSet
 import kotlinx.collections.immutable.toImmutableMap
 
+/** A model and the adapter that a request needs of it, if any. */
+public data class ModelUse(public val model: String, public val adapter: String?)
+
 /** An upstream as this process knows it: its own announcement, corrected by what was seen since. */
 public class Upstream(entry: UpstreamEntry) {
     /** What the upstream announced last. */
@@ -20,7 +23,7 @@
     /** When the holdings were last told by the coordinator, which is newer than announcements. */
     private var heldSinceMillis: Long = Long.MIN_VALUE / 2
 
-    private val inFlightByModel = HashMap<String, Int>()
+    private val inFlightByUse = HashMap<ModelUse, Int>()
     private var latencyMillis = 0.0
     private var asideUntilMillis = 0L
     private var failures = 0
@@ -30,8 +33,8 @@
     public var inFlight: Int = 0
         private set
 
-    /** Requests of this process that run there, by model. */
-    public val inFlightOf: Map<String, Int> get() = inFlightByModel
+    /** Requests of this process that run there, by model and adapter. */
+    public val uses: Map<ModelUse, Int> get() = inFlightByUse
 
     /** Takes over a newer announcement. */
     public fun announced(next: UpstreamEntry, nowMillis: Long) {
@@ -67,18 +70,18 @@
         return adapter == null || adapter in adapters
     }
 
-    /** Books a request that is sent there. */
-    public fun began(model: String?) {
+    /** Books a request that is sent there, for [use] of a model if it needs one. */
+    public fun began(use: ModelUse?) {
         inFlight++
-        if (model != null) inFlightByModel.merge(model, 1, Int::plus)
+        if (use != null) inFlightByUse.merge(use, 1, Int::plus)
     }
 
     /** Books that a request has ended. */
-    public fun ended(model: String?) {
+    public fun ended(use: ModelUse?) {
         inFlight--
-        if (model == null) return
-        val left = (inFlightByModel[model] ?: 1) - 1
-        if (left > 0) inFlightByModel[model] = left else inFlightByModel.remove(model)
+        if (use == null) return
+        val left = (inFlightByUse[use] ?: 1) - 1
+        if (left > 0) inFlightByUse[use] = left else inFlightByUse.remove(use)
     }
 
     /** Books an answer that began after [firstByteMillis]. */
--- a/ports/src/main/kotlin/cactusfold/ports/serving/ServingConfig.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/ServingConfig.kt
@@ -64,6 +64,7 @@
     public val name: String,
     public val weightMegabytes: Double,
     public val adapterMegabytes: Double,
+    public val adapters: Int,
     public val storeLoadMillis: Long,
     public val diskLoadMillis: Long,
     public val memoryLoadMillis: Long
