--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketHolder.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketHolder.kt
@@ -79,6 +79,21 @@
         return BucketState(limit, 0.0, nowMillis, quietUntil, registry)
     }
 
+    /**
+     * Returns the bucket of a holder whose predecessor granted nothing that is still to be spent, as
+     * when all tokens are taken by [take]. It begins with [toleratedTokens], which the workspace may
+     * have over its rate.
+     */
+    public fun startAfter(
+        limit: RateLimit,
+        registry: RouterRegistry,
+        toleratedTokens: Double,
+        nowMillis: Long
+    ): BucketState {
+        val next = BucketState(limit, toleratedTokens, nowMillis, nowMillis, registry)
+        return next.copy(levelTokens = clip(next))
+    }
+
     /** Returns the bucket of the first holder there ever was: nobody holds grants, so it is full. */
     public fun startFirst(
         limit: RateLimit,
--- /dev/null
+++ b/decisions/src/test/kotlin/cactusfold/decisions/holding/HoldMachineTest.kt
@@ -0,0 +1,87 @@
+package cactusfold.decisions.holding
+
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+class HoldMachineTest {
+    private val times = HoldTimes(validMillis = 2_000, quietMillis = 3_000, marginMillis = 250)
+    private val machine = HoldMachine(times)
+    private val other = HoldRecord("other", fence = 4, version = 10, isReleased = false)
+
+    private fun watching(record: HoldRecord?, nowMillis: Long): HoldState =
+        machine.observed(HoldState.Watching(), record, nowMillis)
+
+    @Nested
+    inner class Taking {
+        @Test
+        fun `a row that nobody wrote is taken at once and acted on at once`() {
+            val state = assertIs<HoldState.Watching>(watching(null, 100))
+            assertTrue(machine.mayTake(state, 100))
+            assertTrue(machine.mayAct(machine.took(state, 1, 100, 104), 104))
+        }
+
+        @Test
+        fun `a row that was never read is not taken`() {
+            assertFalse(machine.mayTake(HoldState.Watching(), 1_000_000))
+        }
+
+        @Test
+        fun `a holder that may still act is not replaced`() {
+            val state = watching(other, 100)
+            assertFalse(machine.mayTake(state, 100 + 2_249))
+            assertTrue(machine.mayTake(state, 100 + 2_250))
+        }
+
+        @Test
+        fun `a renewal begins the wait anew`() {
+            val renewed = machine.observed(watching(other, 100), other.copy(version = 11), 2_000)
+            assertFalse(machine.mayTake(renewed, 2_400))
+        }
+
+        @Test
+        fun `a new holder acts only after the quiet time`() {
+            val state = assertIs<HoldState.Watching>(watching(other, 0))
+            val holding = machine.took(state, 12, sentAtMillis = 2_250, nowMillis = 2_260)
+            assertEquals(5, holding.fence)
+            val renewed = machine.renewed(holding, 13, 5_000)
+            assertFalse(machine.mayAct(renewed, 2_260 + 3_249))
+            assertTrue(machine.mayAct(renewed, 2_260 + 3_250))
+        }
+
+        @Test
+        fun `a released row and a promise make the wait for the lapse needless`() {
+            assertTrue(machine.mayTake(watching(other.copy(isReleased = true), 0), 0))
+            assertTrue(machine.mayTake(machine.promised(watching(other, 0), 4), 0))
+            assertFalse(machine.mayTake(machine.promised(watching(other, 0), 3), 0))
+        }
+    }
+
+    @Nested
+    inner class Holding {
+        private val holding = HoldState.Holding(5, 12, confirmedAtMillis = 0, actsFromMillis = 0)
+
+        @Test
+        fun `the lease lapses when the last confirmed renewal is too long ago`() {
+            assertTrue(machine.mayAct(holding, 1_999))
+            assertFalse(machine.mayAct(holding, 2_000))
+        }
+
+        @Test
+        fun `a renewal whose reply was lost teaches the version and lengthens nothing`() {
+            val own = HoldRecord("self", 5, 13, isReleased = false)
+            val state = assertIs<HoldState.Holding>(machine.conflicted(holding, own, "self", 900))
+            assertEquals(13, state.version)
+            assertFalse(machine.mayAct(state, 2_000))
+        }
+
+        @Test
+        fun `a row of another holder ends the lease`() {
+            val state = machine.conflicted(holding, other.copy(fence = 6), "self", 900)
+            assertFalse(machine.mayAct(state, 900))
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -0,0 +1,220 @@
+package cactusfold.decisions.residency
+
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.collections.immutable.toImmutableSet
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+class ResidencyPlannerTest {
+    private val planner = ResidencyPlanner()
+    private val now = 100_000L
+
+    private fun cost(name: String, adapters: Int = 0): ModelCost =
+        ModelCost(name, 70.0, 1.0, adapters, 9_000, 2_000, 1_000)
+
+    private val bounds = RunnerBounds(
+        slots = 10,
+        weightMegabytes = 230.0,
+        adapterSlots = 2,
+        storeLoadsAtOnce = 2,
+        models = ('a'..'l').map { it.toString() }
+            .associateWith { cost(it, if (it == "a") 8 else 0) }.toImmutableMap()
+    )
+
+    private fun held(vararg models: Pair<String, Set<String>>): ImmutableMap<String, ImmutableSet<String>> =
+        models.associate { it.first to it.second.toImmutableSet() }.toImmutableMap()
+
+    private fun runner(
+        id: String,
+        models: ImmutableMap<String, ImmutableSet<String>>,
+        disk: Set<String> = emptySet(),
+        inFlight: Map<String, Int> = emptyMap()
+    ): RunnerState = RunnerState(
+        id = id,
+        served = models,
+        adaptersByModel = models,
+        modelsInHostMemory = persistentSetOf(),
+        modelsOnDisk = disk.toImmutableSet(),
+        loading = null,
+        loadedAtMillis = 0,
+        loadsFromStore = false,
+        isBusy = false,
+        adapterOrders = 0,
+        inFlight = inFlight.toImmutableMap(),
+        lastUsedMillis = emptyMap<String, Long>().toImmutableMap()
+    )
+
+    private fun demand(
+        model: String,
+        waiting: Int = 1,
+        limitInMillis: Long = 30_000,
+        adapter: String? = null
+    ): ModelDemand = ModelDemand(model, adapter, waiting, now + 4_000, now + limitInMillis)
+
+    private fun view(
+        runners: List<RunnerState>,
+        demands: List<ModelDemand>,
+        rates: Map<String, Double> = emptyMap(),
+        used: Map<String, Map<Pair<String, String>, Long>> = emptyMap(),
+        storeLoads: Int = 10
+    ): ResidencyView = ResidencyView(bounds, runners, demands, rates, used, storeLoads)
+
+    private fun loads(plan: ResidencyPlan): List<Residency.Load> =
+        plan.steps.filterIsInstance<Residency.Load>()
+
+    @Nested
+    inner class ColdStarts {
+        @Test
+        fun `a model is loaded where its weights are nearest`() {
+            val runners = listOf(runner("r1", held()), runner("r2", held(), disk = setOf("c")))
+            val load = loads(planner.plan(view(runners, listOf(demand("c"))), now)).single()
+            assertEquals("r2" to WeightSource.DISK, load.runner to load.source)
+        }
+
+        @Test
+        fun `a burst for one rare model costs one load`() {
+            val runners = listOf(runner("r1", held()), runner("r2", held()))
+            val demands = listOf(demand("c", waiting = 20), demand("c", waiting = 3))
+            assertEquals(1, loads(planner.plan(view(runners, demands), now)).size)
+        }
+
+        @Test
+        fun `a load that can still meet its target goes before one that cannot`() {
+            val runners = listOf(runner("r1", held(), disk = setOf("d")))
+            val demands = listOf(demand("c", waiting = 4), demand("d"))
+            assertEquals("d", loads(planner.plan(view(runners, demands), now)).single().model)
+        }
+
+        @Test
+        fun `no more loads from the store run at once than it carries at full speed`() {
+            val runners = List(5) { runner("r$it", held()) }
+            val demands = listOf("c", "d", "e", "f").map { demand(it) }
+            assertEquals(2, loads(planner.plan(view(runners, demands), now)).size)
+        }
+
+        @Test
+        fun `the window of the weight store is kept`() {
+            val runners = List(3) { runner("r$it", held()) }
+            val plan = planner.plan(view(runners, listOf(demand("c")), storeLoads = 0), now)
+            assertEquals(emptyList(), loads(plan))
+        }
+
+        @Test
+        fun `requests that no load can meet in time are refused at once`() {
+            val runners = listOf(runner("r1", held()))
+            val plan = planner.plan(view(runners, listOf(demand("c", limitInMillis = 5_000))), now)
+            assertEquals(emptyList(), plan.steps)
+            assertEquals(listOf("c"), plan.hopeless)
+        }
+    }
+
+    @Nested
+    inner class MakingRoom {
+        private val full = held("d" to emptySet(), "e" to emptySet(), "f" to emptySet())
+
+        @Test
+        fun `a copy of which there are others goes first`() {
+            val runners = listOf(runner("r1", full), runner("r2", held("e" to emptySet()), inFlight = mapOf("e" to 9)))
+            val busy = runners[1].copy(isBusy = true)
+            val plan = planner.plan(view(listOf(runners[0], busy), listOf(demand("c"))), now)
+            assertEquals(listOf("e"), loads(plan).single().evicted)
+        }
+
+        @Test
+        fun `a model that comes back from the disk goes before one that does not`() {
+            val runners = listOf(runner("r1", full, disk = setOf("f")))
+            val plan = planner.plan(view(runners, listOf(demand("c"))), now)
+            assertEquals(listOf("f"), loads(plan).single().evicted)
+        }
+
+        @Test
+        fun `a model in use stays`() {
+            val inFlight = mapOf("d" to 1, "e" to 1, "f" to 1)
+            val plan = planner.plan(view(listOf(runner("r1", full, inFlight = inFlight)), listOf(demand("c"))), now)
+            assertEquals(emptyList(), plan.steps)
+        }
+
+        @Test
+        fun `a model that demand has left goes before one that is asked for`() {
+            val rates = mapOf("d" to 3.0, "f" to 2.0)
+            val plan = planner.plan(view(listOf(runner("r1", full)), listOf(demand("c")), rates), now)
+            assertEquals(listOf("e"), loads(plan).single().evicted)
+        }
+
+        @Test
+        fun `memory is never ordered beyond what the runner has`() {
+            val odd = runner("r1", held("gone-from-config" to emptySet()))
+            val plan = planner.plan(view(listOf(odd), listOf(demand("c"))), now)
+            val load = loads(plan).single()
+            assertEquals(listOf("gone-from-config"), load.evicted)
+        }
+    }
+
+    @Nested
+    inner class Adapters {
+        @Test
+        fun `an adapter goes to a runner with a free place`() {
+            val runners = listOf(
+                runner("r1", held("a" to setOf("x", "y"))),
+                runner("r2", held("a" to setOf("x")))
+            )
+            val plan = planner.plan(view(runners, listOf(demand("a", adapter = "z"))), now)
+            val step = assertIs<Residency.LoadAdapter>(plan.steps.single())
+            assertEquals("r2", step.runner)
+            assertNull(step.evicted)
+        }
+
+        @Test
+        fun `the adapter that was idle longest makes way, never one just used`() {
+            val runners = listOf(runner("r1", held("a" to setOf("x", "y"))))
+            val used = mapOf("r1" to mapOf(("a" to "x") to now - 100, ("a" to "y") to now - 5_000))
+            val plan = planner.plan(view(runners, listOf(demand("a", adapter = "z")), used = used), now)
+            assertEquals("a" to "y", assertIs<Residency.LoadAdapter>(plan.steps.first()).evicted)
+        }
+
+        @Test
+        fun `one runner gets one order at a time`() {
+            val runners = listOf(runner("r1", held("a" to emptySet())))
+            val demands = listOf(demand("a", adapter = "x"), demand("a", adapter = "y"))
+            assertEquals(1, planner.plan(view(runners, demands), now).steps.size)
+        }
+
+        @Test
+        fun `a model short of adapter places gets a copy`() {
+            val runners = listOf(runner("r1", held("a" to setOf("x", "y"))), runner("r2", held()))
+            val demands = listOf(demand("a", adapter = "z"))
+            val plan = planner.plan(view(runners, demands, mapOf("a" to 2.0)), now)
+            assertTrue(loads(plan).any { it.runner == "r2" && it.model == "a" })
+        }
+    }
+
+    @Nested
+    inner class Copies {
+        @Test
+        fun `a model whose runners are fuller than half gets another`() {
+            val runners = listOf(
+                runner("r1", held("a" to emptySet()), inFlight = mapOf("a" to 6)),
+                runner("r2", held())
+            )
+            val plan = planner.plan(view(runners, emptyList(), mapOf("a" to 5.0)), now)
+            assertEquals("r2", loads(plan).single().runner)
+        }
+
+        @Test
+        fun `a cold start goes before a copy`() {
+            val runners = listOf(
+                runner("r1", held("a" to emptySet()), inFlight = mapOf("a" to 6)),
+                runner("r2", held())
+            )
+            val plan = planner.plan(view(runners, listOf(demand("c")), mapOf("a" to 5.0)), now)
+            assertEquals(listOf("c"), loads(plan).map { it.model })
+        }
+    }
+}
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -85,7 +85,8 @@
     private var table: RouteTable? = null
     private val config =
         ConfigWatch(store, clock, events, bounds.keyWithdrawalMillis, ::configured)
-    private val directory = UpstreamDirectory(store, clock, events, settings.zone)
+    private val directory: UpstreamDirectory =
+        UpstreamDirectory(store, clock, events, settings.zone, ::upstreamPollMillis)
     private val member = StoredMember.newBuilder().setVm(settings.vm).setBoot(boot)
         .setAddress(peerAddress.toString()).setZone(settings.zone).build()
     private val hold = HoldKeeper(
@@ -101,7 +102,7 @@
     private val waits = ModelWaits(directory, clock) { link.wake() }
     private val suspects = SharedSuspects(clock) { link.wake() }
     private val demand = FleetDemand()
-    private val rates = FleetRates(clock) { table }
+    private val rates = FleetRates(clock, bounds.rateTolerance) { table }
     private val loads = LoadCoordinator(
         scope,
         directory,
@@ -112,7 +113,7 @@
         bounds.loadWindowMillis
     ) { table }
     private val coordinator =
-        FleetCoordinator(CoordinatorParts(hold, loads, demand, rates, clock, events), store, dispatcher)
+        FleetCoordinator(CoordinatorParts(hold, directory, loads, demand, rates, clock, events), store, dispatcher)
     private val link: MemberLink =
         MemberLink(hold, peers, clock, events, ::report, ::noticed).also { it.own = coordinator }
     private val allowances: Allowances =
@@ -149,6 +150,7 @@
     public suspend fun start() {
         events.write("process-start", "zone" to settings.zone, "peer" to peerAddress.toString())
         coordinator.onOwnNotice = ::noticed
+        directory.listen(coordinator::upstreamsChanged)
         always("configuration") { config.run() }
         always("upstreams") { directory.run() }
         always("lease") { hold.run() }
@@ -210,6 +212,13 @@
         rates.configured()
     }
 
+    /** The coordinator tells the others of upstreams that leave, so they may read less often. */
+    private fun upstreamPollMillis(): Long = when {
+        hold.isCoordinator -> COORDINATOR_POLL_MILLIS
+        link.isLinked -> LINKED_POLL_MILLIS
+        else -> LONE_POLL_MILLIS
+    }
+
     private fun unreadyReason(): String? = when {
         isStopping -> "stopping"
         table == null -> "no configuration yet"
@@ -239,6 +248,7 @@
             notice.holdingsList.forEach(::held)
             directory.changed()
         }
+        notice.leavingList.forEach { directory.find(it)?.isLeaving = true }
         notice.forecastsList.forEach(waits::forecast)
         notice.suspectsList.forEach(suspects::reported)
         allowances.heard()
@@ -261,6 +271,11 @@
         const val RENEW_MILLIS = 700L
         const val HOLD_MARGIN_MILLIS = 250L
 
+        /** Pauses between two readings of the upstreams; a lone process has to see by itself. */
+        const val COORDINATOR_POLL_MILLIS = 400L
+        const val LINKED_POLL_MILLIS = 2_400L
+        const val LONE_POLL_MILLIS = 800L
+
         /** The balancer asks once a second and takes a process out after two misses. */
         const val BALANCER_MILLIS = 2_800L
 
--- a/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry
 
+import cactusfold.entry.rate.RateTolerance
 import cactusfold.settings.schema.HostPort
 import cactusfold.settings.schema.Schema
 import cactusfold.settings.schema.Settings
@@ -14,6 +15,7 @@
  * @property orderQuietMillis the time between the orders of two holders to one runner.
  * @property retryRatio requests sent again, as a share of all, over all VMs.
  * @property retrySlack requests that may be sent again beyond the ratio, over all VMs.
+ * @property rateTolerance by how much a workspace may pass its rate.
  * @property loadWindowMillis the window in which loads from the weight store are counted.
  */
 public data class EntryBounds(
@@ -23,6 +25,7 @@
     public val retryRatio: Double,
     public val retryWindowMillis: Long,
     public val retrySlack: Double,
+    public val rateTolerance: RateTolerance,
     public val loadWindowMillis: Long
 )
 
@@ -66,6 +69,9 @@
         key("retry-ratio", ValueType.Decimal("requests"), "share sent again, fleet-wide", "0.2")
         key("retry-window-seconds", ValueType.Decimal("seconds"), "window of the ratio", "10")
         key("retry-slack", ValueType.Decimal("requests"), "sent again beyond the ratio", "100")
+        key("rate-window-seconds", ValueType.Decimal("seconds"), "window of the rates", "8")
+        key("rate-tolerance-share", ValueType.Decimal("share"), "over the rate, in a window", "0.1")
+        key("rate-tolerance-tokens", ValueType.Decimal("tokens"), "over the rate beside it", "1000")
         key("load-window-seconds", ValueType.Decimal("seconds"), "window of store loads", "5")
     }
     section("log", "Log lines on standard output.") {
@@ -95,6 +101,11 @@
             retryRatio = bounds.double("retry-ratio"),
             retryWindowMillis = millisOf(bounds.double("retry-window-seconds")),
             retrySlack = bounds.double("retry-slack"),
+            rateTolerance = RateTolerance(
+                millisOf(bounds.double("rate-window-seconds")),
+                bounds.double("rate-tolerance-share"),
+                bounds.double("rate-tolerance-tokens")
+            ),
             loadWindowMillis = millisOf(bounds.double("load-window-seconds"))
         )
     )
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -5,6 +5,7 @@
 import cactusfold.entry.residency.FleetDemand
 import cactusfold.entry.residency.LoadCoordinator
 import cactusfold.entry.upstream.Upstream
+import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.table.ChangeFeed
 import cactusfold.ports.table.FeedResult
@@ -28,6 +29,7 @@
 /** The parts that a coordinator works with. */
 public class CoordinatorParts(
     public val hold: HoldKeeper,
+    public val directory: UpstreamDirectory,
     public val loads: LoadCoordinator,
     public val demand: FleetDemand,
     public val rates: FleetRates,
@@ -44,12 +46,14 @@
     private class Session(val vm: String) {
         val pending = LinkedHashMap<String, Holdings>()
         val forecasts = mutableListOf<Forecast>()
+        val leaving = mutableSetOf<String>()
         val suspects = mutableListOf<SuspectReport>()
         val wake = Channel<Unit>(Channel.CONFLATED)
     }
 
     private val sessions = mutableSetOf<Session>()
     private val heldByRunner = LinkedHashMap<String, Holdings>()
+    private val toldLeaving = mutableSetOf<String>()
     private var releasedFence = 0L
 
     /** Called with what concerns this process's own requests too. */
@@ -144,6 +148,7 @@
 
     private fun join(session: Session) {
         session.pending.putAll(heldByRunner)
+        session.leaving += toldLeaving
         sessions += session
         parts.events.write("member-attached", "member" to session.vm)
     }
@@ -162,12 +167,14 @@
             .addAllHoldings(session.pending.values)
             .addAllForecasts(session.forecasts)
             .addAllSuspects(session.suspects)
+            .addAllLeaving(session.leaving)
             .setFence(parts.hold.fence)
             .setMemberCount(memberCount)
             .build()
         session.pending.clear()
         session.forecasts.clear()
         session.suspects.clear()
+        session.leaving.clear()
         return notice
     }
 
@@ -184,6 +191,18 @@
         }
     }
 
+    /** Tells the members of upstreams that leave, which they read of themselves only later. */
+    public fun upstreamsChanged() {
+        if (!parts.hold.isCoordinator) return
+        val leaving = parts.directory.takeLeaving() - toldLeaving
+        if (leaving.isEmpty()) return
+        toldLeaving += leaving
+        sessions.forEach {
+            it.leaving += leaving
+            it.wake.trySend(Unit)
+        }
+    }
+
     private fun forecast(forecasts: List<Forecast>) {
         onOwnNotice(FleetNotice.newBuilder().addAllForecasts(forecasts).build())
         sessions.forEach {
@@ -203,6 +222,7 @@
 
     private fun taken(fence: Long) {
         heldByRunner.clear()
+        toldLeaving.clear()
         parts.rates.start(fence)
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/rate/Allowances.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/Allowances.kt
@@ -2,7 +2,6 @@
 
 import cactusfold.decisions.rate.AllowanceSpender
 import cactusfold.decisions.rate.AllowanceState
-import cactusfold.decisions.rate.ContactSettings
 import cactusfold.decisions.rate.RateLimit
 import cactusfold.decisions.rate.Spend
 import cactusfold.node.time.MonotonicClock
@@ -33,7 +32,7 @@
 ) {
     private val states = HashMap<String, AllowanceState>()
     private val registeredAtMillis = clock.nowMillis()
-    private var settings = ContactSettings(registryFreshMillis = 0)
+    private var settings = contactSettings.copy(registryFreshMillis = 0)
     private var spender = AllowanceSpender(settings)
 
     /** Whether this process is registered, so that a reserve is set aside for it. */
--- a/entry/src/main/kotlin/cactusfold/entry/rate/FleetRates.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/FleetRates.kt
@@ -11,15 +11,47 @@
 import cactusfold.protocol.TokenGrant
 import cactusfold.protocol.TokenRequest
 
+/**
+ * By how much a workspace may pass its rate in any window, over all VMs.
+ *
+ * @property share of the rate times the window plus the burst.
+ */
+public data class RateTolerance(
+    public val windowMillis: Long,
+    public val share: Double,
+    public val tokens: Double
+) {
+    /** Returns the tokens that a workspace under [limit] may be granted over its rate. */
+    public fun of(limit: RateLimit): Double {
+        val window = limit.rateTokensPerSecond * windowMillis / MILLIS_PER_SECOND
+        return share * (window + limit.burstTokens) + tokens
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+    }
+}
+
+/** Times of the contact between members and coordinator, the same on both sides. */
+internal val contactSettings = ContactSettings(
+    contactMillis = 1_000,
+    // Two reads of the members' table may fail before its list counts as old.
+    registryFreshMillis = 8_000
+)
+
 /** The fleet-wide buckets of all workspaces, at the coordinator. */
-public class FleetRates(private val clock: MonotonicClock, private val table: () -> RouteTable?) {
+public class FleetRates(
+    private val clock: MonotonicClock,
+    private val tolerance: RateTolerance,
+    private val table: () -> RouteTable?
+) {
     private val buckets = HashMap<String, BucketState>()
-    private var settings = ContactSettings(registryFreshMillis = REGISTRY_FRESH_MILLIS)
+    private var settings = contactSettings
     private var holder = BucketHolder(settings)
     private var registry = RouterRegistry(emptySet(), Long.MIN_VALUE / 2)
     private var isFirst = false
 
-    /** Begins with empty buckets; full ones when there was no coordinator before. */
+    /** Begins anew; with full buckets when there was no coordinator before. */
     public fun start(fence: Long) {
         buckets.clear()
         isFirst = fence == FIRST_FENCE
@@ -81,7 +113,8 @@
             if (isFirst) {
                 holder.startFirst(limit, registry, clock.nowMillis())
             } else {
-                holder.start(limit, registry, clock.nowMillis())
+                val tolerated = tolerance.of(limit) * TOLERANCE_SHARE
+                holder.startAfter(limit, registry, tolerated, clock.nowMillis())
             }
         }
     }
@@ -96,7 +129,7 @@
         const val FIRST_FENCE = 1L
         const val MIN_SLOTS = 4
 
-        /** Two reads of the members' table may fail before its list counts as old. */
-        const val REGISTRY_FRESH_MILLIS = 8_000L
+        /** Share of the tolerance that a new coordinator uses: two may follow within one window. */
+        const val TOLERANCE_SHARE = 0.4
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -29,6 +29,12 @@
     private var failures = 0
     private var load: ReportedLoad? = null
 
+    /** Whether another process saw that the upstream leaves or has left. */
+    public var isLeaving: Boolean = false
+
+    /** Whether new requests may go there. */
+    public val isUsable: Boolean get() = !entry.isDraining && !isLeaving
+
     /** Requests of this process that run there. */
     public var inFlight: Int = 0
         private set
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -17,12 +17,14 @@
     private val feed: ChangeFeed,
     private val clock: MonotonicClock,
     private val events: EventLog,
-    private val zone: String
+    private val zone: String,
+    private val pollMillis: () -> Long
 ) {
     private val upstreams = LinkedHashMap<String, Upstream>()
     private val choice = ReplicaChoice(ZONE_CROSSING_MILLIS, AFFINITY_LOAD_GAP)
     private val listeners = mutableListOf<() -> Unit>()
     private val missingSinceMillis = HashMap<String, Long>()
+    private val left = mutableSetOf<String>()
     private var troubleAtMillis = Long.MIN_VALUE / 2
 
     /** Whether the upstreams were read at least once. */
@@ -30,11 +32,19 @@
         private set
 
     /** All upstreams that may get requests. */
-    public val usable: List<Upstream> get() = upstreams.values.filter { !it.entry.isDraining }
+    public val usable: List<Upstream> get() = upstreams.values.filter { it.isUsable }
 
     /** Returns the upstream with [id], or null. */
     public fun find(id: String): Upstream? = upstreams[id]
 
+    /** Upstreams that leave, and those that have left since the last call. */
+    public fun takeLeaving(): Set<String> {
+        val leaving = upstreams.values.filter { it.entry.isDraining }.mapTo(mutableSetOf()) { it.entry.id }
+        leaving += left
+        left.clear()
+        return leaving
+    }
+
     /** Calls [listener] after each change of what upstreams there are or what they hold. */
     public fun listen(listener: () -> Unit) {
         listeners += listener
@@ -48,7 +58,7 @@
     /** Returns the upstreams of [service] that can run a request for [model] and [adapter]. */
     public fun serving(service: String, model: String?, adapter: String?): List<Upstream> =
         upstreams.values.filter {
-            it.entry.service == service && !it.entry.isDraining && it.serves(model, adapter)
+            it.entry.service == service && it.isUsable && it.serves(model, adapter)
         }
 
     /**
@@ -82,7 +92,7 @@
                     position = result.position
                     isKnown = true
                     changed()
-                    delay(POLL_MILLIS)
+                    pause()
                 }
                 FeedResult.HistoryGone -> position = null
                 is FeedResult.Unavailable -> {
@@ -94,6 +104,11 @@
         }
     }
 
+    private suspend fun pause() {
+        val readAtMillis = clock.nowMillis()
+        while (clock.nowMillis() - readAtMillis < pollMillis()) delay(PAUSE_STEP_MILLIS)
+    }
+
     private suspend fun read(position: Long?): FeedResult =
         position?.let { feed.changes(UpstreamDecoder.TABLE, it, WAIT_MILLIS) }
             ?: feed.snapshot(UpstreamDecoder.TABLE)
@@ -148,6 +163,7 @@
 
     private fun drop(id: String) {
         missingSinceMillis.remove(id)
+        left += id
         if (upstreams.remove(id) != null) events.write("upstream-gone", "upstream" to id)
     }
 
@@ -157,8 +173,7 @@
         /** Share of its slots that the upstream with the prompt's start may be fuller. */
         const val AFFINITY_LOAD_GAP = 0.1
 
-        /** Pause between two reads, so that many announcements come with one call. */
-        const val POLL_MILLIS = 800L
+        const val PAUSE_STEP_MILLIS = 50L
         const val WAIT_MILLIS = 1_000L
         const val RETRY_MILLIS = 250L
 
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/EventCutterTest.kt
@@ -0,0 +1,52 @@
+package cactusfold.entry.callers
+
+import io.vertx.core.buffer.Buffer
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+class EventCutterTest {
+    private val cutter = EventCutter()
+
+    private fun add(text: String): String = cutter.add(Buffer.buffer(text)).toString()
+
+    @Nested
+    inner class Pieces {
+        @Test
+        fun `whole events pass at once`() {
+            assertEquals("id: 1\ndata: a\n\n", add("id: 1\ndata: a\n\n"))
+            assertEquals("1", cutter.lastEventId)
+        }
+
+        @Test
+        fun `a torn event waits for its end`() {
+            assertEquals("id: 1\ndata: a\n\n", add("id: 1\ndata: a\n\nid: 2\nda"))
+            assertEquals("1", cutter.lastEventId)
+            assertEquals("id: 2\ndata: b\n\n", add("ta: b\n\n"))
+            assertEquals("2", cutter.lastEventId)
+        }
+
+        @Test
+        fun `an end torn between its two line breaks is seen`() {
+            assertEquals("", add("id: 1\ndata: a\n"))
+            assertEquals("id: 1\ndata: a\n\n", add("\n"))
+        }
+
+        @Test
+        fun `carriage returns are taken`() {
+            assertEquals("id: 7\r\ndata: a\r\n\r\n", add("id: 7\r\ndata: a\r\n\r\n"))
+            assertEquals("7", cutter.lastEventId)
+        }
+    }
+
+    @Nested
+    inner class Ends {
+        @Test
+        fun `an event that broke off is never the last one received`() {
+            add("id: 3\ndata: a")
+            assertNull(cutter.lastEventId)
+            assertEquals("id: 3\ndata: a", cutter.partial.toString())
+        }
+    }
+}
