--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -3,7 +3,8 @@
 /**
  * What the planner sees of one service at one moment.
  *
- * @property arrivalsPerSecond by model, smoothed.
+ * @property arrivalsPerSecond by model, lately.
+ * @property habitualPerSecond by model, over a longer time: demand that fell silent may come back.
  * @property adapterUsedMillis when each adapter, as model and adapter, was last used, by runner.
  * @property storeLoadsAllowed loads from the weight store that may begin now.
  */
@@ -12,6 +13,7 @@
     public val runners: List<RunnerState>,
     public val demands: List<ModelDemand>,
     public val arrivalsPerSecond: Map<String, Double>,
+    public val habitualPerSecond: Map<String, Double>,
     public val adapterUsedMillis: Map<String, Map<Pair<String, String>, Long>>,
     public val storeLoadsAllowed: Int
 )
@@ -57,6 +59,7 @@
         present.filter { it.adapter != null }.forEach(::placeAdapter)
         loadAbsent(absent)
         addReplicas()
+        if (steps.isEmpty()) preload()
         return ResidencyPlan(steps, hopeless, readyAt)
     }
 
@@ -181,17 +184,35 @@
     /** Waiting, in milliseconds a second, that is expected from dropping [model] on [runner]. */
     private fun lossOf(runner: RunnerState, model: String): Double {
         val cost = bounds.models[model] ?: return 0.0
-        val unseen = UNSEEN_ARRIVALS_PER_SECOND * (1 + cost.adapters)
-        val perSecond = (view.arrivalsPerSecond[model] ?: 0.0) + unseen
         val others = (replicas[model] ?: 1) - 1
-        if (others > 0) return perSecond * REPLICA_LOSS_MILLIS / others
-        val comesBackMillis = view.runners
-            .minOf { millisFrom(cost, if (it.id == runner.id) sourceAfterUnload(it, model) else sourceOn(it, model)) }
-        return perSecond * comesBackMillis
+        if (others > 0) {
+            val perSecond = (view.arrivalsPerSecond[model] ?: 0.0) + unseenPerSecond(cost)
+            return perSecond * REPLICA_LOSS_MILLIS / others
+        }
+        return absenceLoss(cost)
+    }
+
+    /** Waiting, in milliseconds a second, that is expected while no runner holds the model. */
+    private fun absenceLoss(cost: ModelCost): Double {
+        val lately = view.arrivalsPerSecond[cost.name] ?: 0.0
+        val habitually = view.habitualPerSecond[cost.name] ?: 0.0
+        return (maxOf(lately, habitually) + unseenPerSecond(cost)) * soonestMillis(cost.name)
     }
 
-    private fun sourceAfterUnload(runner: RunnerState, model: String): WeightSource =
-        sourceOn(runner, model)
+    /** A model with adapters serves that many more kinds of work. */
+    private fun unseenPerSecond(cost: ModelCost): Double =
+        UNSEEN_ARRIVALS_PER_SECOND * (1 + cost.adapters)
+
+    /** Brings back a model that is likelier to be asked for than what makes way for it. */
+    private fun preload() {
+        if (view.demands.any { it.waiting > 0 } || view.runners.any { it.loading != null }) return
+        val absent = bounds.models.values.filter { (replicas[it.name] ?: 0) == 0 }
+        val cost = absent.maxByOrNull(::absenceLoss) ?: return
+        val demand = ModelDemand(cost.name, null, 1, nowMillis, Long.MAX_VALUE)
+        val candidate = view.runners.mapNotNull { candidateOn(it, demand) }
+            .minWithOrNull(compareBy({ it.loadMillis }, { it.evictionCost })) ?: return
+        if (absenceLoss(cost) > PRELOAD_GAIN * candidate.evictionCost) take(candidate)
+    }
 
     private fun sourceOn(runner: RunnerState, model: String): WeightSource = when (model) {
         in runner.modelsInHostMemory -> WeightSource.HOST_MEMORY
@@ -268,6 +289,9 @@
         /** Adapters on their way to one runner: one, so that each decision sees the one before. */
         const val MAX_ADAPTER_ORDERS = 1
 
+        /** How many times likelier a model has to be than what makes way for it unasked. */
+        const val PRELOAD_GAIN = 3.0
+
         /** An adapter that was used more recently is not dropped for another. */
         const val ADAPTER_IDLE_MILLIS = 500L
 
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -63,8 +63,9 @@
         demands: List<ModelDemand>,
         rates: Map<String, Double> = emptyMap(),
         used: Map<String, Map<Pair<String, String>, Long>> = emptyMap(),
+        habits: Map<String, Double> = emptyMap(),
         storeLoads: Int = 10
-    ): ResidencyView = ResidencyView(bounds, runners, demands, rates, used, storeLoads)
+    ): ResidencyView = ResidencyView(bounds, runners, demands, rates, habits, used, storeLoads)
 
     private fun loads(plan: ResidencyPlan): List<Residency.Load> =
         plan.steps.filterIsInstance<Residency.Load>()
@@ -195,6 +196,32 @@
         }
     }
 
+    @Nested
+    inner class Returns {
+        private val full = held("d" to emptySet(), "e" to emptySet(), "f" to emptySet())
+        private val disk = setOf("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
+
+        @Test
+        fun `a model whose demand fell silent keeps its last copy`() {
+            val runners = listOf(runner("r1", full, disk = disk))
+            val view = view(runners, listOf(demand("c")), habits = mapOf("d" to 2.0, "f" to 1.0))
+            assertEquals(listOf("e"), loads(planner.plan(view, now)).single().evicted)
+        }
+
+        @Test
+        fun `a model with many adapters is brought back before it is asked for`() {
+            val plan = planner.plan(view(listOf(runner("r1", full, disk = disk)), emptyList()), now)
+            assertEquals("a", loads(plan).single().model)
+        }
+
+        @Test
+        fun `a model no likelier than what it replaces stays away`() {
+            val held = held("a" to emptySet(), "e" to emptySet(), "f" to emptySet())
+            val plan = planner.plan(view(listOf(runner("r1", held, disk = disk)), emptyList()), now)
+            assertEquals(emptyList(), plan.steps)
+        }
+    }
+
     @Nested
     inner class Copies {
         @Test
@@ -204,7 +231,7 @@
                 runner("r2", held())
             )
             val plan = planner.plan(view(runners, emptyList(), mapOf("a" to 5.0)), now)
-            assertEquals("r2", loads(plan).single().runner)
+            assertEquals("r2" to "a", loads(plan).single().let { it.runner to it.model })
         }
 
         @Test
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -240,6 +240,7 @@
             .addAllDemands(waits.takeDemands())
             .addAllUses(uses)
             .addAllSuspects(suspects.takeUnsent())
+            .addAllUnreachable(directory.down())
             .build()
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -217,7 +217,7 @@
             is SendEnd.NotRun -> {
                 mayHaveRun = wasUncertain
                 when (end.status) {
-                    null -> upstream.failed(nowMillis)
+                    null -> upstream.unreachable(nowMillis)
                     MISDIRECTED -> request.facts.model
                         ?.let { upstream.lacks(it, request.facts.adapter, nowMillis) }
                         ?: upstream.failed(nowMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/HoldKeeper.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/HoldKeeper.kt
@@ -154,10 +154,13 @@
             events.write("lease-unreadable", "reason" to e.message)
             return HoldRecord("", 0, row.version, isReleased = false)
         }
-        if (hold.address.isNotEmpty()) {
+        if (hold.address.isNotEmpty() && hold.address != self.address) {
             coordinator = CoordinatorAddress(hold.vm, HostPort.parse(hold.address), hold.fence)
         }
-        return HoldRecord(hold.vm + hold.boot, hold.fence, row.version, hold.isReleased)
+        // An earlier process at this address is gone, or this one could not listen here.
+        val isPredecessor = hold.address == self.address && hold.boot != self.boot
+        val isReleased = hold.isReleased || isPredecessor
+        return HoldRecord(hold.vm + hold.boot, hold.fence, row.version, isReleased)
     }
 
     private companion object {
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/DecayingCounts.kt
@@ -0,0 +1,33 @@
+package cactusfold.entry.residency
+
+import kotlin.math.exp
+
+/** Counts events by name, each counting less the longer it is past: a smoothed rate. */
+public class DecayingCounts(private val timeMillis: Double) {
+    private val rates = HashMap<String, Double>()
+    private var decayedAtMillis = 0L
+
+    /** Adds [count] events of [name]. */
+    public fun add(name: String, count: Int, nowMillis: Long) {
+        decay(nowMillis)
+        rates.merge(name, count * MILLIS_PER_SECOND / timeMillis, Double::plus)
+    }
+
+    /** Returns events a second, by name. */
+    public fun perSecond(nowMillis: Long): Map<String, Double> {
+        decay(nowMillis)
+        return rates.toMap()
+    }
+
+    private fun decay(nowMillis: Long) {
+        val factor = exp(-(nowMillis - decayedAtMillis) / timeMillis)
+        decayedAtMillis = nowMillis
+        rates.entries.forEach { it.setValue(it.value * factor) }
+        rates.values.removeIf { it < NEGLIGIBLE_PER_SECOND }
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+        const val NEGLIGIBLE_PER_SECOND = 0.0005
+    }
+}
--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -3,14 +3,14 @@
 import cactusfold.decisions.residency.ModelDemand
 import cactusfold.protocol.entry.Demand
 import cactusfold.protocol.entry.MemberReport
-import kotlin.math.exp
 
 /** What the members of the fleet have reported to their coordinator. */
 public class FleetDemand {
     private class Reported(val report: MemberReport, val atMillis: Long)
 
     private val reports = HashMap<String, Reported>()
-    private val rates = HashMap<String, Double>()
+    private val rates = DecayingCounts(RATE_MILLIS)
+    private val habits = DecayingCounts(HABIT_MILLIS)
     private var decayedAtMillis = 0L
 
     /** Members heard from lately. */
@@ -19,11 +19,10 @@
     /** Takes over a member's report. */
     public fun reported(report: MemberReport, nowMillis: Long) {
         reports[report.vm] = Reported(report, nowMillis)
-        decay(nowMillis)
         for (demand in report.demandsList) {
-            if (demand.arrivals > 0) {
-                rates.merge(demand.model, demand.arrivals * MILLIS_PER_SECOND / RATE_MILLIS, Double::plus)
-            }
+            if (demand.arrivals == 0) continue
+            rates.add(demand.model, demand.arrivals, nowMillis)
+            habits.add(demand.model, demand.arrivals, nowMillis)
         }
     }
 
@@ -32,11 +31,11 @@
         reports.remove(vm)
     }
 
-    /** Arrivals a second of each model, smoothed. */
-    public fun arrivalsPerSecond(nowMillis: Long): Map<String, Double> {
-        decay(nowMillis)
-        return rates.toMap()
-    }
+    /** Arrivals a second of each model lately. */
+    public fun arrivalsPerSecond(nowMillis: Long): Map<String, Double> = rates.perSecond(nowMillis)
+
+    /** Arrivals a second of each model over a longer time. */
+    public fun habitualPerSecond(nowMillis: Long): Map<String, Double> = habits.perSecond(nowMillis)
 
     /** Returns what waits anywhere. */
     public fun demands(nowMillis: Long): List<ModelDemand> = current(nowMillis)
@@ -44,6 +43,10 @@
         .groupBy({ it.second.model to it.second.adapter }, { it })
         .map { (key, group) -> merge(key.first, key.second, group) }
 
+    /** Upstreams that at least one member could not reach. */
+    public fun unreachable(nowMillis: Long): Set<String> =
+        current(nowMillis).flatMapTo(mutableSetOf()) { it.report.unreachableList }
+
     /** Requests that run at each runner, by model. */
     public fun inFlight(nowMillis: Long): Map<String, Map<String, Int>> = current(nowMillis)
         .flatMap { it.report.usesList }
@@ -73,19 +76,12 @@
     private fun current(nowMillis: Long): List<Reported> =
         reports.values.filter { nowMillis - it.atMillis < REPORT_VALID_MILLIS }
 
-    private fun decay(nowMillis: Long) {
-        val factor = exp(-(nowMillis - decayedAtMillis) / RATE_MILLIS)
-        decayedAtMillis = nowMillis
-        rates.entries.forEach { it.setValue(it.value * factor) }
-        rates.values.removeIf { it < NEGLIGIBLE_PER_SECOND }
-    }
-
     private companion object {
-        const val MILLIS_PER_SECOND = 1_000.0
-
         /** Time over which arrivals are smoothed: shorter than demand takes to move on. */
         const val RATE_MILLIS = 5_000.0
-        const val NEGLIGIBLE_PER_SECOND = 0.0005
+
+        /** Time over which demand that has fallen silent counts as likely to come back. */
+        const val HABIT_MILLIS = 60_000.0
 
         /** Three times the longest pause between two reports. */
         const val REPORT_VALID_MILLIS = 1_500L
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -92,12 +92,15 @@
 
     private fun viewOf(engine: EngineSpec, runners: List<Upstream>, nowMillis: Long): ResidencyView {
         val inFlight = demand.inFlight(nowMillis)
-        val states = runners.map { stateOf(it, inFlight[it.entry.id].orEmpty(), nowMillis) }
+        val unreachable = demand.unreachable(nowMillis)
+        val states = runners.filter { it.entry.id !in unreachable }
+            .map { stateOf(it, inFlight[it.entry.id].orEmpty(), nowMillis) }
         return ResidencyView(
             bounds = boundsOf(engine),
             runners = states,
             demands = demand.demands(nowMillis).filter { it.model in engine.models },
             arrivalsPerSecond = demand.arrivalsPerSecond(nowMillis).filterKeys { it in engine.models },
+            habitualPerSecond = demand.habitualPerSecond(nowMillis).filterKeys { it in engine.models },
             adapterUsedMillis = adaptersInUse(nowMillis),
             storeLoadsAllowed = storeLoadsAllowed(engine, nowMillis)
         )
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -26,6 +26,7 @@
     private val inFlightByUse = HashMap<ModelUse, Int>()
     private var latencyMillis = 0.0
     private var asideUntilMillis = 0L
+    private var downUntilMillis = 0L
     private var failures = 0
     private var load: ReportedLoad? = null
 
@@ -93,10 +94,20 @@
     /** Books an answer that began after [firstByteMillis]. */
     public fun answered(firstByteMillis: Long, reported: ReportedLoad?) {
         failures = 0
+        downUntilMillis = 0
         latencyMillis += (firstByteMillis - latencyMillis) * LATENCY_WEIGHT
         if (reported != null) load = reported
     }
 
+    /** Whether the upstream could not be reached a moment ago, so that others have to serve. */
+    public fun isDown(nowMillis: Long): Boolean = nowMillis < downUntilMillis
+
+    /** Takes note that no connection could be made. */
+    public fun unreachable(nowMillis: Long) {
+        downUntilMillis = nowMillis + DOWN_MILLIS
+        failed(nowMillis)
+    }
+
     /** Puts the upstream aside after a failure, longer with each in a row. */
     public fun failed(nowMillis: Long) {
         val asideMillis = FAILED_MILLIS shl failures.coerceAtMost(MAX_DOUBLINGS)
@@ -128,5 +139,8 @@
         const val FAILED_MILLIS = 250L
         const val MAX_DOUBLINGS = 4
         const val FULL_MILLIS = 40L
+
+        /** An upstream that refuses connections is tried again after this time. */
+        const val DOWN_MILLIS = 1_000L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -37,6 +37,12 @@
     /** Returns the upstream with [id], or null. */
     public fun find(id: String): Upstream? = upstreams[id]
 
+    /** Upstreams that this process could not reach a moment ago. */
+    public fun down(): List<String> {
+        val nowMillis = clock.nowMillis()
+        return upstreams.values.filter { it.isDown(nowMillis) }.map { it.entry.id }
+    }
+
     /** Upstreams that leave, and those that have left since the last call. */
     public fun takeLeaving(): Set<String> {
         val leaving = upstreams.values.filter { it.entry.isDraining }.mapTo(mutableSetOf()) { it.entry.id }
@@ -56,10 +62,13 @@
     }
 
     /** Returns the upstreams of [service] that can run a request for [model] and [adapter]. */
-    public fun serving(service: String, model: String?, adapter: String?): List<Upstream> =
-        upstreams.values.filter {
-            it.entry.service == service && it.isUsable && it.serves(model, adapter)
+    public fun serving(service: String, model: String?, adapter: String?): List<Upstream> {
+        val nowMillis = clock.nowMillis()
+        return upstreams.values.filter {
+            it.entry.service == service && it.isUsable && it.serves(model, adapter) &&
+                !it.isDown(nowMillis)
         }
+    }
 
     /**
      * Returns the best of [candidates] now, or null when all are full or put aside.
