--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -28,7 +28,8 @@
  */
 public class ResidencyPlanner {
     /** Returns what to do now. */
-    public fun plan(view: ResidencyView, nowMillis: Long): ResidencyPlan = Planning(view, nowMillis).run()
+    public fun plan(view: ResidencyView, nowMillis: Long): ResidencyPlan =
+        Planning(view, nowMillis).run()
 }
 
 private class Candidate(
@@ -85,9 +86,16 @@
                 take(candidate)
                 continue
             }
-            queuedStoreMillis += soonestMillis(demand.model) / bounds.storeLoadsAtOnce.coerceAtLeast(1)
+            queuedStoreMillis +=
+                soonestMillis(demand.model) / bounds.storeLoadsAtOnce.coerceAtLeast(1)
             val earliest = nowMillis + queuedStoreMillis + soonestMillis(demand.model)
-            if (earliest > demand.limitAtMillis) hopeless += demand.model else readyAt[demand.model] = earliest
+            if (earliest >
+                demand.limitAtMillis
+            ) {
+                hopeless += demand.model
+            } else {
+                readyAt[demand.model] = earliest
+            }
         }
     }
 
@@ -178,7 +186,8 @@
     /** A model that the configuration does not name any more is taken to fill the runner. */
     private fun heldMegabytes(runner: RunnerState, model: String): Double {
         val cost = bounds.models[model] ?: return bounds.weightMegabytes
-        return cost.weightMegabytes + runner.adaptersByModel[model].orEmpty().size * cost.adapterMegabytes
+        return cost.weightMegabytes +
+            runner.adaptersByModel[model].orEmpty().size * cost.adapterMegabytes
     }
 
     /** Waiting, in milliseconds a second, that is expected from dropping [model] on [runner]. */
--- a/decisions/src/test/kotlin/cactusfold/decisions/holding/HoldRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/holding/HoldRandomisedTest.kt
@@ -112,7 +112,12 @@
             val version = write(record, state.version)
             if (isReleasing) return
             process.state = when {
-                version == null || isLost -> machine.conflicted(state, row.record, process.self, now)
+                version == null || isLost -> machine.conflicted(
+                    state,
+                    row.record,
+                    process.self,
+                    now
+                )
                 else -> machine.renewed(state, version, now)
             }
         }
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -28,7 +28,9 @@
             .associateWith { cost(it, if (it == "a") 8 else 0) }.toImmutableMap()
     )
 
-    private fun held(vararg models: Pair<String, Set<String>>): ImmutableMap<String, ImmutableSet<String>> =
+    private fun held(
+        vararg models: Pair<String, Set<String>>
+    ): ImmutableMap<String, ImmutableSet<String>> =
         models.associate { it.first to it.second.toImmutableSet() }.toImmutableMap()
 
     private fun runner(
@@ -122,7 +124,17 @@
 
         @Test
         fun `a copy of which there are others goes first`() {
-            val runners = listOf(runner("r1", full), runner("r2", held("e" to emptySet()), inFlight = mapOf("e" to 9)))
+            val runners =
+                listOf(
+                    runner("r1", full),
+                    runner(
+                        "r2",
+                        held("e" to emptySet()),
+                        inFlight = mapOf(
+                            "e" to 9
+                        )
+                    )
+                )
             val busy = runners[1].copy(isBusy = true)
             val plan = planner.plan(view(listOf(runners[0], busy), listOf(demand("c"))), now)
             assertEquals(listOf("e"), loads(plan).single().evicted)
@@ -138,14 +150,20 @@
         @Test
         fun `a model in use stays`() {
             val inFlight = mapOf("d" to 1, "e" to 1, "f" to 1)
-            val plan = planner.plan(view(listOf(runner("r1", full, inFlight = inFlight)), listOf(demand("c"))), now)
+            val plan = planner.plan(
+                view(listOf(runner("r1", full, inFlight = inFlight)), listOf(demand("c"))),
+                now
+            )
             assertEquals(emptyList(), plan.steps)
         }
 
         @Test
         fun `a model that demand has left goes before one that is asked for`() {
             val rates = mapOf("d" to 3.0, "f" to 2.0)
-            val plan = planner.plan(view(listOf(runner("r1", full)), listOf(demand("c")), rates), now)
+            val plan = planner.plan(
+                view(listOf(runner("r1", full)), listOf(demand("c")), rates),
+                now
+            )
             assertEquals(listOf("e"), loads(plan).single().evicted)
         }
 
@@ -176,7 +194,10 @@
         fun `the adapter that was idle longest makes way, never one just used`() {
             val runners = listOf(runner("r1", held("a" to setOf("x", "y"))))
             val used = mapOf("r1" to mapOf(("a" to "x") to now - 100, ("a" to "y") to now - 5_000))
-            val plan = planner.plan(view(runners, listOf(demand("a", adapter = "z")), used = used), now)
+            val plan = planner.plan(
+                view(runners, listOf(demand("a", adapter = "z")), used = used),
+                now
+            )
             assertEquals("a" to "y", assertIs<Residency.LoadAdapter>(plan.steps.first()).evicted)
         }
 
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -107,13 +107,19 @@
         scope,
         directory,
         demand,
-        DeskContext(orders, clock, events, { OrderAuthority(settings.vm, hold.fence) }) { hold.mayAct },
+        DeskContext(orders, clock, events, {
+            OrderAuthority(settings.vm, hold.fence)
+        }) { hold.mayAct },
         clock,
         events,
         bounds.loadWindowMillis
     ) { table }
     private val coordinator =
-        FleetCoordinator(CoordinatorParts(hold, directory, loads, demand, rates, clock, events), store, dispatcher)
+        FleetCoordinator(
+            CoordinatorParts(hold, directory, loads, demand, rates, clock, events),
+            store,
+            dispatcher
+        )
     private val link: MemberLink =
         MemberLink(hold, peers, clock, events, ::report, ::noticed).also { it.own = coordinator }
     private val allowances: Allowances =
--- a/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
@@ -75,7 +75,12 @@
         key("load-window-seconds", ValueType.Decimal("seconds"), "window of store loads", "5")
     }
     section("log", "Log lines on standard output.") {
-        key("level", ValueType.OneOf(setOf("debug", "info", "warn", "error")), "least level", "info")
+        key(
+            "level",
+            ValueType.OneOf(setOf("debug", "info", "warn", "error")),
+            "least level",
+            "info"
+        )
         whole("lines-per-second", "lines", 1L..1_000_000L, "most lines of one kind a second", 50)
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -82,7 +82,11 @@
         }
     }
 
-    private suspend fun serve(request: HttpServerRequest, reply: CallerReply, arrivedAtMillis: Long) {
+    private suspend fun serve(
+        request: HttpServerRequest,
+        reply: CallerReply,
+        arrivedAtMillis: Long
+    ) {
         val facts = translator.call(request.headers())
         val body = receive(request)
         if (body == null) {
@@ -128,7 +132,16 @@
             is FlowEnd.Answered -> {
                 val answer = end.answer
                 if (answer == null) reply.endStream() else reply.whole(answer)
-                ended(request, if (answer == null) "streamed" else "answered-${answer.start.status}")
+                ended(
+                    request,
+                    if (answer ==
+                        null
+                    ) {
+                        "streamed"
+                    } else {
+                        "answered-${answer.start.status}"
+                    }
+                )
             }
             is FlowEnd.Own -> {
                 reply.own(request.facts.id, end.answer)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/OwnAnswer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/OwnAnswer.kt
@@ -11,10 +11,8 @@
     public val retryAfterMillis: Long? get() = null
 
     /** The request has not run and never will. */
-    public data class NotRun(
-        override val code: String,
-        override val retryAfterMillis: Long?
-    ) : OwnAnswer {
+    public data class NotRun(override val code: String, override val retryAfterMillis: Long?) :
+        OwnAnswer {
         override val status: Int get() = 503
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.decisions.suspect.SuspectVerdict
 import cactusfold.entry.config.RouteTable
+import cactusfold.entry.process.EventLog
 import cactusfold.entry.rate.Admission
 import cactusfold.entry.rate.Allowances
 import cactusfold.entry.residency.ModelWait
@@ -15,7 +16,6 @@
 import cactusfold.ports.serving.SendFacts
 import cactusfold.ports.serving.ServingRoute
 import cactusfold.ports.serving.ServingWorkspace
-import cactusfold.entry.process.EventLog
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
@@ -79,9 +79,17 @@
         val route = table.route(request.host, request.path)
             ?: return own(OwnAnswer.Rejected(NOT_FOUND, "no-route"))
         val needsKey = table.config.hasKeys && !route.needsNoKey
-        if (needsKey && !parts.isConfigFresh()) return own(OwnAnswer.NotRun("keys-unsure", STALE_MILLIS))
+        if (needsKey &&
+            !parts.isConfigFresh()
+        ) {
+            return own(OwnAnswer.NotRun("keys-unsure", STALE_MILLIS))
+        }
         val workspace = if (needsKey) request.facts.key?.let(table::workspace) else null
-        if (needsKey && workspace == null) return own(OwnAnswer.Rejected(UNAUTHORIZED, "unknown-key"))
+        if (needsKey &&
+            workspace == null
+        ) {
+            return own(OwnAnswer.Rejected(UNAUTHORIZED, "unknown-key"))
+        }
         if (request.facts.id == null) return own(OwnAnswer.Rejected(BAD_REQUEST, "no-request-id"))
         val limitAt = request.arrivedAtMillis +
             minOf(route.timeoutMillis, request.facts.limitMillis ?: route.timeoutMillis)
@@ -96,8 +104,17 @@
         route: ServingRoute,
         limitAt: Long
     ): OwnAnswer? {
-        val patienceAt = minOf(limitAt, request.arrivedAtMillis + route.targetMillis / PATIENCE_DIVISOR)
-        return when (val admission = parts.allowances.admit(workspace, costOf(workspace), patienceAt)) {
+        val patienceAt = minOf(
+            limitAt,
+            request.arrivedAtMillis + route.targetMillis / PATIENCE_DIVISOR
+        )
+        return when (
+            val admission = parts.allowances.admit(
+                workspace,
+                costOf(workspace),
+                patienceAt
+            )
+        ) {
             Admission.Admitted -> null
             is Admission.OverRate -> {
                 parts.events.write(
@@ -146,14 +163,23 @@
                 val patientUntil = route.patienceMillis?.let { request.arrivedAtMillis + it }
                 val usefulUntil = minOf(limitAt, patientUntil ?: limitAt) - FIRST_PIECE_MILLIS
                 val wait = parts.waits.await(service, model, adapter, targetAt, usefulUntil)
-                if (wait is ModelWait.Refused) return refused("model-not-in-time", wait.retryAfterMillis)
+                if (wait is ModelWait.Refused) {
+                    return refused(
+                        "model-not-in-time",
+                        wait.retryAfterMillis
+                    )
+                }
                 continue
             }
             val upstream = parts.directory.choose(candidates, request.facts.promptPart)
             if (upstream == null) {
                 val now = parts.clock.nowMillis()
                 val since = fullSinceMillis ?: now.also { fullSinceMillis = it }
-                if (now - since > route.targetMillis / PATIENCE_DIVISOR) return ended(last, "all-full")
+                if (now - since >
+                    route.targetMillis / PATIENCE_DIVISOR
+                ) {
+                    return ended(last, "all-full")
+                }
                 delay(FULL_MILLIS)
                 continue
             }
@@ -218,9 +244,10 @@
                 mayHaveRun = wasUncertain
                 when (end.status) {
                     null -> upstream.unreachable(nowMillis)
-                    MISDIRECTED -> request.facts.model
-                        ?.let { upstream.lacks(it, request.facts.adapter, nowMillis) }
-                        ?: upstream.failed(nowMillis)
+                    MISDIRECTED ->
+                        request.facts.model
+                            ?.let { upstream.lacks(it, request.facts.adapter, nowMillis) }
+                            ?: upstream.failed(nowMillis)
                     else -> upstream.full(nowMillis)
                 }
             }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/SharedSuspects.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/SharedSuspects.kt
@@ -26,12 +26,11 @@
             .hash().toString()
 
     /** Returns what may be done with a request of [fingerprint]. */
-    public fun verdict(fingerprint: String): SuspectVerdict =
-        if (state.suspects.isEmpty()) {
-            SuspectVerdict.CLEAR
-        } else {
-            tracker.judge(state, fingerprint, clock.nowMillis())
-        }
+    public fun verdict(fingerprint: String): SuspectVerdict = if (state.suspects.isEmpty()) {
+        SuspectVerdict.CLEAR
+    } else {
+        tracker.judge(state, fingerprint, clock.nowMillis())
+    }
 
     /** Books that a request of [fingerprint] was in flight when [upstream] broke off. */
     public fun broke(fingerprint: String, upstream: Upstream) {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -134,8 +134,13 @@
             return SendEnd.Streamed
         }
 
-        private fun failure(reason: String): SendEnd =
-            if (request == null) SendEnd.NotRun("not connected: $reason") else SendEnd.Broken(reason)
+        private fun failure(reason: String): SendEnd = if (request ==
+            null
+        ) {
+            SendEnd.NotRun("not connected: $reason")
+        } else {
+            SendEnd.Broken(reason)
+        }
 
         private fun options(): RequestOptions = RequestOptions()
             .setMethod(outgoing.method)
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -99,7 +99,15 @@
             when (val result = read(position)) {
                 is FeedResult.Changes -> {
                     if (position == null) members.clear()
-                    result.rows.forEach { if (it.value == null) members -= it.sort else members += it.sort }
+                    result.rows.forEach {
+                        if (it.value ==
+                            null
+                        ) {
+                            members -= it.sort
+                        } else {
+                            members += it.sort
+                        }
+                    }
                     position = result.position
                     memberCount = members.size.coerceAtLeast(1)
                     parts.rates.registered(members.toSet(), sentAtMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/HoldKeeper.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/HoldKeeper.kt
@@ -102,7 +102,13 @@
     private suspend fun readBack(holding: HoldState.Holding) {
         val read = table.get(key)
         if (read is ReadResult.Found && state === holding) {
-            state = machine.conflicted(holding, recordOf(read.value), self.vm + self.boot, clock.nowMillis())
+            state =
+                machine.conflicted(
+                    holding,
+                    recordOf(read.value),
+                    self.vm + self.boot,
+                    clock.nowMillis()
+                )
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberLink.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberLink.kt
@@ -65,7 +65,11 @@
             try {
                 CoordinatorCoroutineStub(peers.channel(target.address)).takeTokens(request)
             } catch (e: StatusException) {
-                events.write("tokens-not-asked", "coordinator" to target.vm, "reason" to e.status.toString())
+                events.write(
+                    "tokens-not-asked",
+                    "coordinator" to target.vm,
+                    "reason" to e.status.toString()
+                )
                 null
             }
         }
@@ -89,7 +93,11 @@
                 reading.cancel()
             }
         } catch (e: StatusException) {
-            events.write("coordinator-lost", "coordinator" to target.vm, "reason" to e.status.toString())
+            events.write(
+                "coordinator-lost",
+                "coordinator" to target.vm,
+                "reason" to e.status.toString()
+            )
         }
         heardAtMillis = Long.MIN_VALUE / 2
         delay(RETRY_MILLIS)
--- a/entry/src/main/kotlin/cactusfold/entry/process/EventLog.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/process/EventLog.kt
@@ -28,7 +28,11 @@
         val second = nowMillis / MILLIS_PER_SECOND
         if (budget.secondsStamp != second) {
             if (budget.dropped > 0) {
-                emit(nowMillis, "log-lines-dropped", arrayOf("of" to kind, "lines" to budget.dropped))
+                emit(
+                    nowMillis,
+                    "log-lines-dropped",
+                    arrayOf("of" to kind, "lines" to budget.dropped)
+                )
             }
             budget.secondsStamp = second
             budget.lines = 0
--- a/entry/src/main/kotlin/cactusfold/entry/rate/Allowances.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/Allowances.kt
@@ -82,8 +82,9 @@
     /** Spends [tokens] of this process's reserve, and returns whether they were there. */
     private fun trySpend(workspace: String, limit: RateLimit, tokens: Long): Boolean {
         sizeReserve()
-        val before = states[workspace]?.let { if (it.limit == limit) it else it.copy(limit = limit) }
-            ?: spender.start(limit, registeredAtMillis + REGISTRATION_MILLIS)
+        val before =
+            states[workspace]?.let { if (it.limit == limit) it else it.copy(limit = limit) }
+                ?: spender.start(limit, registeredAtMillis + REGISTRATION_MILLIS)
         val step = spender.spend(before, tokens, clock.nowMillis(), isRegistered)
         states[workspace] = step.state
         return when (step.outcome) {
--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -39,7 +39,9 @@
 
     /** Returns what waits anywhere. */
     public fun demands(nowMillis: Long): List<ModelDemand> = current(nowMillis)
-        .flatMap { member -> member.report.demandsList.filter { it.waiting > 0 }.map { member to it } }
+        .flatMap { member ->
+            member.report.demandsList.filter { it.waiting > 0 }.map { member to it }
+        }
         .groupBy({ it.second.model to it.second.adapter }, { it })
         .map { (key, group) -> merge(key.first, key.second, group) }
 
@@ -69,7 +71,9 @@
         model = model,
         adapter = adapter.ifEmpty { null },
         waiting = group.sumOf { it.second.waiting },
-        targetAtMillis = group.minOf { (member, demand) -> member.atMillis + demand.targetInMillis },
+        targetAtMillis = group.minOf { (member, demand) ->
+            member.atMillis + demand.targetInMillis
+        },
         limitAtMillis = group.maxOf { (member, demand) -> member.atMillis + demand.limitInMillis }
     )
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -90,7 +90,11 @@
         }
     }
 
-    private fun viewOf(engine: EngineSpec, runners: List<Upstream>, nowMillis: Long): ResidencyView {
+    private fun viewOf(
+        engine: EngineSpec,
+        runners: List<Upstream>,
+        nowMillis: Long
+    ): ResidencyView {
         val inFlight = demand.inFlight(nowMillis)
         val unreachable = demand.unreachable(nowMillis)
         val states = runners.filter { it.entry.id !in unreachable }
@@ -99,14 +103,22 @@
             bounds = boundsOf(engine),
             runners = states,
             demands = demand.demands(nowMillis).filter { it.model in engine.models },
-            arrivalsPerSecond = demand.arrivalsPerSecond(nowMillis).filterKeys { it in engine.models },
-            habitualPerSecond = demand.habitualPerSecond(nowMillis).filterKeys { it in engine.models },
+            arrivalsPerSecond = demand.arrivalsPerSecond(nowMillis).filterKeys {
+                it in engine.models
+            },
+            habitualPerSecond = demand.habitualPerSecond(nowMillis).filterKeys {
+                it in engine.models
+            },
             adapterUsedMillis = adaptersInUse(nowMillis),
             storeLoadsAllowed = storeLoadsAllowed(engine, nowMillis)
         )
     }
 
-    private fun stateOf(upstream: Upstream, inFlight: Map<String, Int>, nowMillis: Long): RunnerState {
+    private fun stateOf(
+        upstream: Upstream,
+        inFlight: Map<String, Int>,
+        nowMillis: Long
+    ): RunnerState {
         val work = workOf(upstream)
         inFlight.keys.forEach { work.lastUsedMillis[it] = nowMillis }
         if (!work.isKnown) learn(work)
@@ -114,10 +126,19 @@
         work.ledger = work.ledger
             .said(upstream.adaptersByModel, nowMillis - ANNOUNCEMENT_LAG_MILLIS)
         val load = work.load
-        val report = work.report?.takeIf { nowMillis - work.reportedAtMillis < ANNOUNCEMENT_LAG_MILLIS }
+        val report = work.report?.takeIf {
+            nowMillis - work.reportedAtMillis <
+                ANNOUNCEMENT_LAG_MILLIS
+        }
         return RunnerState(
             id = upstream.entry.id,
-            served = if (nowMillis < work.restsUntilMillis) persistentMapOf() else upstream.adaptersByModel,
+            served = if (nowMillis <
+                work.restsUntilMillis
+            ) {
+                persistentMapOf()
+            } else {
+                upstream.adaptersByModel
+            },
             adaptersByModel = work.ledger.adaptersByModel,
             modelsInHostMemory = report?.modelsInHostMemory ?: upstream.entry.modelsInHostMemory,
             modelsOnDisk = report?.modelsOnDisk ?: upstream.entry.modelsOnDisk,
@@ -148,7 +169,8 @@
                 if (report == null) {
                     delay(LEARN_MILLIS)
                 } else {
-                    work.ledger = work.ledger.said(report.adaptersByModel, askedAtMillis - REPORT_LAG_MILLIS)
+                    work.ledger =
+                        work.ledger.said(report.adaptersByModel, askedAtMillis - REPORT_LAG_MILLIS)
                     work.report = report
                     work.reportedAtMillis = askedAtMillis
                     work.isKnown = true
@@ -170,7 +192,9 @@
 
     private fun storeLoadsAllowed(engine: EngineSpec, nowMillis: Long): Int {
         val perSecond = engine.storeLoadsPerSecond ?: return Int.MAX_VALUE
-        while (storeLoadsAtMillis.isNotEmpty() && nowMillis - storeLoadsAtMillis.first() > loadWindowMillis) {
+        while (storeLoadsAtMillis.isNotEmpty() &&
+            nowMillis - storeLoadsAtMillis.first() > loadWindowMillis
+        ) {
             storeLoadsAtMillis.removeFirst()
         }
         val perWindow = (perSecond * loadWindowMillis / MILLIS_PER_SECOND).toInt().coerceAtLeast(1)
@@ -196,7 +220,9 @@
             }
         }
         val refused = plan.hopeless.map {
-            Forecast.newBuilder().setModel(it).setIsRefused(true).setReadyInMillis(RETRY_MILLIS).build()
+            Forecast.newBuilder().setModel(
+                it
+            ).setIsRefused(true).setReadyInMillis(RETRY_MILLIS).build()
         }
         if (refused.isNotEmpty()) onForecasts(refused)
     }
@@ -205,7 +231,8 @@
         val began = clock.nowMillis()
         var isLoaded = false
         try {
-            isLoaded = makeRoom(work, step.evicted) && order(work, RunnerOrder.Load(step.model)) &&
+            isLoaded = makeRoom(work, step.evicted) &&
+                order(work, RunnerOrder.Load(step.model)) &&
                 awaitModel(work, step)
             events.write(
                 if (isLoaded) "model-loaded" else "model-load-failed",
@@ -240,7 +267,9 @@
             is RunnerOrder.Unload -> work.ledger.unloaded(order.model, after)
             is RunnerOrder.UnloadAdapter ->
                 work.ledger.unloadedAdapter(order.model, order.adapter, after)
-            is RunnerOrder.Load, is RunnerOrder.LoadAdapter -> work.ledger.copy(changedAtMillis = after)
+            is RunnerOrder.Load, is RunnerOrder.LoadAdapter -> work.ledger.copy(
+                changedAtMillis = after
+            )
         }
         return true
     }
@@ -295,7 +324,11 @@
         return order(work, RunnerOrder.UnloadAdapter(model, adapter))
     }
 
-    private fun holdAdapters(work: RunnerWork, model: String, change: (Set<String>) -> Set<String>) {
+    private fun holdAdapters(
+        work: RunnerWork,
+        model: String,
+        change: (Set<String>) -> Set<String>
+    ) {
         val models = work.upstream.adaptersByModel
         val adapters = models[model] ?: return
         hold(work, (models + (model to change(adapters).toImmutableSet())).toImmutableMap())
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaits.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaits.kt
@@ -55,12 +55,14 @@
         limitAtMillis: Long
     ): ModelWait {
         if (directory.serving(service, model, adapter).isNotEmpty()) return ModelWait.Ready
-        val one = Waiting(service, model, adapter, targetAtMillis, limitAtMillis, CompletableDeferred())
+        val one =
+            Waiting(service, model, adapter, targetAtMillis, limitAtMillis, CompletableDeferred())
         waiting += one
         wake()
         try {
             val leftMillis = limitAtMillis - clock.nowMillis()
-            return withTimeoutOrNull(leftMillis) { one.end.await() } ?: ModelWait.Refused(LATE_RETRY_MILLIS)
+            return withTimeoutOrNull(leftMillis) { one.end.await() }
+                ?: ModelWait.Refused(LATE_RETRY_MILLIS)
         } finally {
             waiting -= one
         }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -45,7 +45,9 @@
 
     /** Upstreams that leave, and those that have left since the last call. */
     public fun takeLeaving(): Set<String> {
-        val leaving = upstreams.values.filter { it.entry.isDraining }.mapTo(mutableSetOf()) { it.entry.id }
+        val leaving = upstreams.values.filter {
+            it.entry.isDraining
+        }.mapTo(mutableSetOf()) { it.entry.id }
         leaving += left
         left.clear()
         return leaving
@@ -65,7 +67,9 @@
     public fun serving(service: String, model: String?, adapter: String?): List<Upstream> {
         val nowMillis = clock.nowMillis()
         return upstreams.values.filter {
-            it.entry.service == service && it.isUsable && it.serves(model, adapter) &&
+            it.entry.service == service &&
+                it.isUsable &&
+                it.serves(model, adapter) &&
                 !it.isDown(nowMillis)
         }
     }
@@ -133,7 +137,11 @@
         when (val decoded = UpstreamDecoder.entry(row.sort, value)) {
             is Decoded.Valid -> announced(decoded.value)
             is Decoded.Invalid -> {
-                events.write("upstream-unreadable", "upstream" to row.sort, "reason" to decoded.reason)
+                events.write(
+                    "upstream-unreadable",
+                    "upstream" to row.sort,
+                    "reason" to decoded.reason
+                )
                 missing(row.sort)
             }
         }
--- a/entry/src/test/kotlin/cactusfold/entry/residency/RunnerDeskTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/RunnerDeskTest.kt
@@ -50,7 +50,12 @@
         }
 
         override suspend fun report(runner: UpstreamEntry): RunnerReport = RunnerReport(
-            persistentMapOf(), 0, isBusy, accepted, persistentSetOf(), persistentSetOf()
+            persistentMapOf(),
+            0,
+            isBusy,
+            accepted,
+            persistentSetOf(),
+            persistentSetOf()
         )
     }
 
@@ -59,7 +64,9 @@
     private val clock = { System.nanoTime() / 1_000_000 }
     private val desk = RunnerDesk(
         Upstream(entry),
-        DeskContext(runner, clock, EventLog("vm", clock, 1_000), { OrderAuthority("vm", 1) }) { mayOrder }
+        DeskContext(runner, clock, EventLog("vm", clock, 1_000), {
+            OrderAuthority("vm", 1)
+        }) { mayOrder }
     )
 
     @Nested
@@ -96,14 +103,15 @@
     @Nested
     inner class LostAnswers {
         @Test
-        fun `an order that was taken without an answer is not sent as a second one`() = runBlocking {
-            desk.learn()
-            runner.replies += OrderReply.Unknown("lost")
-            runner.acceptsUnanswered = true
-            assertEquals(OrderEnd.TAKEN, desk.send(RunnerOrder.Load("a")))
-            assertEquals(1, runner.accepted)
-            assertEquals(setOf(0L), runner.sent.map { it.second }.toSet())
-        }
+        fun `an order that was taken without an answer is not sent as a second one`() =
+            runBlocking {
+                desk.learn()
+                runner.replies += OrderReply.Unknown("lost")
+                runner.acceptsUnanswered = true
+                assertEquals(OrderEnd.TAKEN, desk.send(RunnerOrder.Load("a")))
+                assertEquals(1, runner.accepted)
+                assertEquals(setOf(0L), runner.sent.map { it.second }.toSet())
+            }
 
         @Test
         fun `an order that was not taken is repeated under the same count`() = runBlocking {
--- a/ports/src/main/kotlin/cactusfold/ports/table/ChangeFeed.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/table/ChangeFeed.kt
@@ -1,7 +1,11 @@
 package cactusfold.ports.table
 
 /** A row that was written, or deleted when [value] is null. */
-public data class RowChange(public val sort: String, public val version: Long, public val value: ByteArray?) {
+public data class RowChange(
+    public val sort: String,
+    public val version: Long,
+    public val value: ByteArray?
+) {
     override fun equals(other: Any?): Boolean =
         other is RowChange && sort == other.sort && version == other.version
 
@@ -19,7 +23,8 @@
      *
      * @property position where the next call goes on.
      */
-    public data class Changes(public val rows: List<RowChange>, public val position: Long) : FeedResult
+    public data class Changes(public val rows: List<RowChange>, public val position: Long) :
+        FeedResult
 
     /** The changes after the position are no longer kept; the table has to be read anew. */
     public data object HistoryGone : FeedResult
