--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -107,11 +107,9 @@
         scope,
         directory,
         demand,
-        DeskContext(orders, clock, events, {
-            OrderAuthority(settings.vm, hold.fence)
-        }) { hold.mayAct },
-        clock,
-        events,
+        DeskContext(orders, clock, events, { OrderAuthority(settings.vm, hold.fence) }) {
+            hold.mayAct
+        },
         bounds.loadWindowMillis
     ) { table }
     private val coordinator =
