--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -59,6 +59,7 @@
  * Requests for a model or an adapter of it.
  *
  * @property waiting requests that no runner can take now.
+ * @property missed requests refused since the model was last loaded, so that none starves.
  * @property targetAtMillis the earliest moment at which one of them should have been answered.
  * @property limitAtMillis the last moment at which an answer is of use to any of them.
  */
@@ -67,7 +68,8 @@
     public val adapter: String?,
     public val waiting: Int,
     public val targetAtMillis: Long,
-    public val limitAtMillis: Long
+    public val limitAtMillis: Long,
+    public val missed: Int = 0
 )
 
 /** Where a load takes the weights from. */
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -76,7 +76,7 @@
         }
         val ordered = merged.sortedWith(
             compareByDescending<ModelDemand> { canMeetTarget(it) }
-                .thenByDescending { it.waiting / soonestMillis(it.model).toDouble() }
+                .thenByDescending { (it.waiting + it.missed) / soonestMillis(it.model).toDouble() }
                 .thenBy { it.limitAtMillis }
         )
         var queuedStoreMillis = 0L
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -109,6 +109,13 @@
             assertEquals(emptyList(), loads(plan))
         }
 
+        @Test
+        fun `a model that was refused again and again goes before a newcomer`() {
+            val runners = listOf(runner("r1", held()))
+            val demands = listOf(demand("c", waiting = 2), demand("d").copy(missed = 3))
+            assertEquals("d", loads(planner.plan(view(runners, demands), now)).single().model)
+        }
+
         @Test
         fun `requests that no load can meet in time are refused at once`() {
             val runners = listOf(runner("r1", held()))
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -162,12 +162,9 @@
                 val targetAt = request.arrivedAtMillis + route.targetMillis
                 val patientUntil = route.patienceMillis?.let { request.arrivedAtMillis + it }
                 val usefulUntil = minOf(limitAt, patientUntil ?: limitAt) - FIRST_PIECE_MILLIS
-                val wait = parts.waits.await(service, model, adapter, targetAt, usefulUntil)
+                val wait = awaitModel(service, model, adapter, targetAt, usefulUntil)
                 if (wait is ModelWait.Refused) {
-                    return refused(
-                        "model-not-in-time",
-                        wait.retryAfterMillis
-                    )
+                    return refused("model-not-in-time", wait.retryAfterMillis)
                 }
                 continue
             }
@@ -198,6 +195,26 @@
         }
     }
 
+    private suspend fun awaitModel(
+        service: String,
+        model: String,
+        adapter: String?,
+        targetAtMillis: Long,
+        limitAtMillis: Long
+    ): ModelWait {
+        val began = parts.clock.nowMillis()
+        val wait = parts.waits.await(service, model, adapter, targetAtMillis, limitAtMillis)
+        parts.events.write(
+            "model-waited",
+            "request" to request.facts.id,
+            "model" to model,
+            "adapter" to adapter,
+            "end" to wait.toString(),
+            "waited_ms" to parts.clock.nowMillis() - began
+        )
+        return wait
+    }
+
     private suspend fun sendTo(
         upstream: Upstream,
         route: ServingRoute,
@@ -224,6 +241,15 @@
             isStream = route.isStream
         )
         sends++
+        parts.events.write(
+            "sent",
+            "request" to facts.id,
+            "upstream" to upstream.entry.id,
+            "send" to sends,
+            "in_flight" to upstream.inFlight,
+            "left_ms" to limitAt - parts.clock.nowMillis(),
+            "workspace" to workspace?.name
+        )
         val wasUncertain = mayHaveRun
         mayHaveRun = true
         val use = facts.model?.let { ModelUse(it, facts.adapter) }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -29,6 +29,9 @@
 ) {
     private val planner = ResidencyPlanner()
     private val works = HashMap<String, RunnerWork>()
+    private class Missed(var count: Int, var atMillis: Long)
+
+    private val missed = HashMap<String, Missed>()
     private val storeLoadsAtMillis = ArrayDeque<Long>()
     private val jobs = SupervisorJob()
 
@@ -42,6 +45,7 @@
     public fun stop() {
         jobs.cancelChildren()
         works.clear()
+        missed.clear()
     }
 
     /** Plans and begins what is to be done now. */
@@ -72,7 +76,8 @@
             runners = reachable.map {
                 it.state(inFlight[it.upstream.entry.id].orEmpty(), nowMillis)
             },
-            demands = demand.demands(nowMillis).filter { it.model in known },
+            demands = demand.demands(nowMillis).filter { it.model in known }
+                .map { it.copy(missed = missed[it.model]?.count ?: 0) },
             arrivalsPerSecond = demand.arrivalsPerSecond(nowMillis).filterKeys { it in known },
             habitualPerSecond = demand.habitualPerSecond(nowMillis).filterKeys { it in known },
             adapterUsedMillis = adaptersInUse(nowMillis),
@@ -112,9 +117,11 @@
             if (step is Residency.Load && step.source == WeightSource.STORE) {
                 storeLoadsAtMillis.addLast(nowMillis)
             }
+            if (step is Residency.Load) missed -= step.model
             work.begin(step, nowMillis)
             scope.launch(jobs) { work.carryOut(step) }
         }
+        plan.hopeless.forEach { miss(it, nowMillis) }
         val refused = plan.hopeless.map { model ->
             Forecast.newBuilder()
                 .setModel(model)
@@ -125,6 +132,14 @@
         if (refused.isNotEmpty()) onForecasts(refused)
     }
 
+    /** Demand that was refused still stands in the members' last reports; it counts once. */
+    private fun miss(model: String, nowMillis: Long) {
+        val known = missed.getOrPut(model) { Missed(0, nowMillis - MISS_MILLIS) }
+        if (nowMillis - known.atMillis < MISS_MILLIS) return
+        known.count++
+        known.atMillis = nowMillis
+    }
+
     private fun boundsOf(engine: EngineSpec): RunnerBounds = RunnerBounds(
         slots = engine.slots,
         weightMegabytes = engine.weightMegabytes,
@@ -149,6 +164,9 @@
         /** Loads that the weight store carries at full speed, by the users' sheets. */
         const val STORE_LOADS_AT_ONCE = 4
 
+        /** Longer than a refused demand stands in the members' reports. */
+        const val MISS_MILLIS = 600L
+
         /** When a caller whose model could not be loaded in time may try again. */
         const val RETRY_MILLIS = 1_000L
     }
