A new coordinator's tolerated tokens are not lost to reserves

Cause: found by the new test: no member is in contact when a coordinator begins, so all of the burst was set aside and the tolerated tokens with it; a takeover refused requests inside their rate. Change: tolerated tokens stand beside the bucket's level and are taken once.

--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketHolder.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketHolder.kt
@@ -33,6 +33,7 @@
     public val refilledAtMillis: Long,
     public val refillFromMillis: Long,
     public val registry: RouterRegistry,
+    public val toleratedTokens: Double = 0.0,
     public val contacts: PersistentMap<String, RouterContact> = persistentMapOf()
 )
 
@@ -81,8 +82,8 @@
 
     /**
      * Returns the bucket of a holder whose predecessor granted nothing that is still to be spent, as
-     * when all tokens are taken by [take]. It begins with [toleratedTokens], which the workspace may
-     * have over its rate.
+     * when all tokens are taken by [take]. The bucket is empty; [toleratedTokens] may be taken beyond
+     * it, once, since the operators tolerate as much over the rate. No reserve is set aside of them.
      */
     public fun startAfter(
         limit: RateLimit,
@@ -90,8 +91,7 @@
         toleratedTokens: Double,
         nowMillis: Long
     ): BucketState {
-        val next = BucketState(limit, toleratedTokens, nowMillis, nowMillis, registry)
-        return next.copy(levelTokens = clip(next))
+        return BucketState(limit, 0.0, nowMillis, nowMillis, registry, toleratedTokens)
     }
 
     /** Returns the bucket of the first holder there ever was: nobody holds grants, so it is full. */
@@ -141,10 +141,14 @@
         nowMillis: Long
     ): BucketStep {
         val current = heard(state, router, incarnation, nowMillis)
-        if (current.levelTokens < tokens) {
+        val lacking = (tokens - current.levelTokens).coerceAtLeast(0.0)
+        if (lacking > current.toleratedTokens) {
             return BucketStep(current, TokenAnswer.Wait(timeUntil(current, tokens)))
         }
-        val next = current.copy(levelTokens = current.levelTokens - tokens)
+        val next = current.copy(
+            levelTokens = (current.levelTokens - tokens).coerceAtLeast(0.0),
+            toleratedTokens = current.toleratedTokens - lacking
+        )
         check(next)
         return BucketStep(next, TokenAnswer.Granted(tokens))
     }
