--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketHolder.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketHolder.kt
@@ -90,9 +90,7 @@
         registry: RouterRegistry,
         toleratedTokens: Double,
         nowMillis: Long
-    ): BucketState {
-        return BucketState(limit, 0.0, nowMillis, nowMillis, registry, toleratedTokens)
-    }
+    ): BucketState = BucketState(limit, 0.0, nowMillis, nowMillis, registry, toleratedTokens)
 
     /** Returns the bucket of the first holder there ever was: nobody holds grants, so it is full. */
     public fun startFirst(
--- a/decisions/src/test/kotlin/cactusfold/decisions/rate/BucketTakeTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/rate/BucketTakeTest.kt
@@ -14,7 +14,9 @@
     private val registry = RouterRegistry(setOf("a", "b", "c", "d"), 0)
 
     private fun allHeard(state: BucketState, nowMillis: Long): BucketState =
-        registry.routers.fold(state) { bucket, router -> holder.heard(bucket, router, "1", nowMillis) }
+        registry.routers.fold(state) { bucket, router ->
+            holder.heard(bucket, router, "1", nowMillis)
+        }
 
     /** Members report twice within the time that a contact is valid. */
     private fun heardEach(state: BucketState, times: LongRange): BucketState =
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/process/EventLogTest.kt
@@ -0,0 +1,28 @@
+package cactusfold.entry.process
+
+import kotlin.test.assertEquals
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+class EventLogTest {
+    private var nowMillis = 0L
+    private val events = EventLog("vm", { nowMillis }, linesPerSecond = 3)
+
+    @Nested
+    inner class Budget {
+        @Test
+        fun `lines beyond the budget of a second are counted, not written`() {
+            repeat(10) { events.write("request-ended", "request" to "r$it") }
+            assertEquals(7, events.droppedLines)
+        }
+
+        @Test
+        fun `each kind of line has its own budget, anew each second`() {
+            repeat(3) { events.write("request-ended") }
+            repeat(3) { events.write("sent") }
+            nowMillis = 1_000
+            repeat(3) { events.write("request-ended") }
+            assertEquals(0, events.droppedLines)
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
@@ -0,0 +1,82 @@
+package cactusfold.entry.upstream
+
+import cactusfold.ports.serving.UpstreamEntry
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+class UpstreamTest {
+    private val entry = UpstreamEntry(
+        "r1", "s", "127.0.0.1", 1, "z", 4, false, 1, null,
+        persistentMapOf("m" to persistentSetOf("a")), persistentSetOf(), persistentSetOf()
+    )
+    private val upstream = Upstream(entry)
+
+    @Nested
+    inner class Holdings {
+        @Test
+        fun `an announcement older than the coordinator's word does not undo it`() {
+            upstream.holds(persistentMapOf("n" to persistentSetOf()), nowMillis = 1_000)
+            upstream.announced(entry, nowMillis = 2_000)
+            assertTrue(upstream.serves("n", null))
+            upstream.announced(entry, nowMillis = 4_000)
+            assertFalse(upstream.serves("n", null))
+        }
+
+        @Test
+        fun `a missing adapter leaves its model, a missing model leaves nothing`() {
+            upstream.lacks("m", "a", 0)
+            assertTrue(upstream.serves("m", null))
+            assertFalse(upstream.serves("m", "a"))
+            upstream.lacks("m", null, 0)
+            assertFalse(upstream.serves("m", null))
+        }
+    }
+
+    @Nested
+    inner class Failures {
+        @Test
+        fun `an upstream that refuses connections is down for a while, and an answer ends that`() {
+            upstream.unreachable(1_000)
+            assertTrue(upstream.isDown(1_999))
+            assertFalse(upstream.isDown(2_000))
+            upstream.unreachable(3_000)
+            upstream.answered(5, null)
+            assertFalse(upstream.isDown(3_001))
+        }
+
+        @Test
+        fun `it is put aside longer with each failure in a row`() {
+            upstream.failed(0)
+            assertEquals(250, upstream.view().asideUntilMillis)
+            upstream.failed(250)
+            assertEquals(750, upstream.view().asideUntilMillis)
+        }
+
+        @Test
+        fun `one that leaves is used no more`() {
+            upstream.isLeaving = true
+            assertFalse(upstream.isUsable)
+        }
+    }
+
+    @Nested
+    inner class Counting {
+        @Test
+        fun `requests are counted by model and adapter until they end`() {
+            val use = ModelUse("m", "a")
+            upstream.began(use)
+            upstream.began(use)
+            upstream.began(null)
+            assertEquals(3 to mapOf(use to 2), upstream.inFlight to upstream.uses)
+            upstream.ended(use)
+            upstream.ended(use)
+            upstream.ended(null)
+            assertEquals(0 to emptyMap(), upstream.inFlight to upstream.uses)
+        }
+    }
+}
