A request's key is checked again at each send; admission in a file of its own

Cause: a request that waits for a model for up to 16 s was sent on the key as it was on arrival. Change: RequestAdmission.recheck before each send; RequestFlow keeps sending; the model's description stands once, in decisions.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -1,71 +1,21 @@
 package cactusfold.entry.callers
 
 import cactusfold.decisions.suspect.SuspectVerdict
-import cactusfold.entry.config.RouteTable
-import cactusfold.entry.process.EventLog
-import cactusfold.entry.rate.Admission
-import cactusfold.entry.rate.Allowances
 import cactusfold.entry.residency.ModelWait
-import cactusfold.entry.residency.ModelWaits
 import cactusfold.entry.upstream.ModelUse
 import cactusfold.entry.upstream.Upstream
-import cactusfold.entry.upstream.UpstreamDirectory
-import cactusfold.node.time.MonotonicClock
-import cactusfold.ports.serving.CallFacts
-import cactusfold.ports.serving.CallTranslator
 import cactusfold.ports.serving.SendFacts
 import cactusfold.ports.serving.ServingRoute
 import cactusfold.ports.serving.ServingWorkspace
-import io.vertx.core.MultiMap
-import io.vertx.core.buffer.Buffer
-import io.vertx.core.http.HttpMethod
 import kotlinx.coroutines.delay
 
-/** A caller's request, read whole. */
-public class CallerRequest(
-    public val method: HttpMethod,
-    public val uri: String,
-    public val path: String,
-    public val host: String,
-    public val headers: MultiMap,
-    public val body: Buffer,
-    public val facts: CallFacts,
-    public val arrivedAtMillis: Long
-)
-
-/** What requests are served with. */
-public class FlowParts(
-    public val table: () -> RouteTable?,
-    public val isConfigFresh: () -> Boolean,
-    public val directory: UpstreamDirectory,
-    public val waits: ModelWaits,
-    public val allowances: Allowances,
-    public val suspects: SharedSuspects,
-    public val sender: UpstreamSender,
-    public val translator: CallTranslator,
-    public val retries: RetryBook,
-    public val clock: MonotonicClock,
-    public val events: EventLog
-)
-
-/** How a request ended. */
-public sealed interface FlowEnd {
-    /** Its answer, or the end of its stream, has come from an upstream. */
-    public class Answered(public val answer: SendEnd.Whole?) : FlowEnd
-
-    /** The system answers it. */
-    public class Own(public val answer: OwnAnswer) : FlowEnd
-
-    /** A stream that has begun can't be completed. */
-    public class Cut(public val reason: String) : FlowEnd
-}
-
 /** Takes a request from its route to its one end. */
 public class RequestFlow(
     private val parts: FlowParts,
     private val request: CallerRequest,
     private val reply: CallerReply
 ) {
+    private val admission = RequestAdmission(parts, request)
     private var runs = 0
     private var sends = 0
     private var mayHaveRun = false
@@ -74,83 +24,22 @@
     public val isUncertain: Boolean get() = mayHaveRun
 
     /** Serves the request; cancelling it leaves nothing running. */
-    public suspend fun serve(): FlowEnd {
-        val table = parts.table() ?: return own(OwnAnswer.NotRun("starting", START_MILLIS))
-        val route = table.route(request.host, request.path)
-            ?: return own(OwnAnswer.Rejected(NOT_FOUND, "no-route"))
-        val needsKey = table.config.hasKeys && !route.needsNoKey
-        if (needsKey &&
-            !parts.isConfigFresh()
-        ) {
-            return own(OwnAnswer.NotRun("keys-unsure", STALE_MILLIS))
-        }
-        val workspace = if (needsKey) request.facts.key?.let(table::workspace) else null
-        if (needsKey &&
-            workspace == null
-        ) {
-            return own(OwnAnswer.Rejected(UNAUTHORIZED, "unknown-key"))
-        }
-        if (request.facts.id == null) return own(OwnAnswer.Rejected(BAD_REQUEST, "no-request-id"))
-        val limitAt = request.arrivedAtMillis +
-            minOf(route.timeoutMillis, request.facts.limitMillis ?: route.timeoutMillis)
-        workspace?.let { admit(it, route, limitAt) }?.let { return own(it) }
-        return send(route, workspace, limitAt)
+    public suspend fun serve(): FlowEnd = when (val admitted = admission.admit()) {
+        is Admitted.No -> own(admitted.answer)
+        is Admitted.Yes -> send(admitted)
     }
 
     private fun own(answer: OwnAnswer): FlowEnd = FlowEnd.Own(answer)
 
-    private suspend fun admit(
-        workspace: ServingWorkspace,
-        route: ServingRoute,
-        limitAt: Long
-    ): OwnAnswer? {
-        val patienceAt = minOf(
-            limitAt,
-            request.arrivedAtMillis + route.targetMillis / PATIENCE_DIVISOR
-        )
-        return when (
-            val admission = parts.allowances.admit(
-                workspace,
-                costOf(workspace),
-                patienceAt
-            )
-        ) {
-            Admission.Admitted -> null
-            is Admission.OverRate -> {
-                parts.events.write(
-                    "over-rate",
-                    "request" to request.facts.id,
-                    "workspace" to workspace.name,
-                    "tokens" to costOf(workspace),
-                    "rate_per_s" to workspace.ratePerSecond,
-                    "burst" to workspace.burst,
-                    "retry_after_ms" to admission.retryAfterMillis
-                )
-                OwnAnswer.OverRate(admission.retryAfterMillis)
-            }
-            Admission.Unknown -> OwnAnswer.NotRun("rate-unsure", STALE_MILLIS)
-        }
-    }
-
-    private fun costOf(workspace: ServingWorkspace): Long {
-        val tokens = request.facts.promptTokens?.let { it + (request.facts.outputTokens ?: 0) }
-        return when {
-            !workspace.isCountedByTokens -> 1
-            else -> tokens ?: workspace.plainTokens
-        }
-    }
-
-    private suspend fun send(
-        route: ServingRoute,
-        workspace: ServingWorkspace?,
-        limitAt: Long
-    ): FlowEnd {
+    private suspend fun send(admitted: Admitted.Yes): FlowEnd {
+        val route = admitted.route
+        val limitAt = admitted.limitAtMillis
         val service = serviceOf(route)
         val model = request.facts.model
         val adapter = request.facts.adapter
         parts.retries.requested(service)
         model?.let(parts.waits::arrived)
-        val fingerprint = parts.suspects.fingerprint(request, workspace)
+        val fingerprint = parts.suspects.fingerprint(request, admitted.workspace)
         var last: SendEnd? = null
         var fullSinceMillis: Long? = null
         while (true) {
@@ -181,7 +70,8 @@
                 continue
             }
             if (sends > 0 && !parts.retries.mayRepeat(service)) return ended(last, "retry-budget")
-            val end = sendTo(upstream, route, workspace, limitAt)
+            admission.recheck(admitted)?.let { return gaveUp(it) }
+            val end = sendTo(upstream, route, admitted.workspace, limitAt)
             last = end
             when (end) {
                 SendEnd.Streamed -> return FlowEnd.Answered(null)
@@ -309,10 +199,14 @@
         else -> refused(reason, FULL_RETRY_MILLIS)
     }
 
-    private fun refused(code: String, retryAfterMillis: Long?): FlowEnd = when {
-        reply.hasBegun -> FlowEnd.Cut(code)
-        mayHaveRun -> own(OwnAnswer.MayHaveRun(code))
-        else -> own(OwnAnswer.NotRun(code, retryAfterMillis))
+    private fun refused(code: String, retryAfterMillis: Long?): FlowEnd =
+        gaveUp(OwnAnswer.NotRun(code, retryAfterMillis))
+
+    /** Ends the request with [answer], or with what is true of one that may have run. */
+    private fun gaveUp(answer: OwnAnswer): FlowEnd = when {
+        reply.hasBegun -> FlowEnd.Cut(answer.code)
+        mayHaveRun -> own(OwnAnswer.MayHaveRun(answer.code))
+        else -> own(answer)
     }
 
     /** Returns a service of the route: the same for the same request, by the services' weights. */
@@ -329,9 +223,6 @@
     }
 
     private companion object {
-        const val BAD_REQUEST = 400
-        const val UNAUTHORIZED = 401
-        const val NOT_FOUND = 404
         const val MISDIRECTED = 421
         const val SERVER_ERROR = 500
         const val LEAST_URGENT = 9
@@ -340,14 +231,12 @@
         /** Sends after which a request that nobody ran is given back to its caller. */
         const val MAX_SENDS = 4
 
-        /** Share of the latency target that a request waits for tokens or a free upstream. */
+        /** Share of the latency target that a request waits for a free upstream. */
         const val PATIENCE_DIVISOR = 2
 
         /** Kept back from a caller's patience for the first piece, from the engines' prefill. */
         const val FIRST_PIECE_MILLIS = 150L
         const val FULL_MILLIS = 10L
         const val FULL_RETRY_MILLIS = 200L
-        const val START_MILLIS = 500L
-        const val STALE_MILLIS = 1_000L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -1,6 +1,5 @@
 package cactusfold.entry.residency
 
-import cactusfold.decisions.residency.ModelCost
 import cactusfold.decisions.residency.Residency
 import cactusfold.decisions.residency.ResidencyPlan
 import cactusfold.decisions.residency.ResidencyPlanner
@@ -12,7 +11,6 @@
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.ports.serving.EngineSpec
 import cactusfold.protocol.entry.Forecast
-import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelChildren
@@ -145,17 +143,7 @@
         weightMegabytes = engine.weightMegabytes,
         adapterSlots = engine.adapterSlots,
         storeLoadsAtOnce = STORE_LOADS_AT_ONCE,
-        models = engine.models.mapValues { (_, model) ->
-            ModelCost(
-                model.name,
-                model.weightMegabytes,
-                model.adapterMegabytes,
-                model.adapters,
-                model.storeLoadMillis,
-                model.diskLoadMillis,
-                model.memoryLoadMillis
-            )
-        }.toImmutableMap()
+        models = engine.models
     )
 
     private companion object {
--- a/ports/src/main/kotlin/cactusfold/ports/serving/ServingConfig.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/ServingConfig.kt
@@ -1,5 +1,6 @@
 package cactusfold.ports.serving
 
+import cactusfold.decisions.residency.ModelCost
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableMap
 
@@ -59,17 +60,6 @@
         }
 }
 
-/** A model as the operator describes it; load times by where the weights are. */
-public data class ModelSpec(
-    public val name: String,
-    public val weightMegabytes: Double,
-    public val adapterMegabytes: Double,
-    public val adapters: Int,
-    public val storeLoadMillis: Long,
-    public val diskLoadMillis: Long,
-    public val memoryLoadMillis: Long
-)
-
 /**
  * What the runners of a service have in common.
  *
@@ -82,7 +72,7 @@
     public val weightMegabytes: Double,
     public val adapterSlots: Int,
     public val storeLoadsPerSecond: Double?,
-    public val models: ImmutableMap<String, ModelSpec>
+    public val models: ImmutableMap<String, ModelCost>
 )
 
 /** A group of upstreams; [engine] is null for a plain service. */
