--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -1,6 +1,5 @@
 package cactusfold.entry.residency
 
-import cactusfold.decisions.residency.ModelCost
 import cactusfold.decisions.residency.Residency
 import cactusfold.decisions.residency.ResidencyPlan
 import cactusfold.decisions.residency.ResidencyPlanner
@@ -12,7 +11,6 @@
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.ports.serving.EngineSpec
 import cactusfold.protocol.entry.Forecast
-import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelChildren
@@ -29,6 +27,9 @@
 ) {
     private val planner = ResidencyPlanner()
     private val works = HashMap<String, RunnerWork>()
+    private class Missed(var count: Int, var atMillis: Long)
+
+    private val missed = HashMap<String, Missed>()
     private val storeLoadsAtMillis = ArrayDeque<Long>()
     private val jobs = SupervisorJob()
 
@@ -42,6 +43,7 @@
     public fun stop() {
         jobs.cancelChildren()
         works.clear()
+        missed.clear()
     }
 
     /** Plans and begins what is to be done now. */
@@ -72,7 +74,8 @@
             runners = reachable.map {
                 it.state(inFlight[it.upstream.entry.id].orEmpty(), nowMillis)
             },
-            demands = demand.demands(nowMillis).filter { it.model in known },
+            demands = demand.demands(nowMillis).filter { it.model in known }
+                .map { it.copy(missed = missed[it.model]?.count ?: 0) },
             arrivalsPerSecond = demand.arrivalsPerSecond(nowMillis).filterKeys { it in known },
             habitualPerSecond = demand.habitualPerSecond(nowMillis).filterKeys { it in known },
             adapterUsedMillis = adaptersInUse(nowMillis),
@@ -112,9 +115,11 @@
             if (step is Residency.Load && step.source == WeightSource.STORE) {
                 storeLoadsAtMillis.addLast(nowMillis)
             }
+            if (step is Residency.Load) missed -= step.model
             work.begin(step, nowMillis)
             scope.launch(jobs) { work.carryOut(step) }
         }
+        plan.hopeless.forEach { miss(it, nowMillis) }
         val refused = plan.hopeless.map { model ->
             Forecast.newBuilder()
                 .setModel(model)
@@ -125,22 +130,20 @@
         if (refused.isNotEmpty()) onForecasts(refused)
     }
 
+    /** Demand that was refused still stands in the members' last reports; it counts once. */
+    private fun miss(model: String, nowMillis: Long) {
+        val known = missed.getOrPut(model) { Missed(0, nowMillis - MISS_MILLIS) }
+        if (nowMillis - known.atMillis < MISS_MILLIS) return
+        known.count++
+        known.atMillis = nowMillis
+    }
+
     private fun boundsOf(engine: EngineSpec): RunnerBounds = RunnerBounds(
         slots = engine.slots,
         weightMegabytes = engine.weightMegabytes,
         adapterSlots = engine.adapterSlots,
         storeLoadsAtOnce = STORE_LOADS_AT_ONCE,
-        models = engine.models.mapValues { (_, model) ->
-            ModelCost(
-                model.name,
-                model.weightMegabytes,
-                model.adapterMegabytes,
-                model.adapters,
-                model.storeLoadMillis,
-                model.diskLoadMillis,
-                model.memoryLoadMillis
-            )
-        }.toImmutableMap()
+        models = engine.models
     )
 
     private companion object {
@@ -149,6 +152,9 @@
         /** Loads that the weight store carries at full speed, by the users' sheets. */
         const val STORE_LOADS_AT_ONCE = 4
 
+        /** Longer than a refused demand stands in the members' reports. */
+        const val MISS_MILLIS = 600L
+
         /** When a caller whose model could not be loaded in time may try again. */
         const val RETRY_MILLIS = 1_000L
     }
