--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -155,6 +155,7 @@
         events.write("process-start", "zone" to settings.zone, "peer" to peerAddress.toString())
         coordinator.onOwnNotice = ::noticed
         directory.listen(coordinator::upstreamsChanged)
+        registerGauges()
         always("configuration") { config.run() }
         always("upstreams") { directory.run() }
         always("lease") { hold.run() }
@@ -170,6 +171,16 @@
         events.write("process-serving", "config" to config.current?.version)
     }
 
+    private fun registerGauges() {
+        metrics.gauge("cactusfold.requests.running", callers) { it.running.toDouble() }
+        metrics.gauge("cactusfold.requests.waiting.for.model", waits) { it.count.toDouble() }
+        metrics.gauge("cactusfold.coordinator", hold) { if (it.isCoordinator) 1.0 else 0.0 }
+        metrics.gauge("cactusfold.log.lines.dropped", events) { it.droppedLines.toDouble() }
+        metrics.gauge("cactusfold.config.age.millis", config) {
+            it.ageMillis(clock.nowMillis())?.toDouble() ?: Double.NaN
+        }
+    }
+
     /** Finishes what runs, as far as the time to stop in allows, and leaves. */
     public suspend fun stop() {
         if (isStopping) return
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
@@ -1,6 +1,5 @@
 package cactusfold.entry.callers
 
-import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import java.util.concurrent.TimeUnit
@@ -8,7 +7,6 @@
 /** Counts and times callers' requests by outcome. */
 public class CallerMeters(private val registry: MeterRegistry) {
     private val timers = HashMap<String, Timer>()
-    private val counters = HashMap<String, Counter>()
 
     /** Books a request that ended with [outcome] after [tookMillis]. */
     public fun ended(outcome: String, tookMillis: Long) {
@@ -17,11 +15,6 @@
             .record(tookMillis, TimeUnit.MILLISECONDS)
     }
 
-    /** Counts one of [name]. */
-    public fun count(name: String) {
-        counters.getOrPut(name) { registry.counter(name) }.increment()
-    }
-
     private companion object {
         const val REQUESTS = "cactusfold.requests"
     }
