A member that does not know how many there are spends no share of the fleet's slack

Cause: read in review: until the coordinator was heard, each of n members took the whole retry slack, and sized its reserve of rates, as if it were alone; after all VMs restart that is n times the budget. Change: the number of members is null until told; the ratio alone holds till then, and no reserve. Test: RetryLedgerTest.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -147,6 +147,9 @@
     private val status = StatusServer(vertx, metrics, ::unreadyReason)
     private var isStopping = false
 
+    /** Whether a coordinator has told how many members there are, so that shares can be spent. */
+    public val knowsMembers: Boolean get() = link.memberCount != null
+
     /** Listens for the other entry processes. Blocks, so it must not be called on the event loop. */
     public fun listen(): Unit = peerServer.start()
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RetryBook.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RetryBook.kt
@@ -7,7 +7,7 @@
 public class RetryBook(
     private val bounds: EntryBounds,
     private val clock: MonotonicClock,
-    private val members: () -> Int
+    private val members: () -> Int?
 ) {
     private val ledgers = HashMap<String, RetryLedger>()
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RetryLedger.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RetryLedger.kt
@@ -19,11 +19,16 @@
         trim(requestsAtMillis, nowMillis)
     }
 
-    /** Counts a repeated send and returns true, or returns false when the budget is spent. */
-    public fun mayRepeat(members: Int, nowMillis: Long): Boolean {
+    /**
+     * Counts a repeated send and returns true, or returns false when the budget is spent.
+     *
+     * @param members among whom the slack is divided; null when not known, and then none is used.
+     */
+    public fun mayRepeat(members: Int?, nowMillis: Long): Boolean {
         trim(requestsAtMillis, nowMillis)
         trim(repeatsAtMillis, nowMillis)
-        val allowed = requestsAtMillis.size * ratio + slack / members
+        val ownSlack = if (members == null) 0.0 else slack / members
+        val allowed = requestsAtMillis.size * ratio + ownSlack
         if (repeatsAtMillis.size + 1 > allowed) return false
         repeatsAtMillis.addLast(nowMillis)
         return true
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -59,8 +59,8 @@
     /** Called with what concerns this process's own requests too. */
     public var onOwnNotice: (FleetNotice) -> Unit = {}
 
-    /** Members registered in the store. */
-    public var memberCount: Int = 1
+    /** Members registered in the store; null before they were read. */
+    public var memberCount: Int? = null
         private set
 
     init {
@@ -177,7 +177,7 @@
             .addAllSuspects(session.suspects)
             .addAllLeaving(session.leaving)
             .setFence(parts.hold.fence)
-            .setMemberCount(memberCount)
+            .setMemberCount(memberCount ?: 0)
             .build()
         session.pending.clear()
         session.forecasts.clear()
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberLink.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberLink.kt
@@ -31,8 +31,8 @@
     /** The coordinator in this process; it is reported to without a call. */
     public var own: FleetCoordinator? = null
 
-    /** Members of the fleet by the coordinator's last word. */
-    public var memberCount: Int = 1
+    /** Members of the fleet by the coordinator's last word; null before it was heard from. */
+    public var memberCount: Int? = null
         private set
 
     /** Whether the coordinator was heard from lately. */
@@ -118,7 +118,7 @@
             return
         }
         heardAtMillis = clock.nowMillis()
-        memberCount = notice.memberCount.coerceAtLeast(1)
+        memberCount = notice.memberCount.takeIf { it > 0 }
         onNotice(notice)
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/rate/Allowances.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/Allowances.kt
@@ -27,7 +27,7 @@
     private val member: String,
     private val boot: String,
     private val clock: MonotonicClock,
-    private val memberCount: () -> Int,
+    private val memberCount: () -> Int?,
     private val ask: suspend (TokenRequest) -> TokenGrant?
 ) {
     private val states = HashMap<String, AllowanceState>()
@@ -81,11 +81,11 @@
 
     /** Spends [tokens] of this process's reserve, and returns whether they were there. */
     private fun trySpend(workspace: String, limit: RateLimit, tokens: Long): Boolean {
-        sizeReserve()
+        val mayUseReserve = isRegistered && sizeReserve()
         val before =
             states[workspace]?.let { if (it.limit == limit) it else it.copy(limit = limit) }
                 ?: spender.start(limit, registeredAtMillis + REGISTRATION_MILLIS)
-        val step = spender.spend(before, tokens, clock.nowMillis(), isRegistered)
+        val step = spender.spend(before, tokens, clock.nowMillis(), mayUseReserve)
         states[workspace] = step.state
         return when (step.outcome) {
             Spend.Admitted -> true
@@ -93,11 +93,13 @@
         }
     }
 
-    private fun sizeReserve() {
-        val slots = memberCount().coerceAtLeast(MIN_SLOTS)
-        if (slots == settings.routerSlots) return
+    /** Sizes the reserve by the members there are; returns whether their number is known. */
+    private fun sizeReserve(): Boolean {
+        val slots = memberCount()?.coerceAtLeast(MIN_SLOTS) ?: return false
+        if (slots == settings.routerSlots) return true
         settings = settings.copy(routerSlots = slots)
         spender = AllowanceSpender(settings)
+        return true
     }
 
     private fun requestOf(workspace: String, tokens: Long): TokenRequest = TokenRequest.newBuilder()
--- a/entry/src/test/kotlin/cactusfold/entry/callers/RetryLedgerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/RetryLedgerTest.kt
@@ -20,6 +20,12 @@
             assertEquals(60, repeats)
         }
 
+        @Test
+        fun `a member that does not know how many there are uses the ratio alone`() {
+            repeat(20) { ledger.requested(0) }
+            assertEquals(4, (1..100).count { ledger.mayRepeat(null, 5) })
+        }
+
         @Test
         fun `a retry storm spends no more than the budget`() {
             repeat(10) { ledger.requested(0) }
