--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -159,7 +159,10 @@
             is SendEnd.NotRun -> {
                 mayHaveRun = wasUncertain
                 when (end.status) {
-                    null -> upstream.unreachable(nowMillis)
+                    null -> {
+                        upstream.unreachable(nowMillis)
+                        parts.suspects.wentDown(upstream)
+                    }
                     MISDIRECTED ->
                         request.facts.model
                             ?.let { upstream.lacks(it, request.facts.adapter, nowMillis) }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/SharedSuspects.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/SharedSuspects.kt
@@ -14,6 +14,14 @@
     private val tracker = SuspectTracker(KEEP_MILLIS, MAX_SUSPECTS)
     private var state = SuspectState()
     private val unsent = mutableListOf<SuspectReport>()
+    private val pending = mutableListOf<Pending>()
+
+    private class Pending(
+        val fingerprint: String,
+        val upstream: String,
+        val inFlight: Int,
+        val atMillis: Long
+    )
 
     /** Returns what a request and its repetitions by the same caller have in common. */
     public fun fingerprint(request: CallerRequest, workspace: ServingWorkspace?): String =
@@ -32,12 +40,30 @@
         tracker.judge(state, fingerprint, clock.nowMillis())
     }
 
-    /** Books that a request of [fingerprint] was in flight when [upstream] broke off. */
+    /**
+     * Takes note that a request of [fingerprint] was in flight when [upstream] broke it off. That alone
+     * may be a fault of the answer; the request is suspected once the upstream proves to be down.
+     */
     public fun broke(fingerprint: String, upstream: Upstream) {
+        val nowMillis = clock.nowMillis()
+        pending.removeAll { nowMillis - it.atMillis > PENDING_MILLIS }
         val inFlight = upstream.inFlight.coerceAtLeast(1)
-        book(fingerprint, inFlight)
-        unsent += SuspectReport.newBuilder().setFingerprint(fingerprint)
-            .setUpstream(upstream.entry.id).setInFlight(inFlight).build()
+        pending += Pending(fingerprint, upstream.entry.id, inFlight, nowMillis)
+    }
+
+    /** Suspects the requests that [upstream] broke off lately: it can't be reached any more. */
+    public fun wentDown(upstream: Upstream) {
+        val nowMillis = clock.nowMillis()
+        val crashed = pending.filter {
+            it.upstream == upstream.entry.id && nowMillis - it.atMillis <= PENDING_MILLIS
+        }
+        if (crashed.isEmpty()) return
+        pending.removeAll(crashed)
+        for (one in crashed) {
+            book(one.fingerprint, one.inFlight)
+            unsent += SuspectReport.newBuilder().setFingerprint(one.fingerprint)
+                .setUpstream(one.upstream).setInFlight(one.inFlight).build()
+        }
         wake()
     }
 
@@ -53,6 +79,9 @@
 
     private companion object {
         const val KEEP_MILLIS = 60_000L
+
+        /** An upstream that crashed refuses connections well within this time. */
+        const val PENDING_MILLIS = 2_000L
         const val MAX_SUSPECTS = 2_000
         val hash = Hashing.murmur3_128()
     }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.ImmutableSet
 import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.collections.immutable.toImmutableSet
 
 /** A model and the adapter that a request needs of it, if any. */
 public data class ModelUse(public val model: String, public val adapter: String?)
@@ -62,8 +63,7 @@
         val adapters = adaptersByModel[model] ?: return
         val left = adaptersByModel.toMutableMap()
         if (adapter != null && adapter in adapters) {
-            left[model] = kotlinx.collections.immutable.persistentSetOf<String>()
-                .addAll(adapters - adapter)
+            left[model] = (adapters - adapter).toImmutableSet()
         } else {
             left.remove(model)
         }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.upstream
 
+import cactusfold.decisions.Rendezvous
 import cactusfold.decisions.routing.ReplicaChoice
 import cactusfold.entry.process.EventLog
 import cactusfold.node.time.MonotonicClock
@@ -82,7 +83,7 @@
     public fun choose(candidates: List<Upstream>, affinity: String?): Upstream? {
         val views = candidates.map { it.view() }
         val preferred = affinity?.let {
-            cactusfold.decisions.Rendezvous.preferred(it, candidates.map { c -> c.entry.id })
+            Rendezvous.preferred(it, candidates.map { c -> c.entry.id })
         }
         val chosen = choice.choose(
             views,
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/SharedSuspectsTest.kt
@@ -0,0 +1,49 @@
+package cactusfold.entry.callers
+
+import cactusfold.decisions.suspect.SuspectVerdict
+import cactusfold.entry.upstream.Upstream
+import cactusfold.ports.serving.UpstreamEntry
+import kotlin.test.assertEquals
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+class SharedSuspectsTest {
+    private var nowMillis = 0L
+    private val suspects = SharedSuspects({ nowMillis }) {}
+
+    private fun upstream(id: String): Upstream = Upstream(
+        UpstreamEntry(
+            id, "s", "127.0.0.1", 1, "z", 4, false, 1, null,
+            persistentMapOf(), persistentSetOf(), persistentSetOf()
+        )
+    )
+
+    @Nested
+    inner class Breaks {
+        @Test
+        fun `answers that break off while the upstream lives raise no suspicion`() {
+            repeat(10) { suspects.broke("f", upstream("r1")) }
+            assertEquals(SuspectVerdict.CLEAR, suspects.verdict("f"))
+        }
+
+        @Test
+        fun `a request that was in flight on two upstreams that went down is refused`() {
+            for (id in listOf("r1", "r2")) {
+                suspects.broke("f", upstream(id))
+                suspects.wentDown(upstream(id))
+            }
+            assertEquals(SuspectVerdict.REFUSE, suspects.verdict("f"))
+            assertEquals(2, suspects.takeUnsent().size)
+        }
+
+        @Test
+        fun `an upstream that goes down much later is not the request's doing`() {
+            suspects.broke("f", upstream("r1"))
+            nowMillis = 2_001
+            suspects.wentDown(upstream("r1"))
+            assertEquals(SuspectVerdict.CLEAR, suspects.verdict("f"))
+        }
+    }
+}
