--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -147,6 +147,9 @@
     private val status = StatusServer(vertx, metrics, ::unreadyReason)
     private var isStopping = false
 
+    /** Whether a coordinator has told how many members there are, so that shares can be spent. */
+    public val knowsMembers: Boolean get() = link.memberCount != null
+
     /** Listens for the other entry processes. Blocks, so it must not be called on the event loop. */
     public fun listen(): Unit = peerServer.start()
 
@@ -155,6 +158,7 @@
         events.write("process-start", "zone" to settings.zone, "peer" to peerAddress.toString())
         coordinator.onOwnNotice = ::noticed
         directory.listen(coordinator::upstreamsChanged)
+        registerGauges()
         always("configuration") { config.run() }
         always("upstreams") { directory.run() }
         always("lease") { hold.run() }
@@ -170,6 +174,16 @@
         events.write("process-serving", "config" to config.current?.version)
     }
 
+    private fun registerGauges() {
+        metrics.gauge("cactusfold.requests.running", callers) { it.running.toDouble() }
+        metrics.gauge("cactusfold.requests.waiting.for.model", waits) { it.count.toDouble() }
+        metrics.gauge("cactusfold.coordinator", hold) { if (it.isCoordinator) 1.0 else 0.0 }
+        metrics.gauge("cactusfold.log.lines.dropped", events) { it.droppedLines.toDouble() }
+        metrics.gauge("cactusfold.config.age.millis", config) {
+            it.ageMillis(clock.nowMillis())?.toDouble() ?: Double.NaN
+        }
+    }
+
     /** Finishes what runs, as far as the time to stop in allows, and leaves. */
     public suspend fun stop() {
         if (isStopping) return
