--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -76,10 +76,10 @@
     private val peerAddress = HostPort(settings.address, settings.peerPort)
 
     private val store = RowTable(
-        PlatformHttp(vertx, HttpTarget(settings.store.host, settings.store.port), STORE_MILLIS)
+        httpWithin(STORE_MILLIS)
     )
     private val orders = OrderSender(
-        PlatformHttp(vertx, HttpTarget(settings.store.host, settings.store.port), ORDER_MILLIS)
+        httpWithin(ORDER_MILLIS)
     )
 
     private var table: RouteTable? = null
@@ -147,6 +147,13 @@
     private val status = StatusServer(vertx, metrics, ::unreadyReason)
     private var isStopping = false
 
+    private fun httpWithin(timeoutMillis: Long): PlatformHttp = PlatformHttp(
+        vertx,
+        HttpTarget(settings.store.host, settings.store.port),
+        timeoutMillis,
+        closesUnanswered = true
+    )
+
     /** Whether a coordinator has told how many members there are, so that shares can be spent. */
     public val knowsMembers: Boolean get() = link.memberCount != null
 
--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -54,12 +54,18 @@
     public data class NoAnswer(public val reason: String) : HttpOutcome
 }
 
-/** Sends small requests, mostly to one address, each within a time limit. */
+/**
+ * Sends small requests, mostly to one address, each within a time limit.
+ *
+ * @property closesUnanswered whether a connection is closed when its answer is late. Else it stays out
+ *   of the pool until the answer comes, and connections that went silent use the pool up.
+ */
 public class PlatformHttp(
     vertx: Vertx,
     private val home: HttpTarget,
     private val timeoutMillis: Long,
-    poolSize: Int = DEFAULT_POOL_SIZE
+    poolSize: Int = DEFAULT_POOL_SIZE,
+    private val closesUnanswered: Boolean = false
 ) {
     public constructor(
         vertx: Vertx,
@@ -109,8 +115,7 @@
             }
         }
         if (outcome != null) return outcome
-        // A late answer must not be taken for that of the connection's next call.
-        open?.reset()
+        if (closesUnanswered) open?.reset()
         return failure(sent, "no answer within $limitMillis ms")
     }
 
