--- a/cli/src/main/kotlin/cactusfold/cli/CliMain.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/CliMain.kt
@@ -19,13 +19,15 @@
 @Command(
     name = "cactusfold",
     mixinStandardHelpOptions = true,
+    scope = ScopeType.INHERIT,
     versionProvider = VersionProvider::class,
     description = ["Operates a cactusfold fleet."],
     subcommands = [
         ConfigCommand::class,
         KeyCommand::class,
         StatusCommand::class,
-        TimelineCommand::class
+        TimelineCommand::class,
+        ExplainCommand::class
     ]
 )
 public class CactusfoldCommand : Runnable {
--- a/cli/src/main/kotlin/cactusfold/cli/TimelineCommand.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/TimelineCommand.kt
@@ -1,11 +1,18 @@
 package cactusfold.cli
 
+import cactusfold.cli.logs.LogRead
+import cactusfold.cli.logs.MergedLog
+import cactusfold.cli.logs.PlacedLine
+import cactusfold.cli.logs.readLogs
+import cactusfold.node.launch.ExitCode
 import io.vertx.core.json.JsonObject
 import java.net.URLEncoder
+import java.nio.file.Path
 import java.time.Instant
 import java.util.concurrent.Callable
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
 import picocli.CommandLine.ParentCommand
 
 /** Gathers the events of all processes in one order. */
@@ -23,29 +30,72 @@
     @Option(names = ["--workspace"], paramLabel = "NAME", description = ["Only this workspace."])
     var workspace: String? = null
 
-    @Option(names = ["--seconds"], description = ["Only the last seconds."])
+    @Option(
+        names = ["--seconds"],
+        description = ["Only the last seconds (of the logs, if files are given)."]
+    )
     var seconds: Long? = null
 
-    @Option(names = ["--limit"], description = ["Events of each process (\${DEFAULT-VALUE})."])
+    @Option(
+        names = ["--limit"],
+        description = ["Events of each process that a controller asks for (\${DEFAULT-VALUE})."]
+    )
     var limit: Int = 200
 
     @Option(names = ["--json"], description = ["Print a JSON object a line."])
     var isJson: Boolean = false
 
-    override fun call(): Int = parent.client().get("/v1/timeline?" + query()).exitCode("") { body ->
-        val answer = body.toJsonObject()
-        for (item in answer.getJsonArray("events")) {
-            val event = item as JsonObject
-            println(if (isJson) event.encode() else line(event))
+    @Parameters(
+        arity = "0..*",
+        paramLabel = "FILE",
+        description = ["Logs of entry processes, read in place of asking a controller."]
+    )
+    var files: List<Path> = emptyList()
+
+    override fun call(): Int = if (files.isEmpty()) fromController() else fromFiles()
+
+    private fun fromFiles(): Int = when (val read = readLogs(files)) {
+        is LogRead.Failed -> {
+            System.err.println(read.reason)
+            ExitCode.DATA
+        }
+        is LogRead.Ok -> {
+            selected(read.log).forEach { println(if (isJson) it.line.encode() else line(it)) }
+            warnOfJumps(read.log)
+            ExitCode.OK
+        }
+    }
+
+    private fun selected(log: MergedLog): List<PlacedLine> {
+        val subjects = listOfNotNull(request, model, workspace)
+        val since = seconds?.let {
+            (log.lines.lastOrNull()?.atMillis ?: 0) - it * MILLIS_PER_SECOND
         }
-        val silent = answer.getInteger("silent_processes")
-        if (silent >
-            0
-        ) {
-            System.err.println("$silent processes did not answer; their events are missing")
+        return log.lines.filter { placed ->
+            subjects.all(placed.line::mentions) && (since == null || placed.atMillis >= since)
         }
     }
 
+    private fun line(placed: PlacedLine): String {
+        val line = placed.line
+        val details = line.details.entries.joinToString("  ") { "${it.key}=${it.value}" }
+        return listOf(Instant.ofEpochMilli(placed.atMillis), line.vm, line.event, details)
+            .joinToString("  ")
+    }
+
+    private fun fromController(): Int =
+        parent.client().get("/v1/timeline?" + query()).exitCode("") { body ->
+            val answer = body.toJsonObject()
+            for (item in answer.getJsonArray("events")) {
+                val event = item as JsonObject
+                println(if (isJson) event.encode() else line(event))
+            }
+            val silent = answer.getInteger("silent_processes")
+            if (silent > 0) {
+                System.err.println("$silent processes did not answer; their events are missing")
+            }
+        }
+
     private fun query(): String {
         val since = seconds?.let { System.currentTimeMillis() - it * MILLIS_PER_SECOND }
         return listOfNotNull(
--- /dev/null
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/LogRead.kt
@@ -0,0 +1,32 @@
+package cactusfold.cli.logs
+
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Log files as they were read. */
+internal sealed interface LogRead {
+    /** @property passedOver lines that are no events. */
+    class Ok(val log: MergedLog, val passedOver: Int) : LogRead
+
+    class Failed(val reason: String) : LogRead
+}
+
+/** Reads the lines of all processes from [files]. */
+internal fun readLogs(files: List<Path>): LogRead {
+    val lines = mutableListOf<LogLine>()
+    var passedOver = 0
+    for (file in files) {
+        try {
+            Files.newBufferedReader(file).useLines { texts ->
+                for (text in texts) {
+                    val line = LogLine.parse(text)
+                    if (line == null) passedOver++ else lines += line
+                }
+            }
+        } catch (e: IOException) {
+            return LogRead.Failed("$file: cannot be read: ${e.message}")
+        }
+    }
+    return LogRead.Ok(MergedLog.of(lines), passedOver)
+}
--- /dev/null
+++ b/cli/src/test/kotlin/cactusfold/cli/logs/ExplainerTest.kt
@@ -0,0 +1,162 @@
+package cactusfold.cli.logs
+
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+class ExplainerTest {
+    private fun explain(vararg lines: LogLine): Explanation.Found =
+        assertIs(Explainer(MergedLog.of(lines.toList())).explain("r1"))
+
+    private fun ended(atMillis: Long, outcome: String, tookMillis: Long): LogLine = logLine(
+        "vm-1",
+        atMillis,
+        atMillis,
+        "request-ended",
+        "request" to "r1",
+        "outcome" to outcome,
+        "took_ms" to tookMillis,
+        "config" to 4
+    )
+
+    @Test
+    fun `a request that no line names is unknown`() {
+        val log = MergedLog.of(listOf(ended(10, "streamed", 5)))
+        assertIs<Explanation.Unknown>(Explainer(log).explain("r2"))
+    }
+
+    @Nested
+    inner class Refused {
+        @Test
+        fun `over the rate names rate and tokens`() {
+            val found = explain(
+                logLine(
+                    "vm-1", 100, 100, "over-rate", "request" to "r1", "workspace" to "club-7",
+                    "tokens" to 1_460, "rate_per_s" to 2_600, "burst" to 5_200,
+                    "retry_after_ms" to 300
+                ),
+                ended(101, "over-rate", 1)
+            )
+            assertContains(found.steps.first().text, "club-7 is over its rate of 2600 a second")
+            assertEquals("refused: the workspace had spent its rate", found.cause)
+        }
+
+        @Test
+        fun `without a coordinator names how it was lost`() {
+            val found = explain(
+                logLine(
+                    "vm-1",
+                    50,
+                    50,
+                    "coordinator-lost",
+                    "coordinator" to "vm-9",
+                    "reason" to "UNAVAILABLE"
+                ),
+                logLine("vm-2", 60, 60, "coordinator-lost", "coordinator" to "vm-9"),
+                ended(600, "rate-unsure", 500)
+            )
+            assertContains(found.cause, "coordinator=vm-9 reason=UNAVAILABLE")
+            assertEquals(2, found.steps.size, "other VMs' beliefs do not touch the request")
+        }
+    }
+
+    @Nested
+    inner class ColdStart {
+        @Test
+        fun `a late one names the load, from the coordinator's log`() {
+            val found = explain(
+                logLine(
+                    "vm-9",
+                    10,
+                    10,
+                    "order",
+                    "upstream" to "u1",
+                    "order" to "Load(model=m1)",
+                    "reply" to "Accepted"
+                ),
+                logLine(
+                    "vm-9",
+                    11,
+                    11,
+                    "order",
+                    "upstream" to "u2",
+                    "order" to "Load(model=m10)",
+                    "reply" to "Accepted"
+                ),
+                logLine(
+                    "vm-9", 9_100, 9_100, "model-loaded", "upstream" to "u1", "model" to "m1",
+                    "source" to "STORE", "took_ms" to 9_090, "expected_ms" to 9_000
+                ),
+                logLine(
+                    "vm-1",
+                    9_110,
+                    9_110,
+                    "model-waited",
+                    "request" to "r1",
+                    "model" to "m1",
+                    "end" to "Ready",
+                    "waited_ms" to 9_100
+                ),
+                logLine(
+                    "vm-1", 9_111, 9_111, "sent", "request" to "r1", "upstream" to "u1",
+                    "send" to 1, "in_flight" to 0, "left_ms" to 25_000
+                ),
+                ended(9_800, "streamed", 9_790)
+            )
+            assertContains(found.cause, "answered after 9100 ms without its model")
+            assertContains(found.cause, "from STORE in 9090 ms, expected 9000 ms")
+            assertEquals(5, found.steps.size, "orders for another model are left out")
+        }
+
+        @Test
+        fun `a refusal without an order says so`() {
+            val found = explain(
+                logLine(
+                    "vm-1",
+                    110,
+                    110,
+                    "model-waited",
+                    "request" to "r1",
+                    "model" to "m1",
+                    "end" to "Refused",
+                    "waited_ms" to 100
+                ),
+                ended(111, "model-not-in-time", 101)
+            )
+            assertContains(found.cause, "no order for it was sent")
+        }
+    }
+
+    @Nested
+    inner class CutStream {
+        @Test
+        fun `names the upstream that broke off and that it was leaving`() {
+            val found = explain(
+                logLine(
+                    "vm-1", 10, 10, "sent", "request" to "r1", "upstream" to "u1", "send" to 1,
+                    "in_flight" to 0, "left_ms" to 9_000
+                ),
+                logLine("vm-2", 300, 300, "upstream-gone", "upstream" to "u1"),
+                logLine(
+                    "vm-1",
+                    400,
+                    400,
+                    "send-failed",
+                    "request" to "r1",
+                    "upstream" to "u1",
+                    "send" to 1,
+                    "end" to "Broken(reason=closed)"
+                ),
+                ended(401, "cut: retry-budget", 395)
+            )
+            assertContains(found.cause, "the fleet's budget for repeats was spent")
+            assertContains(
+                found.cause,
+                "upstream u1 gave no answer to send 1: Broken(reason=closed)"
+            )
+            assertContains(found.steps.map { it.text }, "upstream-gone upstream=u1")
+        }
+    }
+}
