--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -17,6 +17,7 @@
 import cactusfold.entry.fleet.MemberRow
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.process.StatusServer
+import cactusfold.entry.process.StopWindow
 import cactusfold.entry.rate.Allowances
 import cactusfold.entry.rate.FleetRates
 import cactusfold.entry.residency.DeskContext
@@ -201,7 +202,8 @@
         scope.launch { hold.release() }
         delay(BALANCER_MILLIS)
         callers.isClosed = true
-        while (callers.running > 0 && clock.nowMillis() - began < bounds.stopMillis - LAST_MILLIS) {
+        val waitMillis = StopWindow.waitMillis(bounds.stopMillis)
+        while (callers.running > 0 && clock.nowMillis() - began < waitMillis) {
             delay(STOP_CHECK_MILLIS)
         }
         events.write("process-stopped", "running" to callers.running)
@@ -305,8 +307,6 @@
         /** The balancer asks once a second and takes a process out after two misses. */
         const val BALANCER_MILLIS = 2_800L
 
-        /** Kept back from the time to stop in, for closing. */
-        const val LAST_MILLIS = 700L
         const val STOP_CHECK_MILLIS = 20L
         const val START_CHECK_MILLIS = 10L
 
