Models are loaded for the callers to come when those that wait can't be served

Change: a load pays when at least two callers are expected while it runs and the model that makes way is asked for less, or after three refusals; those that wait are refused at once, with the time at which the model should be there. Nothing is brought back unasked until 3 s after the last runner was heard of: the first plan of a start evicted a model for one that a runner not yet read held. Tests: the patterns in ResidencyPlannerTest; three of them failed before.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -97,7 +97,12 @@
     ) : Residency
 }
 
-/** What the planner decided: [steps] to take, and demands that no load can meet in time. */
+/**
+ * What the planner decided.
+ *
+ * @property hopeless models that will be there too late for all that wait.
+ * @property readyAtMillis when each model that is waited for should be there.
+ */
 public data class ResidencyPlan(
     public val steps: List<Residency>,
     public val hopeless: List<String>,
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -7,6 +7,7 @@
  * @property habitualPerSecond by model, over a longer time: demand that fell silent may come back.
  * @property adapterUsedMillis when each adapter, as model and adapter, was last used, by runner.
  * @property storeLoadsAllowed loads from the weight store that may begin now.
+ * @property lastJoinedMillis when a runner was last heard of for the first time.
  */
 public data class ResidencyView(
     public val bounds: RunnerBounds,
@@ -15,14 +16,16 @@
     public val arrivalsPerSecond: Map<String, Double>,
     public val habitualPerSecond: Map<String, Double>,
     public val adapterUsedMillis: Map<String, Map<Pair<String, String>, Long>>,
-    public val storeLoadsAllowed: Int
+    public val storeLoadsAllowed: Int,
+    public val lastJoinedMillis: Long
 )
 
 /**
  * Decides which models runners hold.
  *
  * A model that requests wait for is loaded where it is there soonest. Loads that can still meet a
- * target go first, then those that serve the most waiting requests in the least time. A runner makes
+ * target go first, then those that serve the most callers in the least time; callers that leave
+ * before a load can be done count for those who come after them. A runner makes
  * room by giving up what costs least: a copy of which there are others, else the model whose return
  * costs the least waiting, by its rate of arrivals and by the time that loading it again takes.
  */
@@ -76,29 +79,40 @@
         }
         val ordered = merged.sortedWith(
             compareByDescending<ModelDemand> { canMeetTarget(it) }
-                .thenByDescending { (it.waiting + it.missed) / soonestMillis(it.model).toDouble() }
+                .thenByDescending { callersOf(it) / soonestMillis(it.model) }
                 .thenBy { it.limitAtMillis }
         )
         var queuedStoreMillis = 0L
         for (demand in ordered) {
             val candidate = bestCandidate(demand)
-            if (candidate != null && nowMillis + candidate.loadMillis <= demand.limitAtMillis) {
+            val isInTime =
+                candidate != null && nowMillis + candidate.loadMillis <= demand.limitAtMillis
+            if (candidate != null && (isInTime || isWorthLoadingAhead(demand, candidate))) {
                 take(candidate)
-                continue
-            }
-            queuedStoreMillis +=
-                soonestMillis(demand.model) / bounds.storeLoadsAtOnce.coerceAtLeast(1)
-            val earliest = nowMillis + queuedStoreMillis + soonestMillis(demand.model)
-            if (earliest >
-                demand.limitAtMillis
-            ) {
-                hopeless += demand.model
             } else {
-                readyAt[demand.model] = earliest
+                queuedStoreMillis +=
+                    soonestMillis(demand.model) / bounds.storeLoadsAtOnce.coerceAtLeast(1)
+                readyAt[demand.model] = nowMillis + queuedStoreMillis + soonestMillis(demand.model)
             }
+            if (readyAt.getValue(demand.model) > demand.limitAtMillis) hopeless += demand.model
         }
     }
 
+    /** Callers that a load would serve: those that wait, were refused, or will come meanwhile. */
+    private fun callersOf(demand: ModelDemand): Double =
+        demand.waiting + demand.missed + expectedWhileLoading(demand.model)
+
+    private fun expectedWhileLoading(model: String): Double =
+        (view.habitualPerSecond[model] ?: 0.0) * soonestMillis(model) / MILLIS_PER_SECOND
+
+    /** Whether a load pays though it comes too late for all that wait. */
+    private fun isWorthLoadingAhead(demand: ModelDemand, candidate: Candidate): Boolean {
+        if (demand.missed >= STARVED_MISSES) return true
+        val cost = bounds.models[demand.model] ?: return false
+        val isAskedFor = expectedWhileLoading(demand.model) >= AHEAD_CALLERS
+        return isAskedFor && absenceLoss(cost) > candidate.evictionCost
+    }
+
     private fun merge(demands: List<ModelDemand>): ModelDemand = demands.first().copy(
         adapter = null,
         waiting = demands.sumOf { it.waiting },
@@ -215,6 +229,8 @@
     /** Brings back a model that is likelier to be asked for than what makes way for it. */
     private fun preload() {
         if (view.demands.any { it.waiting > 0 } || view.runners.any { it.loading != null }) return
+        // A runner that is not heard of yet may hold the model.
+        if (nowMillis - view.lastJoinedMillis < SETTLED_MILLIS) return
         val absent = bounds.models.values.filter { (replicas[it.name] ?: 0) == 0 }
         val cost = absent.maxByOrNull(::absenceLoss) ?: return
         val demand = ModelDemand(cost.name, null, 1, nowMillis, Long.MAX_VALUE)
@@ -289,6 +305,14 @@
     }
 
     private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+
+        /** Callers expected during a load from which on it pays without any that can wait for it. */
+        const val AHEAD_CALLERS = 2.0
+
+        /** Refusals after which a model is loaded however few ask for it, so that none starves. */
+        const val STARVED_MISSES = 3
+
         /** Arrivals assumed of a model or adapter not asked for lately: one in ten minutes. */
         const val UNSEEN_ARRIVALS_PER_SECOND = 1.0 / 600
 
@@ -301,6 +325,9 @@
         /** How many times likelier a model has to be than what makes way for it unasked. */
         const val PRELOAD_GAIN = 3.0
 
+        /** Longer than runners that start together take to be registered and read, one by one. */
+        const val SETTLED_MILLIS = 3_000L
+
         /** An adapter that was used more recently is not dropped for another. */
         const val ADAPTER_IDLE_MILLIS = 500L
 
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -66,8 +66,18 @@
         rates: Map<String, Double> = emptyMap(),
         used: Map<String, Map<Pair<String, String>, Long>> = emptyMap(),
         habits: Map<String, Double> = emptyMap(),
-        storeLoads: Int = 10
-    ): ResidencyView = ResidencyView(bounds, runners, demands, rates, habits, used, storeLoads)
+        storeLoads: Int = 10,
+        joinedAgoMillis: Long = 60_000
+    ): ResidencyView = ResidencyView(
+        bounds,
+        runners,
+        demands,
+        rates,
+        habits,
+        used,
+        storeLoads,
+        now - joinedAgoMillis
+    )
 
     private fun loads(plan: ResidencyPlan): List<Residency.Load> =
         plan.steps.filterIsInstance<Residency.Load>()
@@ -125,6 +135,50 @@
         }
     }
 
+    /** Callers that leave before a load from the weight store can be done: 4 s against 9 s. */
+    @Nested
+    inner class ImpatientCallers {
+        private val impatient = demand("c", limitInMillis = 4_000)
+
+        @Test
+        fun `a model that many ask for is loaded for those who will come`() {
+            val view = view(
+                listOf(runner("r1", held())),
+                listOf(impatient),
+                habits = mapOf(
+                    "c" to 2.0
+                )
+            )
+            val plan = planner.plan(view, now)
+            assertEquals("c", loads(plan).single().model)
+            assertEquals(listOf("c"), plan.hopeless, "those who wait are told at once")
+            assertEquals(now + 9_000, plan.readyAtMillis["c"], "and when to come back")
+        }
+
+        @Test
+        fun `a model that few ask for is loaded once it was refused several times`() {
+            val demands = listOf(impatient.copy(missed = 3))
+            val plan = planner.plan(view(listOf(runner("r1", held())), demands), now)
+            assertEquals("c", loads(plan).single().model)
+        }
+
+        @Test
+        fun `a model that more ask for does not make way`() {
+            val full = held("d" to emptySet(), "e" to emptySet(), "f" to emptySet())
+            val habits = mapOf("c" to 2.0, "d" to 9.0, "e" to 9.0, "f" to 9.0)
+            val view = view(listOf(runner("r1", full)), listOf(impatient), habits = habits)
+            assertEquals(emptyList(), loads(planner.plan(view, now)))
+        }
+
+        @Test
+        fun `the one that most will ask for is loaded first`() {
+            val demands = listOf(demand("d", limitInMillis = 4_000), impatient)
+            val habits = mapOf("c" to 9.0, "d" to 2.0)
+            val view = view(listOf(runner("r1", held())), demands, habits = habits)
+            assertEquals("c", loads(planner.plan(view, now)).single().model)
+        }
+    }
+
     @Nested
     inner class MakingRoom {
         private val full = held("d" to emptySet(), "e" to emptySet(), "f" to emptySet())
@@ -242,6 +296,13 @@
             assertEquals("a", loads(plan).single().model)
         }
 
+        @Test
+        fun `nothing is brought back while runners are still being heard of`() {
+            val runners = listOf(runner("r1", full, disk = disk))
+            val plan = planner.plan(view(runners, emptyList(), joinedAgoMillis = 500), now)
+            assertEquals(emptyList(), plan.steps)
+        }
+
         @Test
         fun `a model no likelier than what it replaces stays away`() {
             val held = held("a" to emptySet(), "e" to emptySet(), "f" to emptySet())
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -79,7 +79,8 @@
             arrivalsPerSecond = demand.arrivalsPerSecond(nowMillis).filterKeys { it in known },
             habitualPerSecond = demand.habitualPerSecond(nowMillis).filterKeys { it in known },
             adapterUsedMillis = adaptersInUse(nowMillis),
-            storeLoadsAllowed = storeLoadsAllowed(engine, nowMillis)
+            storeLoadsAllowed = storeLoadsAllowed(engine, nowMillis),
+            lastJoinedMillis = directory.lastJoinedMillis
         )
     }
 
@@ -110,6 +111,7 @@
     }
 
     private fun carryOut(plan: ResidencyPlan, nowMillis: Long) {
+        plan.hopeless.forEach { miss(it, nowMillis) }
         for (step in plan.steps) {
             val work = directory.find(step.runner)?.let(::workOf) ?: continue
             if (step is Residency.Load && step.source == WeightSource.STORE) {
@@ -119,12 +121,12 @@
             work.begin(step, nowMillis)
             scope.launch(jobs) { work.carryOut(step) }
         }
-        plan.hopeless.forEach { miss(it, nowMillis) }
         val refused = plan.hopeless.map { model ->
+            val readyInMillis = plan.readyAtMillis[model]?.minus(nowMillis) ?: RETRY_MILLIS
             Forecast.newBuilder()
                 .setModel(model)
                 .setIsRefused(true)
-                .setReadyInMillis(RETRY_MILLIS)
+                .setReadyInMillis(readyInMillis.coerceAtLeast(RETRY_MILLIS))
                 .build()
         }
         if (refused.isNotEmpty()) onForecasts(refused)
@@ -155,7 +157,7 @@
         /** Longer than a refused demand stands in the members' reports. */
         const val MISS_MILLIS = 600L
 
-        /** When a caller whose model could not be loaded in time may try again. */
+        /** The least that a caller is told to wait whose model could not be loaded in time. */
         const val RETRY_MILLIS = 1_000L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -32,6 +32,10 @@
     public var isKnown: Boolean = false
         private set
 
+    /** When an upstream was last heard of for the first time, or anew after its restart. */
+    public var lastJoinedMillis: Long = Long.MIN_VALUE / 2
+        private set
+
     /** All upstreams that may get requests. */
     public val usable: List<Upstream> get() = upstreams.values.filter { it.isUsable }
 
@@ -153,6 +157,7 @@
         val known = upstreams[entry.id]
         if (known == null || known.entry.startedAtEpochMillis != entry.startedAtEpochMillis) {
             upstreams[entry.id] = Upstream(entry)
+            lastJoinedMillis = clock.nowMillis()
             events.write("upstream-new", "upstream" to entry.id, "service" to entry.service)
             return
         }
