Upstreams that go dark are noticed by their silence and left

Ruled out: full runners and waits for models (the requests were sent at once). Change: an upstream that owes answers and has sent nothing on any connection for 0.5 s, or four times its usual time, is not chosen while another can serve; requests that may run again go on at another, within the budget for repeats. What it owes counts as its latency before that. Latency of a stream is that of its first piece, not of its head. request-ended logs the time to the first piece and the longest pause; both are measured. Tests: GoneDark in UpstreamTest; a stream at a runner that goes dark, through a real process (failed before).

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -135,7 +135,7 @@
             waits = waits,
             allowances = allowances,
             suspects = suspects,
-            sender = UpstreamSender(vertx, WireHeaders),
+            sender = UpstreamSender(vertx, WireHeaders, clock),
             translator = WireHeaders,
             retries = RetryBook(bounds, clock) { link.memberCount },
             clock = clock,
@@ -169,6 +169,7 @@
         registerGauges()
         always("configuration") { config.run() }
         always("upstreams") { directory.run() }
+        always("silent upstreams") { directory.watchSilence() }
         always("lease") { hold.run() }
         always("coordinator") { coordinator.run() }
         always("link") { link.run() }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.CallTranslator
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerResponse
@@ -9,9 +10,19 @@
 public class CallerReply(
     private val response: HttpServerResponse,
     private val translator: CallTranslator,
+    private val clock: MonotonicClock,
     private val closesConnection: () -> Boolean
 ) : StreamSink {
     private var cutter = EventCutter()
+    private var lastPieceAtMillis = 0L
+
+    /** When the first whole event of a stream went to the caller; null before. */
+    public var firstPieceAtMillis: Long? = null
+        private set
+
+    /** The longest time between two pieces of a stream so far. */
+    public var longestPauseMillis: Long = 0
+        private set
 
     /** Whether the head of a stream has gone to the caller. */
     public var hasBegun: Boolean = false
@@ -34,10 +45,20 @@
     override suspend fun piece(piece: Buffer) {
         val whole = cutter.add(piece)
         if (whole.length() == 0) return
+        passed(clock.nowMillis())
         response.write(whole)
         if (response.writeQueueFull()) awaitRoom()
     }
 
+    private fun passed(nowMillis: Long) {
+        if (firstPieceAtMillis == null) {
+            firstPieceAtMillis = nowMillis
+        } else {
+            longestPauseMillis = maxOf(longestPauseMillis, nowMillis - lastPieceAtMillis)
+        }
+        lastPieceAtMillis = nowMillis
+    }
+
     /** Ends a stream that is complete. */
     public fun endStream() {
         if (cutter.partial.length() > 0) response.write(cutter.partial)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -72,7 +72,7 @@
         val response = request.response()
         response.closeHandler { job.cancel(CancellationException("the caller has left")) }
         response.exceptionHandler { job.cancel(CancellationException("the caller has left")) }
-        val reply = CallerReply(response, translator) { isLeaving }
+        val reply = CallerReply(response, translator, parts.clock) { isLeaving }
         CoroutineScope(scope.coroutineContext + job).launch(start = CoroutineStart.UNDISPATCHED) {
             try {
                 serve(request, reply, arrivedAtMillis)
@@ -108,7 +108,7 @@
         val end = try {
             withTimeoutOrNull(limitOf(read)) { flow.serve() } ?: timedOut(flow, reply)
         } catch (e: CancellationException) {
-            ended(read, "caller-left")
+            ended(read, reply, "caller-left")
             throw e
         }
         finish(read, reply, end)
@@ -132,31 +132,25 @@
             is FlowEnd.Answered -> {
                 val answer = end.answer
                 if (answer == null) reply.endStream() else reply.whole(answer)
-                ended(
-                    request,
-                    if (answer ==
-                        null
-                    ) {
-                        "streamed"
-                    } else {
-                        "answered-${answer.start.status}"
-                    }
-                )
+                val outcome = if (answer == null) "streamed" else "answered-${answer.start.status}"
+                ended(request, reply, outcome)
             }
             is FlowEnd.Own -> {
                 reply.own(request.facts.id, end.answer)
-                ended(request, end.answer.code)
+                ended(request, reply, end.answer.code)
             }
             is FlowEnd.Cut -> {
                 reply.cut()
-                ended(request, "cut: ${end.reason}")
+                ended(request, reply, "cut: ${end.reason}")
             }
         }
     }
 
-    private fun ended(request: CallerRequest, outcome: String) {
+    private fun ended(request: CallerRequest, reply: CallerReply, outcome: String) {
         val tookMillis = parts.clock.nowMillis() - request.arrivedAtMillis
+        val firstPieceMillis = reply.firstPieceAtMillis?.minus(request.arrivedAtMillis)
         meters.ended(outcome, tookMillis)
+        firstPieceMillis?.let(meters::firstPiece)
         events.write(
             "request-ended",
             "request" to request.facts.id,
@@ -164,6 +158,8 @@
             "model" to request.facts.model,
             "outcome" to outcome,
             "took_ms" to tookMillis,
+            "first_ms" to firstPieceMillis,
+            "pause_ms" to reply.longestPauseMillis.takeIf { firstPieceMillis != null },
             "config" to parts.table()?.config?.version
         )
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -7,7 +7,11 @@
 import cactusfold.ports.serving.SendFacts
 import cactusfold.ports.serving.ServingRoute
 import cactusfold.ports.serving.ServingWorkspace
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.selects.select
 
 /** Takes a request from its route to its one end. */
 public class RequestFlow(
@@ -19,6 +23,7 @@
     private var runs = 0
     private var sends = 0
     private var mayHaveRun = false
+    private var hasPaidForRepeat = false
 
     /** Whether an upstream may have run the request, so that no refusal may say that none did. */
     public val isUncertain: Boolean get() = mayHaveRun
@@ -69,9 +74,14 @@
                 delay(FULL_MILLIS)
                 continue
             }
-            if (sends > 0 && !parts.retries.mayRepeat(service)) return ended(last, "retry-budget")
+            if (sends > 0 && !hasPaidForRepeat && !parts.retries.mayRepeat(service)) {
+                return ended(last, "retry-budget")
+            }
+            hasPaidForRepeat = false
             admission.recheck(admitted)?.let { return gaveUp(it) }
-            val end = sendTo(upstream, route, admitted.workspace, limitAt)
+            val end = sendTo(upstream, route, admitted.workspace, limitAt) {
+                mayLeave(upstream, route, service)
+            }
             last = end
             when (end) {
                 SendEnd.Streamed -> return FlowEnd.Answered(null)
@@ -109,7 +119,8 @@
         upstream: Upstream,
         route: ServingRoute,
         workspace: ServingWorkspace?,
-        limitAt: Long
+        limitAt: Long,
+        mayLeave: () -> Boolean
     ): SendEnd {
         val facts = request.facts
         val outgoing = Outgoing(
@@ -145,7 +156,7 @@
         val use = facts.model?.let { ModelUse(it, facts.adapter) }
         upstream.began(use)
         try {
-            val end = parts.sender.send(upstream, outgoing, reply)
+            val end = sendOrLeave(upstream, outgoing, mayLeave)
             settle(upstream, end, wasUncertain)
             return end
         } finally {
@@ -153,6 +164,39 @@
         }
     }
 
+    /** Sends [outgoing]; leaves an upstream that has gone silent when [mayLeave] agrees. */
+    private suspend fun sendOrLeave(
+        upstream: Upstream,
+        outgoing: Outgoing,
+        mayLeave: () -> Boolean
+    ): SendEnd = coroutineScope {
+        val isLeft = CompletableDeferred<Unit>()
+        val sending = async {
+            parts.sender.send(upstream, outgoing, reply) {
+                if (!isLeft.isCompleted && mayLeave()) isLeft.complete(Unit)
+            }
+        }
+        select {
+            sending.onAwait { it }
+            isLeft.onAwait {
+                sending.cancel()
+                SendEnd.Broken("silent")
+            }
+        }
+    }
+
+    /** Whether a request at a silent [upstream] can go on at another; books the repeat if so. */
+    private fun mayLeave(upstream: Upstream, route: ServingRoute, service: String): Boolean {
+        if (!mayGoOn(route, runs + 1)) return false
+        val nowMillis = parts.clock.nowMillis()
+        val facts = request.facts
+        val hasOther = parts.directory.serving(service, facts.model, facts.adapter)
+            .any { it !== upstream && !it.isSilent(nowMillis) && it.isOpen(nowMillis) }
+        if (!hasOther || !parts.retries.mayRepeat(service)) return false
+        hasPaidForRepeat = true
+        return true
+    }
+
     private fun settle(upstream: Upstream, end: SendEnd, wasUncertain: Boolean) {
         val nowMillis = parts.clock.nowMillis()
         when (end) {
@@ -191,8 +235,8 @@
     private fun isWorthRepeating(end: SendEnd.Whole, route: ServingRoute): Boolean =
         end.start.status >= SERVER_ERROR && mayGoOn(route)
 
-    private fun mayGoOn(route: ServingRoute): Boolean {
-        if (!route.mayRunAgain || runs >= route.maxRuns) return false
+    private fun mayGoOn(route: ServingRoute, runsThen: Int = runs): Boolean {
+        if (!route.mayRunAgain || runsThen >= route.maxRuns) return false
         return !reply.hasBegun || reply.lastEventId != null
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.entry.upstream.Upstream
 import cactusfold.node.http.PieceQueue
+import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.AnswerFacts
 import cactusfold.ports.serving.CallTranslator
 import io.vertx.core.MultiMap
@@ -61,7 +62,11 @@
 }
 
 /** Sends requests to upstreams, each over a connection that carries nothing else meanwhile. */
-public class UpstreamSender(vertx: Vertx, private val translator: CallTranslator) {
+public class UpstreamSender(
+    vertx: Vertx,
+    private val translator: CallTranslator,
+    private val clock: MonotonicClock
+) {
     private val client: HttpClientAgent = vertx.createHttpClient(
         HttpClientOptions()
             .setConnectTimeout(CONNECT_MILLIS)
@@ -71,14 +76,23 @@
         PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(0)
     )
 
-    /** Sends [outgoing] to [upstream]. Cancelling it closes the connection. */
-    public suspend fun send(upstream: Upstream, outgoing: Outgoing, sink: StreamSink?): SendEnd =
-        Sending(upstream, outgoing, sink).run()
+    /**
+     * Sends [outgoing] to [upstream]. Cancelling it closes the connection.
+     *
+     * @param onSilent called while the upstream sends nothing to anybody.
+     */
+    public suspend fun send(
+        upstream: Upstream,
+        outgoing: Outgoing,
+        sink: StreamSink?,
+        onSilent: () -> Unit
+    ): SendEnd = Sending(upstream, outgoing, sink, onSilent).run()
 
     private inner class Sending(
         private val upstream: Upstream,
         private val outgoing: Outgoing,
-        private val sink: StreamSink?
+        private val sink: StreamSink?,
+        private val onSilent: () -> Unit
     ) {
         private var request: HttpClientRequest? = null
         private var isOver = false
@@ -93,12 +107,15 @@
         } catch (e: Exception) {
             failure(e.message ?: e.javaClass.simpleName)
         } finally {
+            upstream.silence.ended(this)
             if (!isOver) request?.reset()
         }
 
         private suspend fun exchange(open: HttpClientRequest): SendEnd {
-            val began = System.nanoTime()
+            val beganMillis = clock.nowMillis()
+            upstream.silence.asked(this, beganMillis, onSilent)
             val response = open.send(outgoing.body).map { it.pause() }.coAwait()
+            upstream.silence.heard(clock.nowMillis())
             val facts = translator.answer(response.statusCode(), response.headers())
             val start = AnswerStart(response.statusCode(), response.headers(), facts)
             if (facts.id != null && facts.id != outgoing.id) {
@@ -107,8 +124,11 @@
             if (facts.wasNotRun) return notRun(response, start)
             val isSuccess = start.status in SUCCESS
             if (isSuccess && !facts.isSealed) return SendEnd.Broken("an answer without a seal")
-            upstream.answered((System.nanoTime() - began) / NANOS_PER_MILLI, facts.load)
-            if (isSuccess && outgoing.isStream && sink != null) return relay(response, start, sink)
+            upstream.answered(facts.load)
+            if (isSuccess && outgoing.isStream && sink != null) {
+                return relay(response, start, sink, beganMillis)
+            }
+            upstream.tookMillis(clock.nowMillis() - beganMillis)
             val body = response.body()
             response.resume()
             return SendEnd.Whole(start, body.coAwait()).also { isOver = true }
@@ -125,11 +145,20 @@
         private suspend fun relay(
             response: HttpClientResponse,
             start: AnswerStart,
-            sink: StreamSink
+            sink: StreamSink,
+            beganMillis: Long
         ): SendEnd {
             val pieces = PieceQueue(response)
             sink.begin(start)
-            while (true) sink.piece(pieces.next() ?: break)
+            var isFirst = true
+            while (true) {
+                val piece = pieces.next() ?: break
+                val nowMillis = clock.nowMillis()
+                upstream.silence.heard(nowMillis)
+                if (isFirst) upstream.tookMillis(nowMillis - beganMillis)
+                isFirst = false
+                sink.piece(piece)
+            }
             isOver = true
             return SendEnd.Streamed
         }
@@ -155,7 +184,6 @@
         const val CONNECT_MILLIS = 500
         const val KEEP_SECONDS = 30
         const val MAX_CONNECTIONS = 256
-        const val NANOS_PER_MILLI = 1_000_000L
         val SUCCESS = 200..299
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -31,6 +31,9 @@
     private var failures = 0
     private var load: ReportedLoad? = null
 
+    /** How long answers from the upstream have been owed in vain. */
+    public val silence: Silence = Silence()
+
     /** Whether another process saw that the upstream leaves or has left. */
     public var isLeaving: Boolean = false
 
@@ -91,17 +94,25 @@
         if (left > 0) inFlightByUse[use] = left else inFlightByUse.remove(use)
     }
 
-    /** Books an answer that began after [firstByteMillis]. */
-    public fun answered(firstByteMillis: Long, reported: ReportedLoad?) {
+    /** Books that an answer has begun. */
+    public fun answered(reported: ReportedLoad?) {
         failures = 0
         downUntilMillis = 0
-        latencyMillis += (firstByteMillis - latencyMillis) * LATENCY_WEIGHT
         if (reported != null) load = reported
     }
 
+    /** Books how long a whole answer, or the first piece of a stream, has taken. */
+    public fun tookMillis(millis: Long) {
+        latencyMillis += (millis - latencyMillis) * LATENCY_WEIGHT
+    }
+
     /** Whether the upstream could not be reached a moment ago, so that others have to serve. */
     public fun isDown(nowMillis: Long): Boolean = nowMillis < downUntilMillis
 
+    /** Whether the upstream owes answers and has sent nothing for longer than it should take. */
+    public fun isSilent(nowMillis: Long): Boolean =
+        silence.millis(nowMillis) > maxOf(SILENT_MILLIS, SILENT_LATENCIES * latencyMillis)
+
     /** Takes note that no connection could be made. */
     public fun unreachable(nowMillis: Long) {
         downUntilMillis = nowMillis + DOWN_MILLIS
@@ -115,20 +126,24 @@
         asideUntilMillis = maxOf(asideUntilMillis, nowMillis + asideMillis)
     }
 
+    /** Whether a request may go there now: it is neither full nor put aside. */
+    public fun isOpen(nowMillis: Long): Boolean =
+        nowMillis >= asideUntilMillis && inFlight < entry.slots
+
     /** Puts the upstream aside for a moment: it is full. */
     public fun full(nowMillis: Long) {
         asideUntilMillis = maxOf(asideUntilMillis, nowMillis + FULL_MILLIS)
     }
 
     /** Returns the upstream for the choice among several. */
-    public fun view(): ReplicaView = ReplicaView(
+    public fun view(nowMillis: Long): ReplicaView = ReplicaView(
         upstream = entry.id,
         zone = entry.zone,
         slots = entry.slots,
         reportedRunning = load?.running ?: 0,
         reportedWaiting = load?.waiting ?: 0,
         inFlight = inFlight,
-        latencyMillis = latencyMillis,
+        latencyMillis = maxOf(latencyMillis, silence.millis(nowMillis).toDouble()),
         asideUntilMillis = asideUntilMillis
     )
 
@@ -140,6 +155,10 @@
         const val MAX_DOUBLINGS = 4
         const val FULL_MILLIS = 40L
 
+        /** Many times the pauses in the answers of an engine, and of the work of a plain service. */
+        const val SILENT_MILLIS = 500.0
+        const val SILENT_LATENCIES = 4
+
         /** An upstream that refuses connections is tried again after this time. */
         const val DOWN_MILLIS = 1_000L
     }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -85,9 +85,11 @@
      * @param affinity what prefers the same upstream each time while loads are alike.
      */
     public fun choose(candidates: List<Upstream>, affinity: String?): Upstream? {
-        val views = candidates.map { it.view() }
+        val nowMillis = clock.nowMillis()
+        val audible = candidates.filterNot { it.isSilent(nowMillis) }.ifEmpty { candidates }
+        val views = audible.map { it.view(nowMillis) }
         val preferred = affinity?.let {
-            Rendezvous.preferred(it, candidates.map { c -> c.entry.id })
+            Rendezvous.preferred(it, audible.map { c -> c.entry.id })
         }
         val chosen = choice.choose(
             views,
@@ -95,11 +97,26 @@
             preferred,
             Random.nextInt(Int.MAX_VALUE),
             Random.nextInt(Int.MAX_VALUE),
-            clock.nowMillis()
+            nowMillis
         ) ?: return null
         return upstreams[chosen.upstream]
     }
 
+    /** Tells requests at upstreams that have gone silent, until cancelled. */
+    public suspend fun watchSilence() {
+        var lookedAtMillis = clock.nowMillis()
+        while (true) {
+            delay(LOOK_MILLIS)
+            val nowMillis = clock.nowMillis()
+            // A process that was suspended has heard nobody; what came meanwhile is read next.
+            val wasSuspended = nowMillis - lookedAtMillis > SUSPENDED_MILLIS
+            lookedAtMillis = nowMillis
+            val all = upstreams.values.toList()
+            if (wasSuspended) all.forEach { it.silence.heard(nowMillis) }
+            all.filter { it.isSilent(nowMillis) }.forEach { it.silence.tell() }
+        }
+    }
+
     /** Follows the registered upstreams until cancelled. */
     public suspend fun run() {
         var position: Long? = null
@@ -197,6 +214,10 @@
         const val AFFINITY_LOAD_GAP = 0.1
 
         const val PAUSE_STEP_MILLIS = 50L
+        const val LOOK_MILLIS = 100L
+
+        /** A pause of this length between two looks is no matter of scheduling. */
+        const val SUSPENDED_MILLIS = 400L
         const val WAIT_MILLIS = 1_000L
         const val RETRY_MILLIS = 250L
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryPathTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryPathTest.kt
@@ -116,6 +116,15 @@
             assertTrue(second.ran.any { it.lastEventId == "3" })
         }
 
+        @Test
+        fun `a stream at a runner that goes dark goes on at another`() {
+            first.mood = RunnerMood.GOES_DARK
+            repeat(6) {
+                assertEquals(whole, fixture.caller.call("/draft/x", model = "warm").body())
+            }
+            assertTrue(second.ran.any { it.lastEventId == "3" })
+        }
+
         @Test
         fun `a stream that must not run again ends as broken`() {
             runners.forEach { it.mood = RunnerMood.BREAKS_MIDWAY }
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
@@ -45,16 +45,16 @@
             assertTrue(upstream.isDown(1_999))
             assertFalse(upstream.isDown(2_000))
             upstream.unreachable(3_000)
-            upstream.answered(5, null)
+            upstream.answered(null)
             assertFalse(upstream.isDown(3_001))
         }
 
         @Test
         fun `it is put aside longer with each failure in a row`() {
             upstream.failed(0)
-            assertEquals(250, upstream.view().asideUntilMillis)
+            assertEquals(250, upstream.view(0).asideUntilMillis)
             upstream.failed(250)
-            assertEquals(750, upstream.view().asideUntilMillis)
+            assertEquals(750, upstream.view(250).asideUntilMillis)
         }
 
         @Test
@@ -64,6 +64,54 @@
         }
     }
 
+    /** An upstream that has gone dark keeps its connections open and sends nothing on any. */
+    @Nested
+    inner class GoneDark {
+        private val told = mutableListOf<String>()
+
+        private fun ask(send: String, nowMillis: Long) {
+            upstream.silence.asked(send, nowMillis) { told += send }
+        }
+
+        @Test
+        fun `it is silent once nothing came for longer than its answers take`() {
+            ask("s1", 0)
+            assertFalse(upstream.isSilent(500))
+            assertTrue(upstream.isSilent(501))
+            upstream.silence.tell()
+            assertEquals(listOf("s1"), told)
+        }
+
+        @Test
+        fun `a piece on any connection shows that it lives`() {
+            ask("s1", 0)
+            ask("s2", 100)
+            upstream.silence.heard(400)
+            assertFalse(upstream.isSilent(900))
+        }
+
+        @Test
+        fun `one that owes nothing is not silent`() {
+            ask("s1", 0)
+            upstream.silence.ended("s1")
+            assertFalse(upstream.isSilent(9_000))
+        }
+
+        @Test
+        fun `one that is slow as always is not silent`() {
+            repeat(50) { upstream.tookMillis(400) }
+            ask("s1", 0)
+            assertFalse(upstream.isSilent(1_500))
+            assertTrue(upstream.isSilent(1_700))
+        }
+
+        @Test
+        fun `what it owes counts as its latency before it counts as silent`() {
+            ask("s1", 0)
+            assertEquals(300.0, upstream.view(300).latencyMillis)
+        }
+    }
+
     @Nested
     inner class Counting {
         @Test
