Load estimates count the overhead; a runner that dies while it loads is noticed

A rare model's load ended with its runner's crash at 18.2 s and was ordered anew only at 21.8 s. Ruled out: the weight store's slowdown (the loads ran at full speed). Change: the overhead is learnt from loads that ended and counts in all estimates. A runner that loads for longer than a second is asked once a second whether it lives; two unanswered questions end the wait. The fixture of the path tests took ports that another listener was then given (one failure, 'Address already in use'): they now lie below the kernel's range. After: not measured yet.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -19,12 +19,14 @@
  *
  * @property slots requests that one runner processes at once.
  * @property storeLoadsAtOnce loads from the weight store that run at full speed together.
+ * @property overheadMillis what a load takes beside the weights: orders, and the runner's report.
  */
 public data class RunnerBounds(
     public val slots: Int,
     public val weightMegabytes: Double,
     public val adapterSlots: Int,
     public val storeLoadsAtOnce: Int,
+    public val overheadMillis: Long,
     public val models: ImmutableMap<String, ModelCost>
 )
 
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -85,14 +85,14 @@
         var queuedStoreMillis = 0L
         for (demand in ordered) {
             val candidate = bestCandidate(demand)
-            val isInTime =
-                candidate != null && nowMillis + candidate.loadMillis <= demand.limitAtMillis
+            val isInTime = candidate != null && readyAt(candidate) <= demand.limitAtMillis
             if (candidate != null && (isInTime || isWorthLoadingAhead(demand, candidate))) {
                 take(candidate)
             } else {
                 queuedStoreMillis +=
                     soonestMillis(demand.model) / bounds.storeLoadsAtOnce.coerceAtLeast(1)
-                readyAt[demand.model] = nowMillis + queuedStoreMillis + soonestMillis(demand.model)
+                readyAt[demand.model] = nowMillis + queuedStoreMillis +
+                    soonestMillis(demand.model) + bounds.overheadMillis
             }
             if (readyAt.getValue(demand.model) > demand.limitAtMillis) hopeless += demand.model
         }
@@ -121,7 +121,10 @@
     )
 
     private fun canMeetTarget(demand: ModelDemand): Boolean =
-        nowMillis + soonestMillis(demand.model) <= demand.targetAtMillis
+        nowMillis + soonestMillis(demand.model) + bounds.overheadMillis <= demand.targetAtMillis
+
+    private fun readyAt(candidate: Candidate): Long =
+        nowMillis + candidate.loadMillis + bounds.overheadMillis
 
     private fun soonestMillis(model: String): Long {
         val cost = bounds.models[model] ?: return Long.MAX_VALUE / 4
@@ -164,7 +167,7 @@
         }
         candidate.evicted.forEach { replicas.merge(it, -1, Int::plus) }
         replicas.merge(candidate.demand.model, 1, Int::plus)
-        readyAt[candidate.demand.model] = nowMillis + candidate.loadMillis
+        readyAt[candidate.demand.model] = readyAt(candidate)
         steps += Residency.Load(
             candidate.runner.id,
             candidate.demand.model,
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -24,6 +24,7 @@
         weightMegabytes = 230.0,
         adapterSlots = 2,
         storeLoadsAtOnce = 2,
+        overheadMillis = 300,
         models = ('a'..'l').map { it.toString() }
             .associateWith { cost(it, if (it == "a") 8 else 0) }.toImmutableMap()
     )
@@ -152,7 +153,7 @@
             val plan = planner.plan(view, now)
             assertEquals("c", loads(plan).single().model)
             assertEquals(listOf("c"), plan.hopeless, "those who wait are told at once")
-            assertEquals(now + 9_000, plan.readyAtMillis["c"], "and when to come back")
+            assertEquals(now + 9_300, plan.readyAtMillis["c"], "and when to come back")
         }
 
         @Test
@@ -162,6 +163,13 @@
             assertEquals("c", loads(plan).single().model)
         }
 
+        @Test
+        fun `those whom a load would miss by its overhead do not wait for it`() {
+            val runners = listOf(runner("r1", held(), disk = setOf("c")))
+            val demands = listOf(demand("c", limitInMillis = 2_200))
+            assertEquals(listOf("c"), planner.plan(view(runners, demands), now).hopeless)
+        }
+
         @Test
         fun `a model that more ask for does not make way`() {
             val full = held("d" to emptySet(), "e" to emptySet(), "f" to emptySet())
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -26,6 +26,7 @@
     private val table: () -> RouteTable?
 ) {
     private val planner = ResidencyPlanner()
+    private val overhead = LoadOverhead()
     private val works = HashMap<String, RunnerWork>()
     private class Missed(var count: Int, var atMillis: Long)
 
@@ -87,7 +88,9 @@
     private fun workOf(upstream: Upstream): RunnerWork {
         val known = works[upstream.entry.id]
         if (known != null && known.upstream === upstream) return known
-        return RunnerWork(upstream, context, ::held).also { works[upstream.entry.id] = it }
+        return RunnerWork(upstream, context, overhead, ::held).also {
+            works[upstream.entry.id] = it
+        }
     }
 
     private fun held(upstream: Upstream) {
@@ -145,6 +148,7 @@
         weightMegabytes = engine.weightMegabytes,
         adapterSlots = engine.adapterSlots,
         storeLoadsAtOnce = STORE_LOADS_AT_ONCE,
+        overheadMillis = overhead.millis,
         models = engine.models
     )
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerWork.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerWork.kt
@@ -19,6 +19,7 @@
 internal class RunnerWork(
     val upstream: Upstream,
     private val context: DeskContext,
+    private val overhead: LoadOverhead,
     private val onHeld: (Upstream) -> Unit
 ) {
     private val clock = context.clock
@@ -85,7 +86,7 @@
         when (step) {
             is Residency.Load -> {
                 underWay = step
-                loadedAtMillis = nowMillis + step.loadMillis
+                loadedAtMillis = nowMillis + step.loadMillis + overhead.millis
             }
             is Residency.LoadAdapter -> {
                 adapterOrders++
@@ -109,6 +110,8 @@
             isLoaded = makeRoom(step.evicted) &&
                 order(RunnerOrder.Load(step.model)) &&
                 awaitModel(step)
+            val tookMillis = clock.nowMillis() - began
+            if (isLoaded) overhead.took(step.loadMillis, tookMillis)
             context.events.write(
                 if (isLoaded) "model-loaded" else "model-load-failed",
                 "model" to step.model,
@@ -116,7 +119,7 @@
                 "source" to step.source.name,
                 "evicted" to step.evicted.joinToString(),
                 "expected_ms" to step.loadMillis,
-                "took_ms" to clock.nowMillis() - began
+                "took_ms" to tookMillis
             )
         } finally {
             underWay = null
@@ -135,7 +138,7 @@
 
     private suspend fun awaitModel(step: Residency.Load): Boolean {
         val startedAt = clock.nowMillis()
-        delay((step.loadMillis - EARLY_MILLIS).coerceAtLeast(0))
+        if (!outlasts(startedAt + step.loadMillis - EARLY_MILLIS)) return false
         while (clock.nowMillis() - startedAt < step.loadMillis * MAX_SLOWDOWN + EARLY_MILLIS) {
             val said = desk.report()
             if (said != null && step.model in said.adaptersByModel) {
@@ -151,6 +154,21 @@
         return false
     }
 
+    /** Waits until [untilMillis]; returns false as soon as the runner does not answer any more. */
+    private suspend fun outlasts(untilMillis: Long): Boolean {
+        var unanswered = 0
+        while (true) {
+            val leftMillis = untilMillis - clock.nowMillis()
+            if (leftMillis <= CHECK_MILLIS) {
+                delay(leftMillis.coerceAtLeast(0))
+                return true
+            }
+            delay(CHECK_MILLIS)
+            unanswered = if (desk.report() == null) unanswered + 1 else 0
+            if (unanswered >= UNANSWERED_CHECKS) return false
+        }
+    }
+
     private suspend fun loadAdapter(step: Residency.LoadAdapter) {
         var isLoaded = false
         try {
@@ -213,6 +231,12 @@
         const val EARLY_MILLIS = 50L
         const val REPORT_MILLIS = 100L
 
+        /** How often a runner that loads for long is asked whether it lives. */
+        const val CHECK_MILLIS = 1_000L
+
+        /** A lost answer is no sign; two in a row are. */
+        const val UNANSWERED_CHECKS = 2
+
         /** How much longer than expected a load may take before it counts as failed. */
         const val MAX_SLOWDOWN = 4
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -12,9 +12,11 @@
 import cactusfold.settings.schema.HostPort
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
+import java.net.BindException
 import java.net.ServerSocket
 import java.util.UUID
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 
@@ -87,6 +89,25 @@
             }
         }
 
-        private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+        /** Below the ports that connections and other listeners are given, so that none takes it. */
+        private val nextPort =
+            AtomicInteger(
+                FIRST_PORT + (ProcessHandle.current().pid() % PORT_BLOCKS).toInt() * BLOCK
+            )
+
+        private const val FIRST_PORT = 12_000
+        private const val BLOCK = 100
+        private const val PORT_BLOCKS = 200
+
+        private fun freePort(): Int {
+            while (true) {
+                val port = nextPort.getAndIncrement()
+                try {
+                    return ServerSocket(port).use { it.localPort }
+                } catch (_: BindException) {
+                    continue
+                }
+            }
+        }
     }
 }
