The weight store's concurrency is learnt; long loads keep clear of adapters that are waited for

(2) The number of loads at full speed was a constant that fits two sites; other deployments carry 2 or 3. Change: what requests would wait for adapters counts against a runner when a load is placed. The number of loads at once is learnt from how long loads took beside others, beginning with 4. After: not measured yet.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -41,7 +41,7 @@
     val source: WeightSource,
     val evicted: List<String>,
     val loadMillis: Long,
-    val evictionCost: Double
+    val lossMillisPerSecond: Double
 )
 
 private class Planning(private val view: ResidencyView, private val nowMillis: Long) {
@@ -110,7 +110,7 @@
         if (demand.missed >= STARVED_MISSES) return true
         val cost = bounds.models[demand.model] ?: return false
         val isAskedFor = expectedWhileLoading(demand.model) >= AHEAD_CALLERS
-        return isAskedFor && absenceLoss(cost) > candidate.evictionCost
+        return isAskedFor && absenceLoss(cost) > candidate.lossMillisPerSecond
     }
 
     private fun merge(demands: List<ModelDemand>): ModelDemand = demands.first().copy(
@@ -135,7 +135,7 @@
     private fun bestCandidate(demand: ModelDemand): Candidate? {
         val candidates = view.runners.mapNotNull { candidateOn(it, demand) }
         return candidates.minWithOrNull(
-            compareBy<Candidate> { it.loadMillis }.thenBy { it.evictionCost }
+            compareBy<Candidate> { it.loadMillis }.thenBy { it.lossMillisPerSecond }
                 .thenBy { it.runner.inFlight.values.sum() }
         )
     }
@@ -152,10 +152,21 @@
             source,
             evicted,
             millisFrom(cost, source),
-            evicted.sumOf { lossOf(runner, it) }
+            evicted.sumOf { lossOf(runner, it) } + adapterWaits(runner, millisFrom(cost, source))
         )
     }
 
+    /**
+     * Waiting, in milliseconds a second, expected of requests that need an adapter while the runner
+     * takes no order for one: it carries out one order at a time.
+     */
+    private fun adapterWaits(runner: RunnerState, loadMillis: Long): Double =
+        runner.served.keys.sumOf { model ->
+            val hasAdapters = (bounds.models[model]?.adapters ?: 0) > 0
+            val perSecond = if (hasAdapters) view.arrivalsPerSecond[model] ?: 0.0 else 0.0
+            perSecond * ADAPTER_MISS_SHARE * loadMillis / (replicas[model] ?: 1).coerceAtLeast(1)
+        }
+
     private fun mayLoadFromStore(): Boolean =
         storeLoads < bounds.storeLoadsAtOnce && storeStarts > 0
 
@@ -238,8 +249,8 @@
         val cost = absent.maxByOrNull(::absenceLoss) ?: return
         val demand = ModelDemand(cost.name, null, 1, nowMillis, Long.MAX_VALUE)
         val candidate = view.runners.mapNotNull { candidateOn(it, demand) }
-            .minWithOrNull(compareBy({ it.loadMillis }, { it.evictionCost })) ?: return
-        if (absenceLoss(cost) > PRELOAD_GAIN * candidate.evictionCost) take(candidate)
+            .minWithOrNull(compareBy({ it.loadMillis }, { it.lossMillisPerSecond })) ?: return
+        if (absenceLoss(cost) > PRELOAD_GAIN * candidate.lossMillisPerSecond) take(candidate)
     }
 
     private fun sourceOn(runner: RunnerState, model: String): WeightSource = when (model) {
@@ -298,7 +309,7 @@
         wanted += model
         val candidate = view.runners.filter { model !in it.served }
             .mapNotNull { candidateOn(it, demand) }
-            .minWithOrNull(compareBy({ it.evictionCost }, { it.loadMillis })) ?: return
+            .minWithOrNull(compareBy({ it.lossMillisPerSecond }, { it.loadMillis })) ?: return
         take(candidate)
     }
 
@@ -316,6 +327,9 @@
         /** Refusals after which a model is loaded however few ask for it, so that none starves. */
         const val STARVED_MISSES = 3
 
+        /** Share of a model's requests that need an adapter which its runners don't hold, assumed. */
+        const val ADAPTER_MISS_SHARE = 0.1
+
         /** Arrivals assumed of a model or adapter not asked for lately: one in ten minutes. */
         const val UNSEEN_ARRIVALS_PER_SECOND = 1.0 / 600
 
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -270,6 +270,16 @@
             assertEquals("a" to "y", assertIs<Residency.LoadAdapter>(plan.steps.first()).evicted)
         }
 
+        @Test
+        fun `a long load goes to a runner that nobody waits at for adapters`() {
+            val runners = listOf(
+                runner("r1", held("a" to setOf("x"))),
+                runner("r2", held("b" to emptySet()))
+            )
+            val plan = planner.plan(view(runners, listOf(demand("c")), mapOf("a" to 9.0)), now)
+            assertEquals("r2", loads(plan).single().runner)
+        }
+
         @Test
         fun `one runner gets one order at a time`() {
             val runners = listOf(runner("r1", held("a" to emptySet())))
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -5,6 +5,7 @@
 import cactusfold.decisions.residency.ResidencyPlanner
 import cactusfold.decisions.residency.ResidencyView
 import cactusfold.decisions.residency.RunnerBounds
+import cactusfold.decisions.residency.StoreConcurrency
 import cactusfold.decisions.residency.WeightSource
 import cactusfold.entry.config.RouteTable
 import cactusfold.entry.upstream.Upstream
@@ -27,6 +28,7 @@
 ) {
     private val planner = ResidencyPlanner()
     private val overhead = LoadOverhead()
+    private val storeConcurrency = StoreConcurrency()
     private val works = HashMap<String, RunnerWork>()
     private class Missed(var count: Int, var atMillis: Long)
 
@@ -88,7 +90,7 @@
     private fun workOf(upstream: Upstream): RunnerWork {
         val known = works[upstream.entry.id]
         if (known != null && known.upstream === upstream) return known
-        return RunnerWork(upstream, context, overhead, ::held).also {
+        return RunnerWork(upstream, context, overhead, storeConcurrency, ::held).also {
             works[upstream.entry.id] = it
         }
     }
@@ -147,7 +149,7 @@
         slots = engine.slots,
         weightMegabytes = engine.weightMegabytes,
         adapterSlots = engine.adapterSlots,
-        storeLoadsAtOnce = STORE_LOADS_AT_ONCE,
+        storeLoadsAtOnce = storeConcurrency.limit,
         overheadMillis = overhead.millis,
         models = engine.models
     )
@@ -155,9 +157,6 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000
 
-        /** Loads that the weight store carries at full speed, by the users' sheets. */
-        const val STORE_LOADS_AT_ONCE = 4
-
         /** Longer than a refused demand stands in the members' reports. */
         const val MISS_MILLIS = 600L
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerWork.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerWork.kt
@@ -3,6 +3,7 @@
 import cactusfold.decisions.residency.HoldingsLedger
 import cactusfold.decisions.residency.Residency
 import cactusfold.decisions.residency.RunnerState
+import cactusfold.decisions.residency.StoreConcurrency
 import cactusfold.decisions.residency.WeightSource
 import cactusfold.entry.upstream.Upstream
 import cactusfold.ports.serving.RunnerOrder
@@ -20,6 +21,7 @@
     val upstream: Upstream,
     private val context: DeskContext,
     private val overhead: LoadOverhead,
+    private val storeConcurrency: StoreConcurrency,
     private val onHeld: (Upstream) -> Unit
 ) {
     private val clock = context.clock
@@ -86,6 +88,11 @@
         when (step) {
             is Residency.Load -> {
                 underWay = step
+                if (step.source ==
+                    WeightSource.STORE
+                ) {
+                    storeConcurrency.began(step.runner, nowMillis)
+                }
                 loadedAtMillis = nowMillis + step.loadMillis + overhead.millis
             }
             is Residency.LoadAdapter -> {
@@ -111,7 +118,7 @@
                 order(RunnerOrder.Load(step.model)) &&
                 awaitModel(step)
             val tookMillis = clock.nowMillis() - began
-            if (isLoaded) overhead.took(step.loadMillis, tookMillis)
+            if (isLoaded) timed(step, tookMillis)
             context.events.write(
                 if (isLoaded) "model-loaded" else "model-load-failed",
                 "model" to step.model,
@@ -122,12 +129,21 @@
                 "took_ms" to tookMillis
             )
         } finally {
+            storeConcurrency.dropped(step.runner, clock.nowMillis())
             underWay = null
             lastUsedMillis[step.model] = clock.nowMillis()
             if (!isLoaded) rest()
         }
     }
 
+    private fun timed(step: Residency.Load, tookMillis: Long) {
+        if (step.source == WeightSource.STORE) {
+            val fullSpeedMillis = step.loadMillis + overhead.millis
+            storeConcurrency.ended(step.runner, fullSpeedMillis, clock.nowMillis())
+        }
+        overhead.took(step.loadMillis, tookMillis)
+    }
+
     private suspend fun makeRoom(models: List<String>): Boolean {
         for (model in models) {
             hold((upstream.adaptersByModel - model).toImmutableMap())
