Why nothing is loaded for a model is logged; explain names it

Its merge also took a VM's new boot for a jump of the time of day when the new steady clock showed a larger number. Change: the planner names the obstacle of each model or adapter that it can do nothing for (runners busy, the weight store's limit, no room, too late); the coordinator logs it, once a second at most. A step at a process's start begins a new boot. A runner with adapters of a predecessor on their way is not learnt yet. Draining lines say how long an upstream has left.

--- a/cli/src/main/kotlin/cactusfold/cli/logs/Explanation.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/Explanation.kt
@@ -56,7 +56,7 @@
     private fun concerns(line: LogLine, model: String): Boolean = when (line.event) {
         "order" -> line.text("order")?.let { "model=$model)" in it || "model=$model," in it } ==
             true
-        "model-loaded", "model-load-failed" -> line.text("model") == model
+        "model-loaded", "model-load-failed", "model-not-placed" -> line.text("model") == model
         else -> false
     }
 
--- a/cli/src/main/kotlin/cactusfold/cli/logs/MergedLog.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/MergedLog.kt
@@ -19,6 +19,7 @@
     public companion object {
         /** A smaller distance between the clocks comes from how long writing a line takes. */
         private const val JUMP_MILLIS = 500L
+        private const val PROCESS_START = "process-start"
 
         /** Merges [lines], each VM's in the order in which they were written. */
         public fun of(lines: List<LogLine>): MergedLog {
@@ -35,18 +36,27 @@
             return MergedLog(placed.sortedBy { it.atMillis }, jumps)
         }
 
-        /** A VM's steady clock begins anew when another VM takes its name, or when it boots. */
+        /**
+         * A VM's steady clock begins anew when it boots, or when another VM takes its name: at the
+         * start of a process, that is, with a step against the time of day, or backwards.
+         */
         private fun boots(lines: List<LogLine>): List<List<LogLine>> {
             val boots = mutableListOf(mutableListOf<LogLine>())
             for (line in lines) {
                 val last = boots.last().lastOrNull()
-                val isNew = last != null && line.steadyMillis < last.steadyMillis - JUMP_MILLIS
-                if (isNew) boots += mutableListOf<LogLine>()
+                if (last != null && isNewBoot(last, line)) boots += mutableListOf<LogLine>()
                 boots.last() += line
             }
             return boots.filter { it.isNotEmpty() }
         }
 
+        private fun isNewBoot(before: LogLine, line: LogLine): Boolean {
+            val steadyMillis = line.steadyMillis - before.steadyMillis
+            val stepMillis = steadyMillis - (line.epochMillis - before.epochMillis)
+            val hasStepped = line.event == PROCESS_START && Math.abs(stepMillis) >= JUMP_MILLIS
+            return steadyMillis < -JUMP_MILLIS || hasStepped
+        }
+
         private fun median(values: List<Long>): Long = values.sorted()[values.size / 2]
     }
 }
--- a/cli/src/main/kotlin/cactusfold/cli/logs/Sentences.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/Sentences.kt
@@ -21,13 +21,23 @@
             "${line.text("expected_ms")} ms"
         "model-load-failed" -> "upstream ${line.text("upstream")} has not loaded " +
             "${line.text("model")} within ${line.text("took_ms")} ms"
+        "model-not-placed" -> "nothing was ordered for " + named(line) + ": " +
+            obstacle(line.text("obstacle"))
         else -> line.event + line.details.entries.joinToString("") { " ${it.key}=${it.value}" }
     }
 
-    private fun waited(line: LogLine): String {
-        val adapter = line.text("adapter")?.let { " with adapter $it" }.orEmpty()
-        return "no upstream held model ${line.text("model")}$adapter; waited " +
-            "${line.text("waited_ms")} ms, then: ${line.text("end")}"
+    private fun waited(line: LogLine): String = "no upstream held model ${named(line)}; waited " +
+        "${line.text("waited_ms")} ms, then: ${line.text("end")}"
+
+    private fun named(line: LogLine): String =
+        line.text("model") + line.text("adapter")?.let { " with adapter $it" }.orEmpty()
+
+    private fun obstacle(name: String?): String = when (name) {
+        "RUNNERS_BUSY" -> "the runners that could take it carried out other orders"
+        "STORE_LIMIT" -> "the weight store carried no further load"
+        "NO_ROOM" -> "what the runners held was in use or waited for"
+        "TOO_LATE" -> "callers leave before a load is done, and too few come after them"
+        else -> "$name"
     }
 }
 
@@ -78,8 +88,10 @@
     private fun loadsOf(around: List<LogLine>): String {
         val loaded = around.lastOrNull { it.event == "model-loaded" }
         val orders = around.count { it.event == "order" }
+        val blocked = around.lastOrNull { it.event == "model-not-placed" }
         return when {
             loaded != null -> "; " + Sentences.of(loaded)
+            blocked != null -> "; " + Sentences.of(blocked)
             orders > 0 -> "; $orders orders for it were sent, and no load had ended"
             else ->
                 "; no order for it was sent: no upstream had room, or the loads from the " +
--- a/cli/src/test/kotlin/cactusfold/cli/logs/MergedLogTest.kt
+++ b/cli/src/test/kotlin/cactusfold/cli/logs/MergedLogTest.kt
@@ -55,5 +55,18 @@
             )
             assertEquals(listOf(1_000L, 5_000L), log.lines.map { it.atMillis })
         }
+
+        @Test
+        fun `a boot whose steady clock shows a larger number is told from a jump`() {
+            val log = MergedLog.of(
+                listOf(
+                    logLine("a", 1_000, 20, "before"),
+                    logLine("a", 3_000, 900_000, "process-start"),
+                    logLine("a", 3_500, 900_500, "after")
+                )
+            )
+            assertEquals(listOf(1_000L, 3_000, 3_500), log.lines.map { it.atMillis })
+            assertEquals(emptyMap(), log.jumpsMillisByVm)
+        }
     }
 }
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -99,6 +99,28 @@
     ) : Residency
 }
 
+/** Why nothing is done now for a model or an adapter that requests wait for. */
+public enum class Obstacle {
+    /** Every runner that could take it carries out another order. */
+    RUNNERS_BUSY,
+
+    /** The weight store carries no further load, or its loads in a while are spent. */
+    STORE_LIMIT,
+
+    /** What the runners hold is in use or waited for. */
+    NO_ROOM,
+
+    /** Callers leave before it could be there, and too few come after them. */
+    TOO_LATE
+}
+
+/** A model, or an adapter of it, that requests wait for in vain for now. */
+public data class Blocked(
+    public val model: String,
+    public val adapter: String?,
+    public val obstacle: Obstacle
+)
+
 /**
  * What the planner decided.
  *
@@ -108,5 +130,6 @@
 public data class ResidencyPlan(
     public val steps: List<Residency>,
     public val hopeless: List<String>,
-    public val readyAtMillis: Map<String, Long>
+    public val readyAtMillis: Map<String, Long>,
+    public val blocked: List<Blocked> = emptyList()
 )
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -49,6 +49,7 @@
     private val steps = mutableListOf<Residency>()
     private val hopeless = mutableListOf<String>()
     private val readyAt = mutableMapOf<String, Long>()
+    private val blocked = mutableListOf<Blocked>()
     private val taken = mutableSetOf<String>()
     private val crowded = mutableSetOf<String>()
     private val wanted = view.demands.mapTo(mutableSetOf()) { it.model }
@@ -64,7 +65,7 @@
         loadAbsent(absent)
         addReplicas()
         if (steps.isEmpty()) preload()
-        return ResidencyPlan(steps, hopeless, readyAt)
+        return ResidencyPlan(steps, hopeless, readyAt, blocked)
     }
 
     private fun loadAbsent(absent: List<ModelDemand>) {
@@ -89,6 +90,7 @@
             if (candidate != null && (isInTime || isWorthLoadingAhead(demand, candidate))) {
                 take(candidate)
             } else {
+                blocked += Blocked(demand.model, null, obstacleOf(demand, candidate))
                 queuedStoreMillis +=
                     soonestMillis(demand.model) / bounds.storeLoadsAtOnce.coerceAtLeast(1)
                 readyAt[demand.model] = nowMillis + queuedStoreMillis +
@@ -98,6 +100,20 @@
         }
     }
 
+    private fun obstacleOf(demand: ModelDemand, candidate: Candidate?): Obstacle {
+        if (candidate != null) return Obstacle.TOO_LATE
+        val free = view.runners.filter { mayOrder(it) }
+        val isFromStore = free.all { sourceOn(it, demand.model) == WeightSource.STORE }
+        return when {
+            free.isEmpty() -> Obstacle.RUNNERS_BUSY
+            isFromStore && !mayLoadFromStore() -> Obstacle.STORE_LIMIT
+            else -> Obstacle.NO_ROOM
+        }
+    }
+
+    private fun mayOrder(runner: RunnerState): Boolean =
+        !runner.isBusy && runner.adapterOrders == 0 && runner.id !in taken
+
     /** Callers that a load would serve: those that wait, were refused, or will come meanwhile. */
     private fun callersOf(demand: ModelDemand): Double =
         demand.waiting + demand.missed + expectedWhileLoading(demand.model)
@@ -142,7 +158,7 @@
 
     private fun candidateOn(runner: RunnerState, demand: ModelDemand): Candidate? {
         val cost = bounds.models[demand.model] ?: return null
-        if (runner.isBusy || runner.adapterOrders > 0 || runner.id in taken) return null
+        if (!mayOrder(runner)) return null
         val source = sourceOn(runner, demand.model)
         if (source == WeightSource.STORE && !mayLoadFromStore()) return null
         val evicted = evictions(runner, cost.weightMegabytes) ?: return null
@@ -277,9 +293,18 @@
         val runner = usable.minWithOrNull(
             compareBy<RunnerState> { if (freeAdapterSlots(it) > 0) 0 else 1 }
                 .thenBy { it.inFlight.values.sum() }
-        ) ?: return
-        if (freeAdapterSlots(runner) <= 0) crowded += demand.model
-        val evicted = if (freeAdapterSlots(runner) > 0) null else idleAdapter(runner) ?: return
+        )
+        if (runner == null) {
+            blocked += Blocked(demand.model, adapter, Obstacle.RUNNERS_BUSY)
+            return
+        }
+        val isFull = freeAdapterSlots(runner) <= 0
+        if (isFull) crowded += demand.model
+        val evicted = if (isFull) idleAdapter(runner) else null
+        if (isFull && evicted == null) {
+            blocked += Blocked(demand.model, adapter, Obstacle.NO_ROOM)
+            return
+        }
         taken += runner.id
         steps += Residency.LoadAdapter(runner.id, demand.model, adapter, evicted)
     }
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -187,6 +187,48 @@
         }
     }
 
+    @Nested
+    inner class Obstacles {
+        private fun obstacle(view: ResidencyView): Obstacle =
+            planner.plan(view, now).blocked.single().obstacle
+
+        @Test
+        fun `runners that carry out orders are named`() {
+            val busy = runner("r1", held()).copy(isBusy = true)
+            assertEquals(Obstacle.RUNNERS_BUSY, obstacle(view(listOf(busy), listOf(demand("c")))))
+        }
+
+        @Test
+        fun `the weight store's limit is named`() {
+            val view = view(listOf(runner("r1", held())), listOf(demand("c")), storeLoads = 0)
+            assertEquals(Obstacle.STORE_LIMIT, obstacle(view))
+        }
+
+        @Test
+        fun `memory that is in use is named`() {
+            val full = held("d" to emptySet(), "e" to emptySet(), "f" to emptySet())
+            val used = mapOf("d" to 1, "e" to 1, "f" to 1)
+            val view = view(listOf(runner("r1", full, inFlight = used)), listOf(demand("c")))
+            assertEquals(Obstacle.NO_ROOM, obstacle(view))
+        }
+
+        @Test
+        fun `callers that leave too early are named`() {
+            val demands = listOf(demand("c", limitInMillis = 4_000))
+            assertEquals(Obstacle.TOO_LATE, obstacle(view(listOf(runner("r1", held())), demands)))
+        }
+
+        @Test
+        fun `an adapter that waits for its runner's other order is named`() {
+            val busy = runner("r1", held("a" to emptySet())).copy(isBusy = true)
+            val view = view(listOf(busy), listOf(demand("a", adapter = "x")))
+            assertEquals(
+                listOf(Blocked("a", "x", Obstacle.RUNNERS_BUSY)),
+                planner.plan(view, now).blocked
+            )
+        }
+    }
+
     @Nested
     inner class MakingRoom {
         private val full = held("d" to emptySet(), "e" to emptySet(), "f" to emptySet())
--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -11,10 +11,6 @@
     private val reports = HashMap<String, Reported>()
     private val rates = DecayingCounts(RATE_MILLIS)
     private val habits = DecayingCounts(HABIT_MILLIS)
-    private var decayedAtMillis = 0L
-
-    /** Members heard from lately. */
-    public fun members(nowMillis: Long): Int = current(nowMillis).size
 
     /** Takes over a member's report. */
     public fun reported(report: MemberReport, nowMillis: Long) {
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.residency.Blocked
 import cactusfold.decisions.residency.Residency
 import cactusfold.decisions.residency.ResidencyPlan
 import cactusfold.decisions.residency.ResidencyPlanner
@@ -33,6 +34,7 @@
     private class Missed(var count: Int, var atMillis: Long)
 
     private val missed = HashMap<String, Missed>()
+    private val reportedAtMillis = HashMap<Blocked, Long>()
     private val storeLoadsAtMillis = ArrayDeque<Long>()
     private val jobs = SupervisorJob()
 
@@ -47,6 +49,7 @@
         jobs.cancelChildren()
         works.clear()
         missed.clear()
+        reportedAtMillis.clear()
     }
 
     /** Plans and begins what is to be done now. */
@@ -116,6 +119,7 @@
     }
 
     private fun carryOut(plan: ResidencyPlan, nowMillis: Long) {
+        plan.blocked.forEach { report(it, nowMillis) }
         plan.hopeless.forEach { miss(it, nowMillis) }
         for (step in plan.steps) {
             val work = directory.find(step.runner)?.let(::workOf) ?: continue
@@ -137,6 +141,18 @@
         if (refused.isNotEmpty()) onForecasts(refused)
     }
 
+    /** Logs once in a while what is waited for in vain; plans are made many times a second. */
+    private fun report(blocked: Blocked, nowMillis: Long) {
+        if (nowMillis - (reportedAtMillis[blocked] ?: Long.MIN_VALUE / 2) < REPORT_MILLIS) return
+        reportedAtMillis[blocked] = nowMillis
+        context.events.write(
+            "model-not-placed",
+            "model" to blocked.model,
+            "adapter" to blocked.adapter,
+            "obstacle" to blocked.obstacle.name
+        )
+    }
+
     /** Demand that was refused still stands in the members' last reports; it counts once. */
     private fun miss(model: String, nowMillis: Long) {
         val known = missed.getOrPut(model) { Missed(0, nowMillis - MISS_MILLIS) }
@@ -160,6 +176,9 @@
         /** Longer than a refused demand stands in the members' reports. */
         const val MISS_MILLIS = 600L
 
+        /** Pause between two lines about the same obstacle. */
+        const val REPORT_MILLIS = 1_000L
+
         /** The least that a caller is told to wait whose model could not be loaded in time. */
         const val RETRY_MILLIS = 1_000L
     }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerDesk.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerDesk.kt
@@ -41,9 +41,9 @@
     private val turn = Mutex()
     private var acceptedOrders: Long? = null
 
-    /** Reads what the runner holds; null while it is busy or does not answer. */
+    /** Reads what the runner holds; null while that is about to change, or without an answer. */
     public suspend fun learn(): RunnerReport? {
-        val report = report()?.takeIf { !it.isBusy } ?: return null
+        val report = report()?.takeIf { !it.isBusy && it.adaptersOnTheWay == 0 } ?: return null
         acceptedOrders = report.acceptedOrders
         return report
     }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -179,7 +179,11 @@
             return
         }
         if (entry.isDraining && !known.entry.isDraining) {
-            events.write("upstream-draining", "upstream" to entry.id)
+            events.write(
+                "upstream-draining",
+                "upstream" to entry.id,
+                "leaves_in_ms" to entry.leavesInMillis
+            )
         }
         known.announced(entry, clock.nowMillis())
     }
--- a/entry/src/test/kotlin/cactusfold/entry/residency/RunnerDeskTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/RunnerDeskTest.kt
@@ -30,6 +30,7 @@
         val sent = mutableListOf<Pair<RunnerOrder, Long>>()
         var accepted = 0L
         var isBusy = false
+        var adaptersOnTheWay = 0
         var acceptsUnanswered = false
 
         override suspend fun order(
@@ -51,7 +52,7 @@
 
         override suspend fun report(runner: UpstreamEntry): RunnerReport = RunnerReport(
             persistentMapOf(),
-            0,
+            adaptersOnTheWay,
             isBusy,
             accepted,
             persistentSetOf(),
@@ -91,6 +92,15 @@
             assertNull(desk.learn())
         }
 
+        @Test
+        fun `a runner with adapters of a predecessor on their way is not learnt`() = runBlocking {
+            runner.adaptersOnTheWay = 1
+            assertNull(desk.learn())
+            runner.adaptersOnTheWay = 0
+            assertNotNull(desk.learn())
+            Unit
+        }
+
         @Test
         fun `a holder that lost its lease orders nothing`() = runBlocking {
             desk.learn()
