--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -115,7 +115,7 @@
 
     /** Takes note that no connection could be made. */
     public fun unreachable(nowMillis: Long) {
-        downUntilMillis = nowMillis + DOWN_MILLIS
+        downUntilMillis = nowMillis + (DOWN_MILLIS shl failures.coerceAtMost(MAX_DOWN_DOUBLINGS))
         failed(nowMillis)
     }
 
@@ -159,7 +159,8 @@
         const val SILENT_MILLIS = 500.0
         const val SILENT_LATENCIES = 4
 
-        /** An upstream that refuses connections is tried again after this time. */
+        /** An upstream that refuses connections is tried again after this time, doubled each time. */
         const val DOWN_MILLIS = 1_000L
+        const val MAX_DOWN_DOUBLINGS = 1
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
@@ -45,6 +45,7 @@
             assertTrue(upstream.isDown(1_999))
             assertFalse(upstream.isDown(2_000))
             upstream.unreachable(3_000)
+            assertTrue(upstream.isDown(4_999), "longer the second time in a row")
             upstream.answered(null)
             assertFalse(upstream.isDown(3_001))
         }
