--- a/entry/src/main/kotlin/cactusfold/entry/fleet/HoldKeeper.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/HoldKeeper.kt
@@ -3,7 +3,6 @@
 import cactusfold.decisions.holding.HoldMachine
 import cactusfold.decisions.holding.HoldRecord
 import cactusfold.decisions.holding.HoldState
-import cactusfold.decisions.holding.StoreTrouble
 import cactusfold.entry.process.EventLog
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.table.ReadResult
@@ -38,7 +37,6 @@
     private val key = RowKey(TABLE, ROW)
     private var state: HoldState = HoldState.Watching()
     private var isStopping = false
-    private val trouble = StoreTrouble()
 
     /** The coordinator that the row named last; null before it was read. */
     public var coordinator: CoordinatorAddress? = null
@@ -93,44 +91,30 @@
         val result = table.write(listOf(RowWrite.Replace(key, holding.version, value)))
         if (state !== holding) return
         when (result) {
-            is WriteResult.Written -> {
-                trouble.reached()
+            is WriteResult.Written ->
                 state = machine.renewed(holding, result.version ?: holding.version, sentAtMillis)
-            }
-            is WriteResult.Conflict -> readBack(holding)
-            is WriteResult.Unknown -> {
-                trouble.failed(sentAtMillis)
-                readBack(holding)
-            }
-            is WriteResult.NotWritten -> {
-                trouble.failed(sentAtMillis)
-                delay(RETRY_MILLIS)
-            }
-        }
-        val nowMillis = clock.nowMillis()
-        when {
-            !machine.isValid(state, nowMillis) -> lose(holding, "lapsed")
-            trouble.isLasting(nowMillis) -> lose(holding, "store out of reach")
+            is WriteResult.Conflict, is WriteResult.Unknown -> readBack(holding)
+            is WriteResult.NotWritten -> delay(RETRY_MILLIS)
         }
+        if (!machine.isValid(state, clock.nowMillis())) lose(holding)
     }
 
     private suspend fun readBack(holding: HoldState.Holding) {
-        val sentAtMillis = clock.nowMillis()
         val read = table.get(key)
-        if (read !is ReadResult.Found) {
-            trouble.failed(sentAtMillis)
-            return delay(RETRY_MILLIS)
+        if (read is ReadResult.Found && state === holding) {
+            state =
+                machine.conflicted(
+                    holding,
+                    recordOf(read.value),
+                    self.vm + self.boot,
+                    clock.nowMillis()
+                )
         }
-        trouble.reached()
-        if (state !== holding) return
-        val record = recordOf(read.value)
-        state = machine.conflicted(holding, record, self.vm + self.boot, clock.nowMillis())
     }
 
-    private fun lose(holding: HoldState.Holding, reason: String) {
-        trouble.reached()
+    private fun lose(holding: HoldState.Holding) {
         if (state is HoldState.Holding) state = HoldState.Watching()
-        events.write("lease-lost", "fence" to holding.fence, "reason" to reason)
+        events.write("lease-lost", "fence" to holding.fence)
         onLost(holding.fence)
     }
 
