Busy models get copies earlier, also while rare models wait

Engines read prompts between the steps of all answers, so answers falter long before the slots are full, and a copy was added from half of the slots on, and never while any rare model was waited for. Change: a copy from a fifth of the slots on; a rare model that waits does not keep a copy from being loaded where a runner is left; from the weight store only while most of what it carries is left.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/DecayingCounts.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/DecayingCounts.kt
@@ -1,4 +1,4 @@
-package cactusfold.entry.residency
+package cactusfold.decisions.residency
 
 import kotlin.math.exp
 
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -322,18 +322,22 @@
             .minByOrNull { used[it] ?: 0L }
     }
 
-    /** Adds a copy of a model whose runners are fuller than half, or short of adapter places. */
+    /**
+     * Adds a copy of a model whose runners are busy, or short of adapter places. From the weight
+     * store only while most of what it carries is left for models that no runner holds.
+     */
     private fun addReplicas() {
-        if (view.demands.any { it.waiting > 0 && it.model !in replicas }) return
         val busiest = view.arrivalsPerSecond.keys
-            .filter { (replicas[it] ?: 0) > 0 && loadPerReplica(it) > FULL_SHARE }
+            .filter { (replicas[it] ?: 0) > 0 && loadPerReplica(it) > BUSY_SHARE }
             .maxByOrNull(::loadPerReplica)
         val model = busiest ?: crowded.maxByOrNull { view.arrivalsPerSecond[it] ?: 0.0 } ?: return
         if (view.runners.any { it.loading == model }) return
         val demand = ModelDemand(model, null, 1, nowMillis, Long.MAX_VALUE)
         wanted += model
+        val sparesStore = 2 * storeLoads < bounds.storeLoadsAtOnce
         val candidate = view.runners.filter { model !in it.served }
             .mapNotNull { candidateOn(it, demand) }
+            .filter { it.source != WeightSource.STORE || sparesStore }
             .minWithOrNull(compareBy({ it.lossMillisPerSecond }, { it.loadMillis })) ?: return
         take(candidate)
     }
@@ -373,7 +377,10 @@
         /** An adapter that was used more recently is not dropped for another. */
         const val ADAPTER_IDLE_MILLIS = 500L
 
-        /** Share of its slots from which on a runner counts as full enough for another copy. */
-        const val FULL_SHARE = 0.5
+        /**
+         * Share of its slots from which on a runner counts as busy. Engines read prompts between the
+         * steps of all answers, so answers falter long before the slots are full.
+         */
+        const val BUSY_SHARE = 0.2
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.residency.DecayingCounts
 import cactusfold.decisions.residency.ModelDemand
 import cactusfold.protocol.entry.Demand
 import cactusfold.protocol.entry.MemberReport
