A model of the fleet that needs no network, and bin/experiment

Runners with prompts read in turn, memory, disk, the weight store's rate and slowdown, crashes, reclaims and slow runners; callers with targets, patience and retries; the product's own planner, choice of runner and learnt store concurrency, in virtual time and seeded. Ten named patterns, three policies side by side, a Markdown table and an SVG plot.

--- /dev/null
+++ b/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Policy.kt
@@ -0,0 +1,98 @@
+package cactusfold.fleetmodel
+
+import cactusfold.decisions.residency.ModelDemand
+import cactusfold.decisions.residency.Residency
+import cactusfold.decisions.residency.ResidencyPlan
+import cactusfold.decisions.residency.ResidencyPlanner
+import cactusfold.decisions.residency.ResidencyView
+import cactusfold.decisions.residency.RunnerState
+import cactusfold.decisions.residency.WeightSource
+
+/** A way to decide which models runners hold. */
+public class Policy(
+    public val name: String,
+    public val summary: String,
+    private val plan: (ResidencyView, Long) -> ResidencyPlan
+) {
+    /** Returns what to do now. */
+    public fun plan(view: ResidencyView, nowMillis: Long): ResidencyPlan =
+        plan.invoke(view, nowMillis)
+
+    public companion object {
+        /** What the product does. */
+        public val PRODUCT: Policy =
+            Policy("product", "the product's planner", ResidencyPlanner()::plan)
+
+        /** The product's planner without regard to callers that are still to come. */
+        public val ONLY_WAITING: Policy = Policy(
+            "only-waiting",
+            "loads only what those that wait can be served by"
+        ) { view, nowMillis ->
+            val blind = view.copy(
+                habitualPerSecond = emptyMap(),
+                demands = view.demands.map { it.copy(missed = 0) }
+            )
+            ResidencyPlanner().plan(blind, nowMillis)
+        }
+
+        /** First come, first loaded; what was unused longest makes way. */
+        public val OLDEST_OUT: Policy = Policy(
+            "oldest-out",
+            "first come, first loaded; the least recently used makes way",
+            ::oldestOut
+        )
+
+        /** All policies. */
+        public val all: List<Policy> = listOf(PRODUCT, ONLY_WAITING, OLDEST_OUT)
+    }
+}
+
+private fun oldestOut(view: ResidencyView, nowMillis: Long): ResidencyPlan {
+    val coming = view.runners.mapNotNull { it.loading }.toSet()
+    val held = view.runners.flatMap { it.served.keys }.toSet()
+    val wanted = view.demands.map { it.model }.toSet()
+    val free = view.runners.filterNot { it.isBusy }.toMutableList()
+    val steps = mutableListOf<Residency>()
+    for (demand in view.demands.filter { it.model !in held && it.model !in coming }) {
+        val runner = free.minByOrNull { costOf(view, it, demand) } ?: break
+        val evicted = leastRecent(view, runner, wanted) ?: continue
+        free -= runner
+        val millis = costOf(view, runner, demand)
+        steps += Residency.Load(
+            runner.id,
+            demand.model,
+            sourceOn(runner, demand.model),
+            evicted,
+            millis
+        )
+    }
+    return ResidencyPlan(steps, hopeless = emptyList(), readyAtMillis = emptyMap())
+}
+
+private fun sourceOn(runner: RunnerState, model: String): WeightSource = when (model) {
+    in runner.modelsInHostMemory -> WeightSource.HOST_MEMORY
+    in runner.modelsOnDisk -> WeightSource.DISK
+    else -> WeightSource.STORE
+}
+
+private fun costOf(view: ResidencyView, runner: RunnerState, demand: ModelDemand): Long {
+    val cost = view.bounds.models.getValue(demand.model)
+    return when (sourceOn(runner, demand.model)) {
+        WeightSource.HOST_MEMORY -> cost.memoryLoadMillis
+        WeightSource.DISK -> cost.diskLoadMillis
+        WeightSource.STORE -> cost.storeLoadMillis
+    }
+}
+
+/** Returns what makes room for one model, nothing if there is room, or null if all is in use. */
+private fun leastRecent(
+    view: ResidencyView,
+    runner: RunnerState,
+    wanted: Set<String>
+): List<String>? {
+    val held = runner.adaptersByModel.keys
+    val each = view.bounds.models.values.first().weightMegabytes
+    if ((held.size + 1) * each <= view.bounds.weightMegabytes) return emptyList()
+    return held.filter { it !in wanted && (runner.inFlight[it] ?: 0) == 0 }
+        .minByOrNull { runner.lastUsedMillis[it] ?: 0L }?.let { listOf(it) }
+}
