A coordinator restarted on its own VM orders at once; a lapse is counted from what the holder said

When a coordinator froze at 22.2 s another took over at 25.7 s: members read the row only after 1.3 s of silence and counted the lapse from that reading. Ruled out: handing over before the lease lapses (the quiet time binds, not the lapse). Change: the row says whether its holder had waited for all others; a process on the same VM that follows such a holder acts at once. Notices carry the version and age of the last renewal, and the wait for the lapse counts from it. The weight store's window assumes that a predecessor used it to the full: a new holder begins two loads at most within one window; nothing kept that before.

--- a/decisions/src/main/kotlin/cactusfold/decisions/holding/HoldMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/holding/HoldMachine.kt
@@ -5,14 +5,26 @@
  *
  * @property version of the row; rises with each write.
  * @property isReleased whether its holder has given it up.
+ * @property isOwnVm whether its holder ran on the reader's VM; it has ended, or is the reader.
+ * @property isSettled whether the quiet time before its holder's first action has passed.
  */
 public data class HoldRecord(
     public val holder: String,
     public val fence: Long,
     public val version: Long,
-    public val isReleased: Boolean
+    public val isReleased: Boolean,
+    public val isOwnVm: Boolean = false,
+    public val isSettled: Boolean = false
 )
 
+/**
+ * What a holder said of its lease.
+ *
+ * @property version of the row that it wrote last.
+ * @property confirmedAtMillis a moment no earlier than the sending of that write.
+ */
+public data class HeardRenewal(public val version: Long, public val confirmedAtMillis: Long)
+
 /** A process's part in holding one lease. */
 public sealed interface HoldState {
     /**
@@ -21,11 +33,13 @@
      * @property record the row as last read; null when there is none.
      * @property unchangedSinceMillis when the row was first read in this version.
      * @property quietFence a fence whose holder has promised to act no more.
+     * @property heard what the holder said last.
      */
     public data class Watching(
         public val record: HoldRecord? = null,
         public val unchangedSinceMillis: Long? = null,
-        public val quietFence: Long = 0
+        public val quietFence: Long = 0,
+        public val heard: HeardRenewal? = null
     ) : HoldState
 
     /**
@@ -60,7 +74,7 @@
  *
  * Each process counts on a clock of its own that goes on while it is suspended. A holder counts from
  * the sending of its renewal; a taker counts from its first reading of a row that has not changed
- * since, which its own conditional write proves.
+ * since, which its own conditional write proves, or from what the holder itself said of that version.
  */
 public class HoldMachine(private val times: HoldTimes) {
     /** Returns the state after the row was read as [record]. */
@@ -69,7 +83,12 @@
             is HoldState.Holding -> state
             is HoldState.Watching -> {
                 val isSame = state.unchangedSinceMillis != null && state.record == record
-                val since = if (isSame) state.unchangedSinceMillis else nowMillis
+                val heard = state.heard?.takeIf { it.version == record?.version }
+                val since = when {
+                    isSame -> state.unchangedSinceMillis
+                    heard != null -> minOf(heard.confirmedAtMillis, nowMillis)
+                    else -> nowMillis
+                }
                 state.copy(record = record, unchangedSinceMillis = since)
             }
         }
@@ -80,6 +99,12 @@
         is HoldState.Watching -> state.copy(quietFence = maxOf(state.quietFence, fence))
     }
 
+    /** Returns the state after the holder told of its last renewal. */
+    public fun heard(state: HoldState, renewal: HeardRenewal): HoldState = when (state) {
+        is HoldState.Holding -> state
+        is HoldState.Watching -> state.copy(heard = renewal)
+    }
+
     /** Returns whether a process that watches may write the row for itself. */
     public fun mayTake(state: HoldState, nowMillis: Long): Boolean {
         if (state !is HoldState.Watching || state.unchangedSinceMillis == null) return false
@@ -103,11 +128,19 @@
         sentAtMillis: Long,
         nowMillis: Long
     ): HoldState.Holding {
-        // A first holder has no predecessor whose actions it has to wait for.
-        val actsFrom = if (state.record == null) nowMillis else nowMillis + quiet()
+        val actsFrom = if (hasNoOtherBefore(state)) nowMillis else nowMillis + quiet()
         return HoldState.Holding(nextFence(state), version, sentAtMillis, actsFrom)
     }
 
+    /**
+     * Returns whether no other VM can have acted within the quiet time: there was no holder before, or
+     * the one before ran on this VM and had itself waited for all others.
+     */
+    public fun hasNoOtherBefore(state: HoldState.Watching): Boolean {
+        val record = state.record ?: return true
+        return record.isOwnVm && record.isSettled
+    }
+
     /** Returns the state after a renewal sent at [sentAtMillis] has succeeded. */
     public fun renewed(
         state: HoldState.Holding,
--- a/decisions/src/test/kotlin/cactusfold/decisions/holding/HoldMachineTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/holding/HoldMachineTest.kt
@@ -60,6 +60,46 @@
         }
     }
 
+    @Nested
+    inner class SameVm {
+        private val before = other.copy(isReleased = true, isOwnVm = true, isSettled = true)
+
+        private fun actsAtOnce(record: HoldRecord): Boolean {
+            val state = assertIs<HoldState.Watching>(watching(record, 0))
+            return machine.mayAct(machine.took(state, 12, 0, 10), 10)
+        }
+
+        @Test
+        fun `a process that succeeds one on its own VM acts at once`() {
+            assertTrue(actsAtOnce(before))
+        }
+
+        @Test
+        fun `not when that one was still waiting for a holder on another VM`() {
+            assertFalse(actsAtOnce(before.copy(isSettled = false)))
+            assertFalse(actsAtOnce(before.copy(isOwnVm = false)))
+        }
+    }
+
+    @Nested
+    inner class HeardRenewals {
+        private fun heard(version: Long, atMillis: Long): HoldState =
+            machine.heard(HoldState.Watching(), HeardRenewal(version, atMillis))
+
+        @Test
+        fun `the wait counts from what the holder said, not from the first reading`() {
+            val state = machine.observed(heard(version = 10, atMillis = 100), other, 1_400)
+            assertFalse(machine.mayTake(state, 100 + 2_249))
+            assertTrue(machine.mayTake(state, 100 + 2_250))
+        }
+
+        @Test
+        fun `what was said of another version counts for nothing`() {
+            val state = machine.observed(heard(version = 9, atMillis = 100), other, 1_400)
+            assertFalse(machine.mayTake(state, 1_400 + 2_249))
+        }
+    }
+
     @Nested
     inner class Holding {
         private val holding = HoldState.Holding(5, 12, confirmedAtMillis = 0, actsFromMillis = 0)
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -178,6 +178,7 @@
             .addAllLeaving(session.leaving)
             .setFence(parts.hold.fence)
             .setMemberCount(memberCount ?: 0)
+            .also(::addRenewal)
             .build()
         session.pending.clear()
         session.forecasts.clear()
@@ -186,6 +187,12 @@
         return notice
     }
 
+    private fun addRenewal(notice: FleetNotice.Builder) {
+        val renewal = parts.hold.renewal ?: return
+        notice.setLeaseVersion(renewal.version)
+            .setLeaseAgeMillis(parts.clock.nowMillis() - renewal.confirmedAtMillis)
+    }
+
     private fun holdingsChanged(upstream: Upstream) {
         val holdings = Holdings.newBuilder().setRunner(upstream.entry.id)
         upstream.adaptersByModel.forEach { (model, adapters) ->
@@ -232,6 +239,7 @@
         heldByRunner.clear()
         toldLeaving.clear()
         parts.rates.start(fence)
+        parts.loads.start()
     }
 
     private fun lost(fence: Long) {
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/HoldKeeper.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/HoldKeeper.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.fleet
 
+import cactusfold.decisions.holding.HeardRenewal
 import cactusfold.decisions.holding.HoldMachine
 import cactusfold.decisions.holding.HoldRecord
 import cactusfold.decisions.holding.HoldState
@@ -57,6 +58,17 @@
     /** The fence of this process while it is the coordinator, else 0. */
     public val fence: Long get() = (state as? HoldState.Holding)?.fence ?: 0
 
+    /** This process's last renewal, for the members; null while it is not the coordinator. */
+    public val renewal: HeardRenewal?
+        get() = (state as? HoldState.Holding)?.let {
+            HeardRenewal(it.version, it.confirmedAtMillis)
+        }
+
+    /** Takes note of what the coordinator said of its last renewal. */
+    public fun heard(renewal: HeardRenewal) {
+        state = machine.heard(state, renewal)
+    }
+
     /** Takes note that the coordinator under [fence] promised to act no more. */
     public fun promised(fence: Long) {
         state = machine.promised(state, fence)
@@ -78,7 +90,8 @@
         val holding = state as? HoldState.Holding ?: return
         state = HoldState.Watching()
         onLost(holding.fence)
-        val value = stored(holding.fence).toBuilder().setIsReleased(true).build().toByteString()
+        val isSettled = clock.nowMillis() >= holding.actsFromMillis
+        val value = stored(holding.fence, isSettled).setIsReleased(true).build().toByteString()
         table.write(listOf(RowWrite.Replace(key, holding.version, value)))
         events.write("lease-released", "fence" to holding.fence)
     }
@@ -87,7 +100,8 @@
         delay(renewMillis)
         if (state !== holding) return
         val sentAtMillis = clock.nowMillis()
-        val value = stored(holding.fence).toByteString()
+        val isSettled = sentAtMillis >= holding.actsFromMillis
+        val value = stored(holding.fence, isSettled).build().toByteString()
         val result = table.write(listOf(RowWrite.Replace(key, holding.version, value)))
         if (state !== holding) return
         when (result) {
@@ -131,7 +145,7 @@
     private suspend fun take() {
         val watching = state as? HoldState.Watching ?: return
         val fence = machine.nextFence(watching)
-        val value = stored(fence).toByteString()
+        val value = stored(fence, machine.hasNoOtherBefore(watching)).build().toByteString()
         val sentAtMillis = clock.nowMillis()
         val write = watching.record?.let { RowWrite.Replace(key, it.version, value) }
             ?: RowWrite.Insert(key, value)
@@ -149,7 +163,8 @@
         }
     }
 
-    private fun stored(fence: Long): StoredHold = self.toBuilder().setFence(fence).build()
+    private fun stored(fence: Long, isSettled: Boolean): StoredHold.Builder =
+        self.toBuilder().setFence(fence).setIsSettled(isSettled)
 
     /** A row that another program wrote names no coordinator and may be taken over. */
     private fun recordOf(row: Row?): HoldRecord? {
@@ -166,7 +181,14 @@
         // An earlier process at this address is gone, or this one could not listen here.
         val isPredecessor = hold.address == self.address && hold.boot != self.boot
         val isReleased = hold.isReleased || isPredecessor
-        return HoldRecord(hold.vm + hold.boot, hold.fence, row.version, isReleased)
+        return HoldRecord(
+            holder = hold.vm + hold.boot,
+            fence = hold.fence,
+            version = row.version,
+            isReleased = isReleased,
+            isOwnVm = hold.address == self.address,
+            isSettled = hold.isSettled
+        )
     }
 
     private companion object {
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberLink.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberLink.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.fleet
 
+import cactusfold.decisions.holding.HeardRenewal
 import cactusfold.entry.process.EventLog
 import cactusfold.node.peer.PeerClients
 import cactusfold.node.time.MonotonicClock
@@ -118,6 +119,10 @@
             return
         }
         heardAtMillis = clock.nowMillis()
+        if (notice.leaseVersion > 0) {
+            val confirmedAtMillis = heardAtMillis - notice.leaseAgeMillis
+            hold.heard(HeardRenewal(notice.leaseVersion, confirmedAtMillis))
+        }
         memberCount = notice.memberCount.takeIf { it > 0 }
         onNotice(notice)
     }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -7,6 +7,7 @@
 import cactusfold.decisions.residency.ResidencyView
 import cactusfold.decisions.residency.RunnerBounds
 import cactusfold.decisions.residency.StoreConcurrency
+import cactusfold.decisions.residency.StoreLoadWindow
 import cactusfold.decisions.residency.WeightSource
 import cactusfold.entry.config.RouteTable
 import cactusfold.entry.upstream.Upstream
@@ -24,7 +25,7 @@
     private val directory: UpstreamDirectory,
     private val demand: FleetDemand,
     private val context: DeskContext,
-    private val loadWindowMillis: Long,
+    loadWindowMillis: Long,
     private val table: () -> RouteTable?
 ) {
     private val planner = ResidencyPlanner()
@@ -35,7 +36,7 @@
 
     private val missed = HashMap<String, Missed>()
     private val reportedAtMillis = HashMap<Blocked, Long>()
-    private val storeLoadsAtMillis = ArrayDeque<Long>()
+    private val storeLoads = StoreLoadWindow(loadWindowMillis)
     private val jobs = SupervisorJob()
 
     /** Called with runners whose holdings changed. */
@@ -44,6 +45,11 @@
     /** Called with forecasts for models that requests wait for. */
     public var onForecasts: (List<Forecast>) -> Unit = {}
 
+    /** Takes note that this process has become the coordinator, perhaps after another. */
+    public fun start() {
+        storeLoads.succeeded(context.clock.nowMillis())
+    }
+
     /** Drops all work; what is on its way is settled by the next coordinator. */
     public fun stop() {
         jobs.cancelChildren()
@@ -111,12 +117,8 @@
         return works.mapValues { (_, work) -> work.adapterUsedMillis.toMap() }
     }
 
-    private fun storeLoadsAllowed(engine: EngineSpec, nowMillis: Long): Int {
-        val perSecond = engine.storeLoadsPerSecond ?: return Int.MAX_VALUE
-        storeLoadsAtMillis.removeAll { nowMillis - it > loadWindowMillis }
-        val perWindow = (perSecond * loadWindowMillis / MILLIS_PER_SECOND).toInt().coerceAtLeast(1)
-        return perWindow - storeLoadsAtMillis.size
-    }
+    private fun storeLoadsAllowed(engine: EngineSpec, nowMillis: Long): Int =
+        engine.storeLoadsPerSecond?.let { storeLoads.allowed(it, nowMillis) } ?: Int.MAX_VALUE
 
     private fun carryOut(plan: ResidencyPlan, nowMillis: Long) {
         plan.blocked.forEach { report(it, nowMillis) }
@@ -124,7 +126,7 @@
         for (step in plan.steps) {
             val work = directory.find(step.runner)?.let(::workOf) ?: continue
             if (step is Residency.Load && step.source == WeightSource.STORE) {
-                storeLoadsAtMillis.addLast(nowMillis)
+                storeLoads.began(nowMillis)
             }
             if (step is Residency.Load) missed -= step.model
             work.begin(step, nowMillis)
@@ -171,8 +173,6 @@
     )
 
     private companion object {
-        const val MILLIS_PER_SECOND = 1_000
-
         /** Longer than a refused demand stands in the members' reports. */
         const val MISS_MILLIS = 600L
 
