--- a/cli/src/main/kotlin/cactusfold/cli/logs/Sentences.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/Sentences.kt
@@ -50,26 +50,27 @@
         return ofOutcome(outcome, own, around)
     }
 
-    private fun ofOutcome(outcome: String, own: List<LogLine>, around: List<LogLine>): String =
-        when (outcome.removePrefix("cut: ")) {
-            "over-rate" -> "refused: the workspace had spent its rate"
+    private fun ofOutcome(outcome: String, own: List<LogLine>, around: List<LogLine>): String {
+        val ended = if (outcome.startsWith(CUT)) "broken off" else "refused"
+        return when (outcome.removePrefix(CUT)) {
+            "over-rate" -> "$ended: the workspace had spent its rate"
             "rate-unsure" ->
-                "refused: the coordinator that shares out the workspace's rate " +
+                "$ended: the coordinator that shares out the workspace's rate " +
                     "could not be asked" + because(around, "coordinator-lost", "tokens-not-asked")
             "keys-unsure" ->
-                "refused: the configuration was too old to trust its keys" +
+                "$ended: the configuration was too old to trust its keys" +
                     because(around, "store-lost")
-            "unknown-key" -> "refused: the configuration in force has no such key"
+            "unknown-key" -> "$ended: the configuration in force has no such key"
             "key-withdrawn" ->
-                "refused: the key was withdrawn while the request waited" +
+                "$ended: the key was withdrawn while the request waited" +
                     because(around, "config-in-force")
-            "no-route" -> "refused: the configuration in force has no route for host and path"
-            "starting" -> "refused: the process had no configuration yet"
-            "stopping" -> "refused: the process was stopping"
+            "no-route" -> "$ended: the configuration in force has no route for host and path"
+            "starting" -> "$ended: the process had no configuration yet"
+            "stopping" -> "$ended: the process was stopping"
             "model-not-in-time" ->
-                "refused: no load of its model could finish in time" +
+                "$ended: no load of its model could finish in time" +
                     loadsOf(around)
-            "crashes-upstreams" -> "refused: requests like it have crashed upstreams"
+            "crashes-upstreams" -> "$ended: requests like it have crashed upstreams"
             "all-full" -> "every upstream that could serve it was full or put aside"
             "retry-budget" ->
                 "not sent again: the fleet's budget for repeats was spent" +
@@ -79,6 +80,7 @@
             "streamed" -> "answered" + delay(own, around)
             else -> (if (outcome.startsWith("answered")) "answered" else "failed") + failure(own)
         }
+    }
 
     private fun delay(own: List<LogLine>, around: List<LogLine>): String {
         val waited = own.lastOrNull { it.event == "model-waited" } ?: return failure(own)
@@ -105,4 +107,7 @@
     private fun because(around: List<LogLine>, vararg events: String): String =
         around.lastOrNull { it.event in events }?.let { "; before it: " + Sentences.of(it) }
             .orEmpty()
+
+    /** Before the reason for which a stream was broken off. */
+    private const val CUT = "cut: "
 }
