Callers hear when their model will be there, each by its own limit; no plan before runners are read

Elsewhere requests waited 5 to 11 s and were then refused: a forecast ended all waits for a model or none, so one caller with much time kept the others. Ruled out: real overload (models were on disks, runners idle). Forecasts go out for every model that is waited for, at least each half second, and end the waits whose own limit comes first, with the time to come back.

--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.residency
 
 import cactusfold.decisions.residency.Blocked
+import cactusfold.decisions.residency.PlanningGate
 import cactusfold.decisions.residency.Residency
 import cactusfold.decisions.residency.ResidencyPlan
 import cactusfold.decisions.residency.ResidencyPlanner
@@ -35,9 +36,13 @@
     private class Missed(var count: Int, var atMillis: Long)
 
     private val missed = HashMap<String, Missed>()
+    private class Told(val readyAtMillis: Long, val atMillis: Long)
+
+    private val told = HashMap<String, Told>()
     private val reportedAtMillis = HashMap<Blocked, Long>()
     private val storeLoads = StoreLoadWindow(loadWindowMillis)
     private val jobs = SupervisorJob()
+    private val gate = PlanningGate()
 
     /** Called with runners whose holdings changed. */
     public var onHoldings: (Upstream) -> Unit = {}
@@ -56,30 +61,43 @@
         works.clear()
         missed.clear()
         reportedAtMillis.clear()
+        told.clear()
     }
 
     /** Plans and begins what is to be done now. */
     public fun step() {
         val current = table() ?: return
-        if (!context.mayOrder()) return
+        if (!context.mayOrder()) {
+            gate.closed()
+            return
+        }
         val nowMillis = context.clock.nowMillis()
         for (service in current.config.services.values) {
             val engine = service.engine ?: continue
             val runners = directory.usable.filter { it.entry.service == service.name }
-            if (runners.isEmpty()) continue
-            carryOut(planner.plan(viewOf(engine, runners, nowMillis), nowMillis), nowMillis)
+            val reachable = reachable(runners, nowMillis)
+            learn(reachable)
+            val known = reachable.count { it.isKnown }
+            if (!gate.mayPlan(known, reachable.size, nowMillis)) continue
+            carryOut(planner.plan(viewOf(engine, reachable, nowMillis), nowMillis), nowMillis)
         }
     }
 
+    private fun reachable(runners: List<Upstream>, nowMillis: Long): List<RunnerWork> {
+        val unreachable = demand.unreachable(nowMillis)
+        return runners.filter { it.entry.id !in unreachable }.map(::workOf)
+    }
+
+    private fun learn(works: List<RunnerWork>) {
+        works.filter { it.needsLearning }.forEach { scope.launch(jobs) { it.learn() } }
+    }
+
     private fun viewOf(
         engine: EngineSpec,
-        runners: List<Upstream>,
+        reachable: List<RunnerWork>,
         nowMillis: Long
     ): ResidencyView {
         val inFlight = demand.inFlight(nowMillis)
-        val unreachable = demand.unreachable(nowMillis)
-        val reachable = runners.filter { it.entry.id !in unreachable }.map(::workOf)
-        reachable.filter { it.needsLearning }.forEach { scope.launch(jobs) { it.learn() } }
         val known = engine.models.keys
         return ResidencyView(
             bounds = boundsOf(engine),
@@ -132,15 +150,26 @@
             work.begin(step, nowMillis)
             scope.launch(jobs) { work.carryOut(step) }
         }
-        val refused = plan.hopeless.map { model ->
-            val readyInMillis = plan.readyAtMillis[model]?.minus(nowMillis) ?: RETRY_MILLIS
+        val forecasts = plan.readyAtMillis.filter { (model, readyAtMillis) ->
+            model in plan.hopeless || isNews(model, readyAtMillis, nowMillis)
+        }.map { (model, readyAtMillis) ->
             Forecast.newBuilder()
                 .setModel(model)
-                .setIsRefused(true)
-                .setReadyInMillis(readyInMillis.coerceAtLeast(RETRY_MILLIS))
+                .setIsRefused(model in plan.hopeless)
+                .setReadyInMillis((readyAtMillis - nowMillis).coerceAtLeast(0))
                 .build()
         }
-        if (refused.isNotEmpty()) onForecasts(refused)
+        if (forecasts.isNotEmpty()) onForecasts(forecasts)
+    }
+
+    /** Whether members should hear again when [model] will be there. */
+    private fun isNews(model: String, readyAtMillis: Long, nowMillis: Long): Boolean {
+        val told = told[model]
+        val isKnown = told != null &&
+            nowMillis - told.atMillis < TELL_MILLIS &&
+            Math.abs(readyAtMillis - told.readyAtMillis) < TELL_CHANGE_MILLIS
+        if (!isKnown) this.told[model] = Told(readyAtMillis, nowMillis)
+        return !isKnown
     }
 
     /** Logs once in a while what is waited for in vain; plans are made many times a second. */
@@ -179,7 +208,8 @@
         /** Pause between two lines about the same obstacle. */
         const val REPORT_MILLIS = 1_000L
 
-        /** The least that a caller is told to wait whose model could not be loaded in time. */
-        const val RETRY_MILLIS = 1_000L
+        /** Members hear so often when a model will be there, and at once when that changes by so much. */
+        const val TELL_MILLIS = 500L
+        const val TELL_CHANGE_MILLIS = 250L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaits.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaits.kt
@@ -68,12 +68,13 @@
         }
     }
 
-    /** Ends waits that no load can meet in time. */
+    /** Ends the waits that will be over before the model is there. */
     public fun forecast(forecast: Forecast) {
-        if (!forecast.isRefused) return
-        val retryAfter = forecast.readyInMillis
+        val readyAtMillis = clock.nowMillis() + forecast.readyInMillis
+        val retryAfterMillis = forecast.readyInMillis.coerceAtLeast(LEAST_RETRY_MILLIS)
         waiting.filter { it.model == forecast.model }
-            .forEach { it.end.complete(ModelWait.Refused(retryAfter)) }
+            .filter { forecast.isRefused || it.limitAtMillis < readyAtMillis }
+            .forEach { it.end.complete(ModelWait.Refused(retryAfterMillis)) }
     }
 
     /** Returns what waits and what arrived since the last call. */
@@ -94,6 +95,9 @@
     }
 
     private companion object {
+        /** The least that a caller is told to wait whose model will not be there in time. */
+        const val LEAST_RETRY_MILLIS = 1_000L
+
         /** When a request that has waited in vain may come again. */
         const val LATE_RETRY_MILLIS = 500L
     }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerWork.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerWork.kt
@@ -28,7 +28,10 @@
     private val desk = RunnerDesk(upstream, context)
     private val lastUsedMillis = HashMap<String, Long>()
     private var ledger = HoldingsLedger()
-    private var isKnown = false
+
+    /** Whether what the runner holds has been read since this process coordinates. */
+    var isKnown = false
+        private set
     private var isLearning = false
     private var underWay: Residency.Load? = null
     private var loadedAtMillis = 0L
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitsTest.kt
@@ -0,0 +1,52 @@
+package cactusfold.entry.residency
+
+import cactusfold.entry.process.EventLog
+import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.table.ChangeFeed
+import cactusfold.ports.table.FeedResult
+import cactusfold.protocol.entry.Forecast
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
+import org.junit.jupiter.api.Test
+
+class ModelWaitsTest {
+    private object NoFeed : ChangeFeed {
+        override suspend fun snapshot(table: String): FeedResult = FeedResult.Unavailable("none")
+
+        override suspend fun changes(table: String, position: Long, waitMillis: Long): FeedResult =
+            FeedResult.Unavailable("none")
+    }
+
+    private val clock = MonotonicClock { 10_000 }
+    private val directory =
+        UpstreamDirectory(NoFeed, clock, EventLog("vm", clock, linesPerSecond = 1), "z") { 1_000 }
+    private val waits = ModelWaits(directory, clock) {}
+
+    private fun forecast(readyInMillis: Long): Forecast =
+        Forecast.newBuilder().setModel("m").setReadyInMillis(readyInMillis).build()
+
+    @Test
+    fun `who leaves before the model is there is told at once, who stays waits on`() = runBlocking {
+        val hasty = async { waits.await("s", "m", null, 10_000, limitAtMillis = 14_000) }
+        val patient = async { waits.await("s", "m", null, 10_000, limitAtMillis = 26_000) }
+        yield()
+        waits.forecast(forecast(readyInMillis = 9_300))
+        assertEquals(ModelWait.Refused(retryAfterMillis = 9_300), hasty.await())
+        assertFalse(patient.isCompleted)
+        patient.cancel()
+    }
+
+    @Test
+    fun `a forecast for another model changes nothing`() = runBlocking {
+        val waiting = async { waits.await("s", "n", null, 10_000, limitAtMillis = 14_000) }
+        yield()
+        waits.forecast(forecast(readyInMillis = 9_300))
+        yield()
+        assertFalse(waiting.isCompleted)
+        waiting.cancel()
+    }
+}
