--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -41,7 +41,7 @@
     val source: WeightSource,
     val evicted: List<String>,
     val loadMillis: Long,
-    val evictionCost: Double
+    val lossMillisPerSecond: Double
 )
 
 private class Planning(private val view: ResidencyView, private val nowMillis: Long) {
@@ -49,6 +49,7 @@
     private val steps = mutableListOf<Residency>()
     private val hopeless = mutableListOf<String>()
     private val readyAt = mutableMapOf<String, Long>()
+    private val blocked = mutableListOf<Blocked>()
     private val taken = mutableSetOf<String>()
     private val crowded = mutableSetOf<String>()
     private val wanted = view.demands.mapTo(mutableSetOf()) { it.model }
@@ -64,7 +65,7 @@
         loadAbsent(absent)
         addReplicas()
         if (steps.isEmpty()) preload()
-        return ResidencyPlan(steps, hopeless, readyAt)
+        return ResidencyPlan(steps, hopeless, readyAt, blocked)
     }
 
     private fun loadAbsent(absent: List<ModelDemand>) {
@@ -89,6 +90,7 @@
             if (candidate != null && (isInTime || isWorthLoadingAhead(demand, candidate))) {
                 take(candidate)
             } else {
+                blocked += Blocked(demand.model, null, obstacleOf(demand, candidate))
                 queuedStoreMillis +=
                     soonestMillis(demand.model) / bounds.storeLoadsAtOnce.coerceAtLeast(1)
                 readyAt[demand.model] = nowMillis + queuedStoreMillis +
@@ -98,6 +100,20 @@
         }
     }
 
+    private fun obstacleOf(demand: ModelDemand, candidate: Candidate?): Obstacle {
+        if (candidate != null) return Obstacle.TOO_LATE
+        val free = view.runners.filter { mayOrder(it) }
+        val isFromStore = free.all { sourceOn(it, demand.model) == WeightSource.STORE }
+        return when {
+            free.isEmpty() -> Obstacle.RUNNERS_BUSY
+            isFromStore && !mayLoadFromStore() -> Obstacle.STORE_LIMIT
+            else -> Obstacle.NO_ROOM
+        }
+    }
+
+    private fun mayOrder(runner: RunnerState): Boolean =
+        !runner.isBusy && runner.adapterOrders == 0 && runner.id !in taken
+
     /** Callers that a load would serve: those that wait, were refused, or will come meanwhile. */
     private fun callersOf(demand: ModelDemand): Double =
         demand.waiting + demand.missed + expectedWhileLoading(demand.model)
@@ -110,7 +126,7 @@
         if (demand.missed >= STARVED_MISSES) return true
         val cost = bounds.models[demand.model] ?: return false
         val isAskedFor = expectedWhileLoading(demand.model) >= AHEAD_CALLERS
-        return isAskedFor && absenceLoss(cost) > candidate.evictionCost
+        return isAskedFor && absenceLoss(cost) > candidate.lossMillisPerSecond
     }
 
     private fun merge(demands: List<ModelDemand>): ModelDemand = demands.first().copy(
@@ -135,14 +151,14 @@
     private fun bestCandidate(demand: ModelDemand): Candidate? {
         val candidates = view.runners.mapNotNull { candidateOn(it, demand) }
         return candidates.minWithOrNull(
-            compareBy<Candidate> { it.loadMillis }.thenBy { it.evictionCost }
+            compareBy<Candidate> { it.loadMillis }.thenBy { it.lossMillisPerSecond }
                 .thenBy { it.runner.inFlight.values.sum() }
         )
     }
 
     private fun candidateOn(runner: RunnerState, demand: ModelDemand): Candidate? {
         val cost = bounds.models[demand.model] ?: return null
-        if (runner.isBusy || runner.adapterOrders > 0 || runner.id in taken) return null
+        if (!mayOrder(runner)) return null
         val source = sourceOn(runner, demand.model)
         if (source == WeightSource.STORE && !mayLoadFromStore()) return null
         val evicted = evictions(runner, cost.weightMegabytes) ?: return null
@@ -152,10 +168,21 @@
             source,
             evicted,
             millisFrom(cost, source),
-            evicted.sumOf { lossOf(runner, it) }
+            evicted.sumOf { lossOf(runner, it) } + adapterWaits(runner, millisFrom(cost, source))
         )
     }
 
+    /**
+     * Waiting, in milliseconds a second, expected of requests that need an adapter while the runner
+     * takes no order for one: it carries out one order at a time.
+     */
+    private fun adapterWaits(runner: RunnerState, loadMillis: Long): Double =
+        runner.served.keys.sumOf { model ->
+            val hasAdapters = (bounds.models[model]?.adapters ?: 0) > 0
+            val perSecond = if (hasAdapters) view.arrivalsPerSecond[model] ?: 0.0 else 0.0
+            perSecond * ADAPTER_MISS_SHARE * loadMillis / (replicas[model] ?: 1).coerceAtLeast(1)
+        }
+
     private fun mayLoadFromStore(): Boolean =
         storeLoads < bounds.storeLoadsAtOnce && storeStarts > 0
 
@@ -238,8 +265,8 @@
         val cost = absent.maxByOrNull(::absenceLoss) ?: return
         val demand = ModelDemand(cost.name, null, 1, nowMillis, Long.MAX_VALUE)
         val candidate = view.runners.mapNotNull { candidateOn(it, demand) }
-            .minWithOrNull(compareBy({ it.loadMillis }, { it.evictionCost })) ?: return
-        if (absenceLoss(cost) > PRELOAD_GAIN * candidate.evictionCost) take(candidate)
+            .minWithOrNull(compareBy({ it.loadMillis }, { it.lossMillisPerSecond })) ?: return
+        if (absenceLoss(cost) > PRELOAD_GAIN * candidate.lossMillisPerSecond) take(candidate)
     }
 
     private fun sourceOn(runner: RunnerState, model: String): WeightSource = when (model) {
@@ -266,9 +293,18 @@
         val runner = usable.minWithOrNull(
             compareBy<RunnerState> { if (freeAdapterSlots(it) > 0) 0 else 1 }
                 .thenBy { it.inFlight.values.sum() }
-        ) ?: return
-        if (freeAdapterSlots(runner) <= 0) crowded += demand.model
-        val evicted = if (freeAdapterSlots(runner) > 0) null else idleAdapter(runner) ?: return
+        )
+        if (runner == null) {
+            blocked += Blocked(demand.model, adapter, Obstacle.RUNNERS_BUSY)
+            return
+        }
+        val isFull = freeAdapterSlots(runner) <= 0
+        if (isFull) crowded += demand.model
+        val evicted = if (isFull) idleAdapter(runner) else null
+        if (isFull && evicted == null) {
+            blocked += Blocked(demand.model, adapter, Obstacle.NO_ROOM)
+            return
+        }
         taken += runner.id
         steps += Residency.LoadAdapter(runner.id, demand.model, adapter, evicted)
     }
@@ -298,7 +334,7 @@
         wanted += model
         val candidate = view.runners.filter { model !in it.served }
             .mapNotNull { candidateOn(it, demand) }
-            .minWithOrNull(compareBy({ it.evictionCost }, { it.loadMillis })) ?: return
+            .minWithOrNull(compareBy({ it.lossMillisPerSecond }, { it.loadMillis })) ?: return
         take(candidate)
     }
 
@@ -316,6 +352,9 @@
         /** Refusals after which a model is loaded however few ask for it, so that none starves. */
         const val STARVED_MISSES = 3
 
+        /** Share of a model's requests that need an adapter which its runners don't hold, assumed. */
+        const val ADAPTER_MISS_SHARE = 0.1
+
         /** Arrivals assumed of a model or adapter not asked for lately: one in ten minutes. */
         const val UNSEEN_ARRIVALS_PER_SECOND = 1.0 / 600
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -1,10 +1,12 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.residency.Blocked
 import cactusfold.decisions.residency.Residency
 import cactusfold.decisions.residency.ResidencyPlan
 import cactusfold.decisions.residency.ResidencyPlanner
 import cactusfold.decisions.residency.ResidencyView
 import cactusfold.decisions.residency.RunnerBounds
+import cactusfold.decisions.residency.StoreConcurrency
 import cactusfold.decisions.residency.WeightSource
 import cactusfold.entry.config.RouteTable
 import cactusfold.entry.upstream.Upstream
@@ -27,10 +29,12 @@
 ) {
     private val planner = ResidencyPlanner()
     private val overhead = LoadOverhead()
+    private val storeConcurrency = StoreConcurrency()
     private val works = HashMap<String, RunnerWork>()
     private class Missed(var count: Int, var atMillis: Long)
 
     private val missed = HashMap<String, Missed>()
+    private val reportedAtMillis = HashMap<Blocked, Long>()
     private val storeLoadsAtMillis = ArrayDeque<Long>()
     private val jobs = SupervisorJob()
 
@@ -45,6 +49,7 @@
         jobs.cancelChildren()
         works.clear()
         missed.clear()
+        reportedAtMillis.clear()
     }
 
     /** Plans and begins what is to be done now. */
@@ -88,7 +93,7 @@
     private fun workOf(upstream: Upstream): RunnerWork {
         val known = works[upstream.entry.id]
         if (known != null && known.upstream === upstream) return known
-        return RunnerWork(upstream, context, overhead, ::held).also {
+        return RunnerWork(upstream, context, overhead, storeConcurrency, ::held).also {
             works[upstream.entry.id] = it
         }
     }
@@ -114,6 +119,7 @@
     }
 
     private fun carryOut(plan: ResidencyPlan, nowMillis: Long) {
+        plan.blocked.forEach { report(it, nowMillis) }
         plan.hopeless.forEach { miss(it, nowMillis) }
         for (step in plan.steps) {
             val work = directory.find(step.runner)?.let(::workOf) ?: continue
@@ -135,6 +141,18 @@
         if (refused.isNotEmpty()) onForecasts(refused)
     }
 
+    /** Logs once in a while what is waited for in vain; plans are made many times a second. */
+    private fun report(blocked: Blocked, nowMillis: Long) {
+        if (nowMillis - (reportedAtMillis[blocked] ?: Long.MIN_VALUE / 2) < REPORT_MILLIS) return
+        reportedAtMillis[blocked] = nowMillis
+        context.events.write(
+            "model-not-placed",
+            "model" to blocked.model,
+            "adapter" to blocked.adapter,
+            "obstacle" to blocked.obstacle.name
+        )
+    }
+
     /** Demand that was refused still stands in the members' last reports; it counts once. */
     private fun miss(model: String, nowMillis: Long) {
         val known = missed.getOrPut(model) { Missed(0, nowMillis - MISS_MILLIS) }
@@ -147,7 +165,7 @@
         slots = engine.slots,
         weightMegabytes = engine.weightMegabytes,
         adapterSlots = engine.adapterSlots,
-        storeLoadsAtOnce = STORE_LOADS_AT_ONCE,
+        storeLoadsAtOnce = storeConcurrency.limit,
         overheadMillis = overhead.millis,
         models = engine.models
     )
@@ -155,12 +173,12 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000
 
-        /** Loads that the weight store carries at full speed, by the users' sheets. */
-        const val STORE_LOADS_AT_ONCE = 4
-
         /** Longer than a refused demand stands in the members' reports. */
         const val MISS_MILLIS = 600L
 
+        /** Pause between two lines about the same obstacle. */
+        const val REPORT_MILLIS = 1_000L
+
         /** The least that a caller is told to wait whose model could not be loaded in time. */
         const val RETRY_MILLIS = 1_000L
     }
