Loads: a copy that is free soon goes before the store; exact queue for the store; callers in time count more

Its estimate of when a model comes divided the queue by the number of loads and left out what was running, so callers waited and were refused late. Rare models that could still meet their target went before frequent ones with many callers. Change: LoadQueue books runners and the store's loads and tells when each model will be there; a load from the store gives way to a copy that is there sooner; order by callers in time per millisecond of load, late ones counting a third. The planner is split: LoadTimes, ExpectedWaiting, LoadQueue. Tests: Forecasts and three in ColdStarts of ResidencyPlannerTest (failed before).

--- /dev/null
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadQueue.kt
@@ -0,0 +1,66 @@
+package cactusfold.decisions.residency
+
+/**
+ * Tells when models that can't be loaded now will be there: as soon as a runner that has the weights
+ * is free, or else when the weight store has come to them. Each model that is queued makes the next
+ * ones wait.
+ */
+internal class LoadQueue(
+    private val view: ResidencyView,
+    private val times: LoadTimes,
+    private val nowMillis: Long
+) {
+    private class Copy(val runner: String, val readyAtMillis: Long)
+
+    private val overheadMillis = view.bounds.overheadMillis
+
+    /** When each of the loads that the store carries at once can begin. */
+    private val storeFreeAtMillis: MutableList<Long> = view.runners
+        .filter { it.loadsFromStore }
+        .map { maxOf(nowMillis, it.loadedAtMillis - overheadMillis) }
+        .toMutableList()
+    private val runnerFreeAtMillis = view.runners
+        .associate { it.id to if (it.isBusy) maxOf(nowMillis, it.loadedAtMillis) else nowMillis }
+        .toMutableMap()
+
+    init {
+        val slots = view.bounds.storeLoadsAtOnce.coerceAtLeast(1)
+        while (storeFreeAtMillis.size < slots) storeFreeAtMillis += nowMillis
+    }
+
+    /** Books a load that begins now. */
+    fun began(runner: String, source: WeightSource, loadMillis: Long) {
+        runnerFreeAtMillis[runner] = nowMillis + loadMillis + overheadMillis
+        if (source == WeightSource.STORE) takeStore(nowMillis + loadMillis)
+    }
+
+    /** Queues [cost]'s model and returns when it will be there. */
+    fun readyAtMillis(cost: ModelCost): Long {
+        val copy = nearestCopy(cost)
+        val fromStore = storeFreeAtMillis.min() + cost.storeLoadMillis + overheadMillis
+        if (copy != null && copy.readyAtMillis <= fromStore) {
+            runnerFreeAtMillis[copy.runner] = copy.readyAtMillis
+            return copy.readyAtMillis
+        }
+        takeStore(storeFreeAtMillis.min() + cost.storeLoadMillis)
+        return fromStore
+    }
+
+    /** Returns when a runner that has the weights, and is busy until a known moment, can be done. */
+    fun copyReadyAtMillis(cost: ModelCost): Long? = nearestCopy(cost)?.readyAtMillis
+
+    private fun nearestCopy(cost: ModelCost): Copy? = view.runners
+        .filter { runnerFreeAtMillis.getValue(it.id) > nowMillis }
+        .map { it to times.sourceOn(it, cost.name) }
+        .filter { (_, source) -> source != WeightSource.STORE }
+        .map { (runner, source) ->
+            val loadMillis = times.millisFrom(cost, source) + overheadMillis
+            Copy(runner.id, runnerFreeAtMillis.getValue(runner.id) + loadMillis)
+        }
+        .minByOrNull { it.readyAtMillis }
+
+    private fun takeStore(untilMillis: Long) {
+        storeFreeAtMillis.remove(storeFreeAtMillis.min())
+        storeFreeAtMillis += untilMillis
+    }
+}
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -23,9 +23,9 @@
 /**
  * Decides which models runners hold.
  *
- * A model that requests wait for is loaded where it is there soonest. Loads that can still meet a
- * target go first, then those that serve the most callers in the least time; callers that leave
- * before a load can be done count for those who come after them. A runner makes
+ * A model that requests wait for is loaded where it is there soonest. Loads that serve the
+ * most callers in the least time go first, and an answer in time counts more than a late one; callers
+ * that leave before a load can be done count for those who come after them. A runner makes
  * room by giving up what costs least: a copy of which there are others, else the model whose return
  * costs the least waiting, by its rate of arrivals and by the time that loading it again takes.
  */
@@ -52,11 +52,14 @@
     private val blocked = mutableListOf<Blocked>()
     private val taken = mutableSetOf<String>()
     private val crowded = mutableSetOf<String>()
+    private val times = LoadTimes(view)
+    private val queue = LoadQueue(view, times, nowMillis)
     private val wanted = view.demands.mapTo(mutableSetOf()) { it.model }
     private var storeLoads = view.runners.count { it.loadsFromStore }
     private var storeStarts = view.storeLoadsAllowed
     private val replicas = view.runners.flatMap { it.served.keys }.groupingBy { it }
         .eachCount().toMutableMap()
+    private val waiting = ExpectedWaiting(view, times, replicas)
 
     fun run(): ResidencyPlan {
         val (present, absent) = view.demands.filter { it.waiting > 0 }
@@ -79,33 +82,39 @@
             readyAt[demand.model] = loadedAt
         }
         val ordered = merged.sortedWith(
-            compareByDescending<ModelDemand> { canMeetTarget(it) }
-                .thenByDescending { callersOf(it) / soonestMillis(it.model) }
+            compareByDescending<ModelDemand> { worthOf(it) / times.soonestMillis(it.model) }
                 .thenBy { it.limitAtMillis }
         )
-        var queuedStoreMillis = 0L
         for (demand in ordered) {
-            val candidate = bestCandidate(demand)
+            val candidate = bestCandidate(demand)?.takeUnless(::comesSoonerFromCopy)
             val isInTime = candidate != null && readyAt(candidate) <= demand.limitAtMillis
             if (candidate != null && (isInTime || isWorthLoadingAhead(demand, candidate))) {
                 take(candidate)
             } else {
                 blocked += Blocked(demand.model, null, obstacleOf(demand, candidate))
-                queuedStoreMillis +=
-                    soonestMillis(demand.model) / bounds.storeLoadsAtOnce.coerceAtLeast(1)
-                readyAt[demand.model] = nowMillis + queuedStoreMillis +
-                    soonestMillis(demand.model) + bounds.overheadMillis
+                bounds.models[demand.model]?.let { readyAt[it.name] = queue.readyAtMillis(it) }
             }
-            if (readyAt.getValue(demand.model) > demand.limitAtMillis) hopeless += demand.model
+            val ready = readyAt[demand.model] ?: Long.MAX_VALUE
+            if (ready > demand.limitAtMillis) hopeless += demand.model
         }
     }
 
+    /** A copy on a runner that is about to be free may be there before a load from the store. */
+    private fun comesSoonerFromCopy(candidate: Candidate): Boolean {
+        if (candidate.source != WeightSource.STORE) return false
+        val cost = bounds.models[candidate.demand.model] ?: return false
+        return (queue.copyReadyAtMillis(cost) ?: return false) < readyAt(candidate)
+    }
+
     private fun obstacleOf(demand: ModelDemand, candidate: Candidate?): Obstacle {
         if (candidate != null) return Obstacle.TOO_LATE
         val free = view.runners.filter { mayOrder(it) }
-        val isFromStore = free.all { sourceOn(it, demand.model) == WeightSource.STORE }
+        val isOnlyOnBusy = view.runners.any {
+            times.sourceOn(it, demand.model) != WeightSource.STORE
+        }
+        val isFromStore = free.all { times.sourceOn(it, demand.model) == WeightSource.STORE }
         return when {
-            free.isEmpty() -> Obstacle.RUNNERS_BUSY
+            free.isEmpty() || isFromStore && isOnlyOnBusy -> Obstacle.RUNNERS_BUSY
             isFromStore && !mayLoadFromStore() -> Obstacle.STORE_LIMIT
             else -> Obstacle.NO_ROOM
         }
@@ -114,19 +123,20 @@
     private fun mayOrder(runner: RunnerState): Boolean =
         !runner.isBusy && runner.adapterOrders == 0 && runner.id !in taken
 
+    /** Callers that a load would serve, those that it would serve late counting less. */
+    private fun worthOf(demand: ModelDemand): Double =
+        callersOf(demand) * if (canMeetTarget(demand)) 1.0 else LATE_SHARE
+
     /** Callers that a load would serve: those that wait, were refused, or will come meanwhile. */
     private fun callersOf(demand: ModelDemand): Double =
-        demand.waiting + demand.missed + expectedWhileLoading(demand.model)
-
-    private fun expectedWhileLoading(model: String): Double =
-        (view.habitualPerSecond[model] ?: 0.0) * soonestMillis(model) / MILLIS_PER_SECOND
+        demand.waiting + demand.missed + waiting.callersDuringLoad(demand.model)
 
     /** Whether a load pays though it comes too late for all that wait. */
     private fun isWorthLoadingAhead(demand: ModelDemand, candidate: Candidate): Boolean {
         if (demand.missed >= STARVED_MISSES) return true
         val cost = bounds.models[demand.model] ?: return false
-        val isAskedFor = expectedWhileLoading(demand.model) >= AHEAD_CALLERS
-        return isAskedFor && absenceLoss(cost) > candidate.lossMillisPerSecond
+        val isAskedFor = waiting.callersDuringLoad(demand.model) >= AHEAD_CALLERS
+        return isAskedFor && waiting.ofAbsence(cost) > candidate.lossMillisPerSecond
     }
 
     private fun merge(demands: List<ModelDemand>): ModelDemand = demands.first().copy(
@@ -137,17 +147,12 @@
     )
 
     private fun canMeetTarget(demand: ModelDemand): Boolean =
-        nowMillis + soonestMillis(demand.model) + bounds.overheadMillis <= demand.targetAtMillis
+        nowMillis + times.soonestMillis(demand.model) + bounds.overheadMillis <=
+            demand.targetAtMillis
 
     private fun readyAt(candidate: Candidate): Long =
         nowMillis + candidate.loadMillis + bounds.overheadMillis
 
-    private fun soonestMillis(model: String): Long {
-        val cost = bounds.models[model] ?: return Long.MAX_VALUE / 4
-        return view.runners.minOfOrNull { millisFrom(cost, sourceOn(it, model)) }
-            ?: cost.storeLoadMillis
-    }
-
     private fun bestCandidate(demand: ModelDemand): Candidate? {
         val candidates = view.runners.mapNotNull { candidateOn(it, demand) }
         return candidates.minWithOrNull(
@@ -159,7 +164,7 @@
     private fun candidateOn(runner: RunnerState, demand: ModelDemand): Candidate? {
         val cost = bounds.models[demand.model] ?: return null
         if (!mayOrder(runner)) return null
-        val source = sourceOn(runner, demand.model)
+        val source = times.sourceOn(runner, demand.model)
         if (source == WeightSource.STORE && !mayLoadFromStore()) return null
         val evicted = evictions(runner, cost.weightMegabytes) ?: return null
         return Candidate(
@@ -167,27 +172,18 @@
             runner,
             source,
             evicted,
-            millisFrom(cost, source),
-            evicted.sumOf { lossOf(runner, it) } + adapterWaits(runner, millisFrom(cost, source))
+            times.millisFrom(cost, source),
+            evicted.sumOf(waiting::ofDropping) +
+                waiting.ofAdaptersDuring(runner, times.millisFrom(cost, source))
         )
     }
 
-    /**
-     * Waiting, in milliseconds a second, expected of requests that need an adapter while the runner
-     * takes no order for one: it carries out one order at a time.
-     */
-    private fun adapterWaits(runner: RunnerState, loadMillis: Long): Double =
-        runner.served.keys.sumOf { model ->
-            val hasAdapters = (bounds.models[model]?.adapters ?: 0) > 0
-            val perSecond = if (hasAdapters) view.arrivalsPerSecond[model] ?: 0.0 else 0.0
-            perSecond * ADAPTER_MISS_SHARE * loadMillis / (replicas[model] ?: 1).coerceAtLeast(1)
-        }
-
     private fun mayLoadFromStore(): Boolean =
         storeLoads < bounds.storeLoadsAtOnce && storeStarts > 0
 
     private fun take(candidate: Candidate) {
         taken += candidate.runner.id
+        queue.began(candidate.runner.id, candidate.source, candidate.loadMillis)
         if (candidate.source == WeightSource.STORE) {
             storeLoads++
             storeStarts--
@@ -211,7 +207,7 @@
         val evicted = mutableListOf<String>()
         val removable = runner.adaptersByModel.keys
             .filter { it !in wanted && (runner.inFlight[it] ?: 0) == 0 }
-            .sortedWith(compareBy({ lossOf(runner, it) }, { runner.lastUsedMillis[it] ?: 0L }))
+            .sortedWith(compareBy(waiting::ofDropping, { runner.lastUsedMillis[it] ?: 0L }))
         for (model in removable) {
             evicted += model
             free += heldMegabytes(runner, model)
@@ -234,51 +230,17 @@
             runner.adaptersByModel[model].orEmpty().size * cost.adapterMegabytes
     }
 
-    /** Waiting, in milliseconds a second, that is expected from dropping [model] on [runner]. */
-    private fun lossOf(runner: RunnerState, model: String): Double {
-        val cost = bounds.models[model] ?: return 0.0
-        val others = (replicas[model] ?: 1) - 1
-        if (others > 0) {
-            val perSecond = (view.arrivalsPerSecond[model] ?: 0.0) + unseenPerSecond(cost)
-            return perSecond * REPLICA_LOSS_MILLIS / others
-        }
-        return absenceLoss(cost)
-    }
-
-    /** Waiting, in milliseconds a second, that is expected while no runner holds the model. */
-    private fun absenceLoss(cost: ModelCost): Double {
-        val lately = view.arrivalsPerSecond[cost.name] ?: 0.0
-        val habitually = view.habitualPerSecond[cost.name] ?: 0.0
-        return (maxOf(lately, habitually) + unseenPerSecond(cost)) * soonestMillis(cost.name)
-    }
-
-    /** A model with adapters serves that many more kinds of work. */
-    private fun unseenPerSecond(cost: ModelCost): Double =
-        UNSEEN_ARRIVALS_PER_SECOND * (1 + cost.adapters)
-
     /** Brings back a model that is likelier to be asked for than what makes way for it. */
     private fun preload() {
         if (view.demands.any { it.waiting > 0 } || view.runners.any { it.loading != null }) return
         // A runner that is not heard of yet may hold the model.
         if (nowMillis - view.lastJoinedMillis < SETTLED_MILLIS) return
         val absent = bounds.models.values.filter { (replicas[it.name] ?: 0) == 0 }
-        val cost = absent.maxByOrNull(::absenceLoss) ?: return
+        val cost = absent.maxByOrNull(waiting::ofAbsence) ?: return
         val demand = ModelDemand(cost.name, null, 1, nowMillis, Long.MAX_VALUE)
         val candidate = view.runners.mapNotNull { candidateOn(it, demand) }
             .minWithOrNull(compareBy({ it.loadMillis }, { it.lossMillisPerSecond })) ?: return
-        if (absenceLoss(cost) > PRELOAD_GAIN * candidate.lossMillisPerSecond) take(candidate)
-    }
-
-    private fun sourceOn(runner: RunnerState, model: String): WeightSource = when (model) {
-        in runner.modelsInHostMemory -> WeightSource.HOST_MEMORY
-        in runner.modelsOnDisk -> WeightSource.DISK
-        else -> WeightSource.STORE
-    }
-
-    private fun millisFrom(cost: ModelCost, source: WeightSource): Long = when (source) {
-        WeightSource.HOST_MEMORY -> cost.memoryLoadMillis
-        WeightSource.DISK -> cost.diskLoadMillis
-        WeightSource.STORE -> cost.storeLoadMillis
+        if (waiting.ofAbsence(cost) > PRELOAD_GAIN * candidate.lossMillisPerSecond) take(candidate)
     }
 
     private fun placeAdapter(demand: ModelDemand) {
@@ -348,7 +310,8 @@
     }
 
     private companion object {
-        const val MILLIS_PER_SECOND = 1_000.0
+        /** What an answer after its target counts, against one in time, in the order of loads. */
+        const val LATE_SHARE = 1.0 / 3
 
         /** Callers expected during a load from which on it pays without any that can wait for it. */
         const val AHEAD_CALLERS = 2.0
@@ -356,15 +319,6 @@
         /** Refusals after which a model is loaded however few ask for it, so that none starves. */
         const val STARVED_MISSES = 3
 
-        /** Share of a model's requests that need an adapter which its runners don't hold, assumed. */
-        const val ADAPTER_MISS_SHARE = 0.1
-
-        /** Arrivals assumed of a model or adapter not asked for lately: one in ten minutes. */
-        const val UNSEEN_ARRIVALS_PER_SECOND = 1.0 / 600
-
-        /** What a request loses when one of several copies goes, in milliseconds of waiting. */
-        const val REPLICA_LOSS_MILLIS = 50.0
-
         /** Adapters on their way to one runner: one, so that each decision sees the one before. */
         const val MAX_ADAPTER_ORDERS = 1
 
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -106,6 +106,36 @@
             assertEquals("d", loads(planner.plan(view(runners, demands), now)).single().model)
         }
 
+        @Test
+        fun `a copy on a runner that will soon be free goes before a load from the store`() {
+            val busy = runner("r1", held(), disk = setOf("c"))
+                .copy(isBusy = true, loading = "b", loadedAtMillis = now + 1_500)
+            val view = view(listOf(busy, runner("r2", held())), listOf(demand("c")))
+            val plan = planner.plan(view, now)
+            assertEquals(emptyList(), plan.steps)
+            assertEquals(now + 1_500 + 2_000 + 300, plan.readyAtMillis["c"])
+        }
+
+        @Test
+        fun `a copy on a runner without room does not keep a model from being loaded elsewhere`() {
+            val full = held("d" to emptySet(), "e" to emptySet(), "f" to emptySet())
+            val used = mapOf("d" to 1, "e" to 1, "f" to 1)
+            val runners =
+                listOf(runner("r1", full, setOf("c"), inFlight = used), runner("r2", held()))
+            val load = loads(planner.plan(view(runners, listOf(demand("c"))), now)).single()
+            assertEquals("r2" to WeightSource.STORE, load.runner to load.source)
+        }
+
+        @Test
+        fun `many callers whose target is lost go before one whose target is not`() {
+            val runners = listOf(runner("r1", held(), disk = setOf("c", "d")))
+            val demands = listOf(
+                demand("c", waiting = 9).copy(targetAtMillis = now + 1_000),
+                demand("d")
+            )
+            assertEquals("c", loads(planner.plan(view(runners, demands), now)).single().model)
+        }
+
         @Test
         fun `no more loads from the store run at once than it carries at full speed`() {
             val runners = List(5) { runner("r$it", held()) }
@@ -187,6 +217,50 @@
         }
     }
 
+    /** When callers are told that a model will be there: loads of 9 s from the store, two at once. */
+    @Nested
+    inner class Forecasts {
+        private fun loading(id: String, model: String, leftMillis: Long): RunnerState =
+            runner(id, held()).copy(
+                isBusy = true,
+                loading = model,
+                loadedAtMillis = now + leftMillis,
+                loadsFromStore = true
+            )
+
+        @Test
+        fun `a model waits until the weight store has come to it`() {
+            val runners = listOf(
+                loading("r1", "a", 4_300),
+                loading("r2", "b", 8_300),
+                runner("r3", held())
+            )
+            val demands = listOf(demand("c", waiting = 3), demand("d"), demand("e"))
+            val plan = planner.plan(view(runners, demands), now)
+            assertEquals(
+                mapOf("c" to now + 13_300, "d" to now + 17_300, "e" to now + 22_300),
+                plan.readyAtMillis
+            )
+        }
+
+        @Test
+        fun `who can't wait for its turn is refused at once`() {
+            val runners = listOf(loading("r1", "a", 4_300), loading("r2", "b", 8_300))
+            val demands = listOf(
+                demand("c", waiting = 3, limitInMillis = 16_000),
+                demand("d", limitInMillis = 16_000)
+            )
+            assertEquals(listOf("d"), planner.plan(view(runners, demands), now).hopeless)
+        }
+
+        @Test
+        fun `a copy on a busy runner's disk is waited for where that is sooner`() {
+            val busy = loading("r1", "a", 2_000).copy(modelsOnDisk = persistentSetOf("c"))
+            val plan = planner.plan(view(listOf(busy), listOf(demand("c"))), now)
+            assertEquals(now + 2_000 + 2_000 + 300, plan.readyAtMillis["c"])
+        }
+    }
+
     @Nested
     inner class Obstacles {
         private fun obstacle(view: ResidencyView): Obstacle =
--- a/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Simulation.kt
+++ b/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Simulation.kt
@@ -229,10 +229,12 @@
         adapter = null,
         waiting = calls.size,
         targetAtMillis = calls.minOf { it.arrivedAtMillis + it.kind.targetMillis }.toLong(),
-        limitAtMillis = calls.maxOf { it.attemptAtMillis + it.kind.patienceMillis }.toLong(),
+        limitAtMillis = calls.maxOf(::limitOf).toLong(),
         missed = missed[model] ?: 0
     )
 
+    private fun limitOf(call: Call): Double = call.attemptAtMillis + call.kind.patienceMillis
+
     private fun carryOut(plan: ResidencyPlan) {
         for (model in plan.hopeless) {
             val since = queue.nowMillis - (missedAtMillis[model] ?: -MISS_MILLIS)
@@ -240,9 +242,11 @@
                 missed.merge(model, 1, Int::plus)
                 missedAtMillis[model] = queue.nowMillis
             }
-            val readyInMillis = (plan.readyAtMillis[model] ?: 0) - queue.nowMillis
-            waiting.filter { it.model == model }
-                .forEach { refuse(it, maxOf(readyInMillis, LEAST_RETRY_MILLIS)) }
+        }
+        for ((model, readyAtMillis) in plan.readyAtMillis) {
+            val retryAfterMillis = maxOf(readyAtMillis - queue.nowMillis, LEAST_RETRY_MILLIS)
+            waiting.filter { it.model == model && limitOf(it) < readyAtMillis }
+                .forEach { refuse(it, retryAfterMillis) }
         }
         plan.steps.filterIsInstance<Residency.Load>().forEach(::load)
     }
