--- a/cli/src/main/kotlin/cactusfold/cli/ControllerClient.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/ControllerClient.kt
@@ -59,14 +59,8 @@
         val problems = answer.json()?.getJsonArray("problems") ?: return listOf(errorOf(answer))
         return problems.map {
             val problem = it as JsonObject
-            val line = problem.getInteger("line")
-            if (line ==
-                null
-            ) {
-                problem.getString("message")
-            } else {
-                "$line: ${problem.getString("message")}"
-            }
+            val message = problem.getString("message")
+            problem.getInteger("line")?.let { line -> "$line: $message" } ?: message
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -66,11 +66,8 @@
             if (upstream == null) {
                 val now = parts.clock.nowMillis()
                 val since = fullSinceMillis ?: now.also { fullSinceMillis = it }
-                if (now - since >
-                    route.targetMillis / PATIENCE_DIVISOR
-                ) {
-                    return ended(last, "all-full")
-                }
+                val patienceMillis = route.targetMillis / PATIENCE_DIVISOR
+                if (now - since > patienceMillis) return ended(last, "all-full")
                 delay(FULL_MILLIS)
                 continue
             }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -163,12 +163,9 @@
             return SendEnd.Streamed
         }
 
-        private fun failure(reason: String): SendEnd = if (request ==
-            null
-        ) {
-            SendEnd.NotRun("not connected: $reason")
-        } else {
-            SendEnd.Broken(reason)
+        private fun failure(reason: String): SendEnd = when (request) {
+            null -> SendEnd.NotRun("not connected: $reason")
+            else -> SendEnd.Broken(reason)
         }
 
         private fun options(): RequestOptions = RequestOptions()
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -99,14 +99,8 @@
             when (val result = read(position)) {
                 is FeedResult.Changes -> {
                     if (position == null) members.clear()
-                    result.rows.forEach {
-                        if (it.value ==
-                            null
-                        ) {
-                            members -= it.sort
-                        } else {
-                            members += it.sort
-                        }
+                    for (row in result.rows) {
+                        if (row.value == null) members -= row.sort else members += row.sort
                     }
                     position = result.position
                     memberCount = members.size.coerceAtLeast(1)
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -29,15 +29,17 @@
     loadWindowMillis: Long,
     private val table: () -> RouteTable?
 ) {
+    /** Refusals of a model since its last load. */
+    private class Missed(var count: Int, var atMillis: Long)
+
+    /** What members heard last of a model. */
+    private class Told(val readyAtMillis: Long, val atMillis: Long)
+
     private val planner = ResidencyPlanner()
     private val overhead = LoadOverhead()
     private val storeConcurrency = StoreConcurrency()
     private val works = HashMap<String, RunnerWork>()
-    private class Missed(var count: Int, var atMillis: Long)
-
     private val missed = HashMap<String, Missed>()
-    private class Told(val readyAtMillis: Long, val atMillis: Long)
-
     private val told = HashMap<String, Told>()
     private val reportedAtMillis = HashMap<Blocked, Long>()
     private val storeLoads = StoreLoadWindow(loadWindowMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerWork.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerWork.kt
@@ -91,11 +91,8 @@
         when (step) {
             is Residency.Load -> {
                 underWay = step
-                if (step.source ==
-                    WeightSource.STORE
-                ) {
-                    storeConcurrency.began(step.runner, nowMillis)
-                }
+                val isFromStore = step.source == WeightSource.STORE
+                if (isFromStore) storeConcurrency.began(step.runner, nowMillis)
                 loadedAtMillis = nowMillis + step.loadMillis + overhead.millis
             }
             is Residency.LoadAdapter -> {
