--- a/cli/src/main/kotlin/cactusfold/cli/logs/LogRead.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/LogRead.kt
@@ -2,6 +2,7 @@
 
 import java.io.IOException
 import java.nio.file.Files
+import java.nio.file.NoSuchFileException
 import java.nio.file.Path
 
 /** Log files as they were read. */
@@ -24,6 +25,8 @@
                     if (line == null) passedOver++ else lines += line
                 }
             }
+        } catch (_: NoSuchFileException) {
+            return LogRead.Failed("$file: no such file")
         } catch (e: IOException) {
             return LogRead.Failed("$file: cannot be read: ${e.message}")
         }
--- a/node/src/main/kotlin/cactusfold/node/launch/DaemonCommand.kt
+++ b/node/src/main/kotlin/cactusfold/node/launch/DaemonCommand.kt
@@ -112,7 +112,7 @@
     line.setParameterExceptionHandler { e, _ ->
         e.commandLine.err.println(e.message)
         CommandLine.UnmatchedArgumentException.printSuggestions(e, e.commandLine.err)
-        e.commandLine.err.println("Try '${e.commandLine.commandName} --help'.")
+        e.commandLine.err.println("Try '${e.commandLine.commandSpec.qualifiedName()} --help'.")
         ExitCode.USAGE
     }
     exitProcess(line.execute(*args))
