--- a/local/src/test/kotlin/cactusfold/local/FleetFailureTest.kt
+++ b/local/src/test/kotlin/cactusfold/local/FleetFailureTest.kt
@@ -216,7 +216,8 @@
         fun `a workspace above its rate is refused with the time to come back, another is not`() =
             withFleet(TestFleet(routers = 2)) {
                 assertEquals(200, chat("slow").statusCode())
-                val body = TestFleet.chatBody("slow")
+                // More than half a minute of the rate, so that a slow machine does not keep below it.
+                val body = TestFleet.chatBody("slow", tokens = 60)
                 val small = List(60) {
                     sendAsync(TestFleet.CHAT, body, it % 2, TestFleet.SMALL_KEY)
                 }.map { it.get() }
