Planner: one copy of where weights are; times and loads counted once a plan

ModelCost.loadMillis and RunnerState.sourceOf replace the copies in the planner and in the fleet model's policies. The quickest load of a model was worked out from all runners in every comparison, and a model's requests at work twice for every model: both are now taken once a plan. Adapters use the same check of a free runner as loads.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadQueue.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadQueue.kt
@@ -5,11 +5,7 @@
  * is free, or else when the weight store has come to them. Each model that is queued makes the next
  * ones wait.
  */
-internal class LoadQueue(
-    private val view: ResidencyView,
-    private val times: LoadTimes,
-    private val nowMillis: Long
-) {
+internal class LoadQueue(private val view: ResidencyView, private val nowMillis: Long) {
     private class Copy(val runner: String, val readyAtMillis: Long)
 
     private val overheadMillis = view.bounds.overheadMillis
@@ -51,10 +47,10 @@
 
     private fun nearestCopy(cost: ModelCost): Copy? = view.runners
         .filter { runnerFreeAtMillis.getValue(it.id) > nowMillis }
-        .map { it to times.sourceOn(it, cost.name) }
+        .map { it to it.sourceOf(cost.name) }
         .filter { (_, source) -> source != WeightSource.STORE }
         .map { (runner, source) ->
-            val loadMillis = times.millisFrom(cost, source) + overheadMillis
+            val loadMillis = cost.loadMillis(source) + overheadMillis
             Copy(runner.id, runnerFreeAtMillis.getValue(runner.id) + loadMillis)
         }
         .minByOrNull { it.readyAtMillis }
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadTimes.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadTimes.kt
@@ -1,25 +1,15 @@
 package cactusfold.decisions.residency
 
-/** How long loads take, by where the weights are. */
+/** What loads of models take where they are quickest. */
 internal class LoadTimes(private val view: ResidencyView) {
-    private val models = view.bounds.models
-
-    fun sourceOn(runner: RunnerState, model: String): WeightSource = when (model) {
-        in runner.modelsInHostMemory -> WeightSource.HOST_MEMORY
-        in runner.modelsOnDisk -> WeightSource.DISK
-        else -> WeightSource.STORE
-    }
-
-    fun millisFrom(cost: ModelCost, source: WeightSource): Long = when (source) {
-        WeightSource.HOST_MEMORY -> cost.memoryLoadMillis
-        WeightSource.DISK -> cost.diskLoadMillis
-        WeightSource.STORE -> cost.storeLoadMillis
-    }
+    private val soonestMillis = HashMap<String, Long>()
 
     /** Returns what loading [model] takes where it is quickest, whether or not that runner is free. */
-    fun soonestMillis(model: String): Long {
-        val cost = models[model] ?: return Long.MAX_VALUE / 4
-        return view.runners.minOfOrNull { millisFrom(cost, sourceOn(it, model)) }
+    fun soonestMillis(model: String): Long = soonestMillis.getOrPut(model) { quickest(model) }
+
+    private fun quickest(model: String): Long {
+        val cost = view.bounds.models[model] ?: return Long.MAX_VALUE / 4
+        return view.runners.minOfOrNull { cost.loadMillis(it.sourceOf(model)) }
             ?: cost.storeLoadMillis
     }
 }
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -12,7 +12,14 @@
     public val storeLoadMillis: Long,
     public val diskLoadMillis: Long,
     public val memoryLoadMillis: Long
-)
+) {
+    /** Returns what a load takes from [source]. */
+    public fun loadMillis(source: WeightSource): Long = when (source) {
+        WeightSource.HOST_MEMORY -> memoryLoadMillis
+        WeightSource.DISK -> diskLoadMillis
+        WeightSource.STORE -> storeLoadMillis
+    }
+}
 
 /**
  * What the runners of one service may hold.
@@ -55,7 +62,14 @@
     public val adapterOrders: Int,
     public val inFlight: ImmutableMap<String, Int>,
     public val lastUsedMillis: ImmutableMap<String, Long>
-)
+) {
+    /** Returns where the runner would take [model]'s weights from. */
+    public fun sourceOf(model: String): WeightSource = when (model) {
+        in modelsInHostMemory -> WeightSource.HOST_MEMORY
+        in modelsOnDisk -> WeightSource.DISK
+        else -> WeightSource.STORE
+    }
+}
 
 /**
  * Requests for a model or an adapter of it.
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -53,12 +53,14 @@
     private val taken = mutableSetOf<String>()
     private val crowded = mutableSetOf<String>()
     private val times = LoadTimes(view)
-    private val queue = LoadQueue(view, times, nowMillis)
+    private val queue = LoadQueue(view, nowMillis)
     private val wanted = view.demands.mapTo(mutableSetOf()) { it.model }
     private var storeLoads = view.runners.count { it.loadsFromStore }
     private var storeStarts = view.storeLoadsAllowed
     private val replicas = view.runners.flatMap { it.served.keys }.groupingBy { it }
         .eachCount().toMutableMap()
+    private val inFlightByModel = view.runners.flatMap { it.inFlight.entries }
+        .groupingBy { it.key }.fold(0) { sum, entry -> sum + entry.value }
     private val waiting = ExpectedWaiting(view, times, replicas)
 
     fun run(): ResidencyPlan {
@@ -110,9 +112,9 @@
         if (candidate != null) return Obstacle.TOO_LATE
         val free = view.runners.filter { mayOrder(it) }
         val isOnlyOnBusy = view.runners.any {
-            times.sourceOn(it, demand.model) != WeightSource.STORE
+            it.sourceOf(demand.model) != WeightSource.STORE
         }
-        val isFromStore = free.all { times.sourceOn(it, demand.model) == WeightSource.STORE }
+        val isFromStore = free.all { it.sourceOf(demand.model) == WeightSource.STORE }
         return when {
             free.isEmpty() || isFromStore && isOnlyOnBusy -> Obstacle.RUNNERS_BUSY
             isFromStore && !mayLoadFromStore() -> Obstacle.STORE_LIMIT
@@ -120,6 +122,7 @@
         }
     }
 
+    /** One order at a time to a runner, so that each decision sees the one before. */
     private fun mayOrder(runner: RunnerState): Boolean =
         !runner.isBusy && runner.adapterOrders == 0 && runner.id !in taken
 
@@ -164,7 +167,7 @@
     private fun candidateOn(runner: RunnerState, demand: ModelDemand): Candidate? {
         val cost = bounds.models[demand.model] ?: return null
         if (!mayOrder(runner)) return null
-        val source = times.sourceOn(runner, demand.model)
+        val source = runner.sourceOf(demand.model)
         if (source == WeightSource.STORE && !mayLoadFromStore()) return null
         val evicted = evictions(runner, cost.weightMegabytes) ?: return null
         return Candidate(
@@ -172,9 +175,9 @@
             runner,
             source,
             evicted,
-            times.millisFrom(cost, source),
+            cost.loadMillis(source),
             evicted.sumOf(waiting::ofDropping) +
-                waiting.ofAdaptersDuring(runner, times.millisFrom(cost, source))
+                waiting.ofAdaptersDuring(runner, cost.loadMillis(source))
         )
     }
 
@@ -249,10 +252,7 @@
         if (holders.any { adapter in it.served.getValue(demand.model) || isOnItsWay(it, demand) }) {
             return
         }
-        val usable = holders.filter {
-            it.adapterOrders < MAX_ADAPTER_ORDERS && !it.isBusy && it.id !in taken
-        }
-        val runner = usable.minWithOrNull(
+        val runner = holders.filter(::mayOrder).minWithOrNull(
             compareBy<RunnerState> { if (freeAdapterSlots(it) > 0) 0 else 1 }
                 .thenBy { it.inFlight.values.sum() }
         )
@@ -305,7 +305,7 @@
     }
 
     private fun loadPerReplica(model: String): Double {
-        val inFlight = view.runners.sumOf { it.inFlight[model] ?: 0 }
+        val inFlight = inFlightByModel[model] ?: 0
         return inFlight / (replicas.getValue(model) * bounds.slots.toDouble())
     }
 
@@ -319,9 +319,6 @@
         /** Refusals after which a model is loaded however few ask for it, so that none starves. */
         const val STARVED_MISSES = 3
 
-        /** Adapters on their way to one runner: one, so that each decision sees the one before. */
-        const val MAX_ADAPTER_ORDERS = 1
-
         /** How many times likelier a model has to be than what makes way for it unasked. */
         const val PRELOAD_GAIN = 3.0
 
--- a/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Policy.kt
+++ b/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Policy.kt
@@ -1,12 +1,10 @@
 package cactusfold.fleetmodel
 
-import cactusfold.decisions.residency.ModelDemand
 import cactusfold.decisions.residency.Residency
 import cactusfold.decisions.residency.ResidencyPlan
 import cactusfold.decisions.residency.ResidencyPlanner
 import cactusfold.decisions.residency.ResidencyView
 import cactusfold.decisions.residency.RunnerState
-import cactusfold.decisions.residency.WeightSource
 
 /** A way to decide which models runners hold. */
 public class Policy(
@@ -54,14 +52,14 @@
     val free = view.runners.filterNot { it.isBusy }.toMutableList()
     val steps = mutableListOf<Residency>()
     for (demand in view.demands.filter { it.model !in held && it.model !in coming }) {
-        val runner = free.minByOrNull { costOf(view, it, demand) } ?: break
+        val runner = free.minByOrNull { loadMillis(view, it, demand.model) } ?: break
         val evicted = leastRecent(view, runner, wanted) ?: continue
         free -= runner
-        val millis = costOf(view, runner, demand)
+        val millis = loadMillis(view, runner, demand.model)
         steps += Residency.Load(
             runner.id,
             demand.model,
-            sourceOn(runner, demand.model),
+            runner.sourceOf(demand.model),
             evicted,
             millis
         )
@@ -69,20 +67,8 @@
     return ResidencyPlan(steps, hopeless = emptyList(), readyAtMillis = emptyMap())
 }
 
-private fun sourceOn(runner: RunnerState, model: String): WeightSource = when (model) {
-    in runner.modelsInHostMemory -> WeightSource.HOST_MEMORY
-    in runner.modelsOnDisk -> WeightSource.DISK
-    else -> WeightSource.STORE
-}
-
-private fun costOf(view: ResidencyView, runner: RunnerState, demand: ModelDemand): Long {
-    val cost = view.bounds.models.getValue(demand.model)
-    return when (sourceOn(runner, demand.model)) {
-        WeightSource.HOST_MEMORY -> cost.memoryLoadMillis
-        WeightSource.DISK -> cost.diskLoadMillis
-        WeightSource.STORE -> cost.storeLoadMillis
-    }
-}
+private fun loadMillis(view: ResidencyView, runner: RunnerState, model: String): Long =
+    view.bounds.models.getValue(model).loadMillis(runner.sourceOf(model))
 
 /** Returns what makes room for one model, nothing if there is room, or null if all is in use. */
 private fun leastRecent(
