--- a/cli/src/main/kotlin/cactusfold/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/ExplainCommand.kt
@@ -4,7 +4,7 @@
 import cactusfold.cli.logs.Explanation
 import cactusfold.cli.logs.LogRead
 import cactusfold.cli.logs.MergedLog
-import cactusfold.cli.logs.readLogs
+import cactusfold.cli.logs.withLogs
 import cactusfold.node.launch.ExitCode
 import java.nio.file.Path
 import java.util.concurrent.Callable
@@ -28,13 +28,8 @@
     )
     lateinit var files: List<Path>
 
-    override fun call(): Int = when (val read = readLogs(files)) {
-        is LogRead.Failed -> {
-            System.err.println(read.reason)
-            ExitCode.DATA
-        }
-        is LogRead.Ok -> print(Explainer(read.log).explain(request), read)
-    }
+    override fun call(): Int =
+        withLogs(files) { read -> print(Explainer(read.log).explain(request), read) }
 
     private fun print(explanation: Explanation, read: LogRead.Ok): Int = when (explanation) {
         Explanation.Unknown -> {
--- a/cli/src/main/kotlin/cactusfold/cli/TimelineCommand.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/TimelineCommand.kt
@@ -1,9 +1,8 @@
 package cactusfold.cli
 
-import cactusfold.cli.logs.LogRead
 import cactusfold.cli.logs.MergedLog
 import cactusfold.cli.logs.PlacedLine
-import cactusfold.cli.logs.readLogs
+import cactusfold.cli.logs.withLogs
 import cactusfold.node.launch.ExitCode
 import io.vertx.core.json.JsonObject
 import java.net.URLEncoder
@@ -54,16 +53,10 @@
 
     override fun call(): Int = if (files.isEmpty()) fromController() else fromFiles()
 
-    private fun fromFiles(): Int = when (val read = readLogs(files)) {
-        is LogRead.Failed -> {
-            System.err.println(read.reason)
-            ExitCode.DATA
-        }
-        is LogRead.Ok -> {
-            selected(read.log).forEach { println(if (isJson) it.line.encode() else line(it)) }
-            warnOfJumps(read.log)
-            ExitCode.OK
-        }
+    private fun fromFiles(): Int = withLogs(files) { read ->
+        selected(read.log).forEach { println(if (isJson) it.line.encode() else line(it)) }
+        warnOfJumps(read.log)
+        ExitCode.OK
     }
 
     private fun selected(log: MergedLog): List<PlacedLine> {
--- a/cli/src/main/kotlin/cactusfold/cli/logs/LogRead.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/LogRead.kt
@@ -1,5 +1,6 @@
 package cactusfold.cli.logs
 
+import cactusfold.node.launch.ExitCode
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.NoSuchFileException
@@ -33,3 +34,13 @@
     }
     return LogRead.Ok(MergedLog.of(lines), passedOver)
 }
+
+/** Reads [files] and calls [onRead]; prints why when they can't be read, and returns the exit code. */
+internal fun withLogs(files: List<Path>, onRead: (LogRead.Ok) -> Int): Int =
+    when (val read = readLogs(files)) {
+        is LogRead.Failed -> {
+            System.err.println(read.reason)
+            ExitCode.DATA
+        }
+        is LogRead.Ok -> onRead(read)
+    }
