Arrivals and refusals by model: one copy for the coordinator and the fleet model

ModelArrivals and ModelRefusals take the place of the counters that LoadCoordinator, FleetDemand and the fleet model's Simulation each kept, with their constants.

--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -1,6 +1,6 @@
 package cactusfold.entry.residency
 
-import cactusfold.decisions.residency.DecayingCounts
+import cactusfold.decisions.residency.ModelArrivals
 import cactusfold.decisions.residency.ModelDemand
 import cactusfold.protocol.entry.Demand
 import cactusfold.protocol.entry.MemberReport
@@ -10,16 +10,13 @@
     private class Reported(val report: MemberReport, val atMillis: Long)
 
     private val reports = HashMap<String, Reported>()
-    private val rates = DecayingCounts(RATE_MILLIS)
-    private val habits = DecayingCounts(HABIT_MILLIS)
+    private val arrivals = ModelArrivals()
 
     /** Takes over a member's report. */
     public fun reported(report: MemberReport, nowMillis: Long) {
         reports[report.vm] = Reported(report, nowMillis)
         for (demand in report.demandsList) {
-            if (demand.arrivals == 0) continue
-            rates.add(demand.model, demand.arrivals, nowMillis)
-            habits.add(demand.model, demand.arrivals, nowMillis)
+            if (demand.arrivals > 0) arrivals.arrived(demand.model, demand.arrivals, nowMillis)
         }
     }
 
@@ -29,10 +26,12 @@
     }
 
     /** Arrivals a second of each model lately. */
-    public fun arrivalsPerSecond(nowMillis: Long): Map<String, Double> = rates.perSecond(nowMillis)
+    public fun arrivalsPerSecond(nowMillis: Long): Map<String, Double> =
+        arrivals.latelyPerSecond(nowMillis)
 
     /** Arrivals a second of each model over a longer time. */
-    public fun habitualPerSecond(nowMillis: Long): Map<String, Double> = habits.perSecond(nowMillis)
+    public fun habitualPerSecond(nowMillis: Long): Map<String, Double> =
+        arrivals.habituallyPerSecond(nowMillis)
 
     /** Returns what waits anywhere. */
     public fun demands(nowMillis: Long): List<ModelDemand> = current(nowMillis)
@@ -78,12 +77,6 @@
         reports.values.filter { nowMillis - it.atMillis < REPORT_VALID_MILLIS }
 
     private companion object {
-        /** Time over which arrivals are smoothed: shorter than demand takes to move on. */
-        const val RATE_MILLIS = 5_000.0
-
-        /** Time over which demand that has fallen silent counts as likely to come back. */
-        const val HABIT_MILLIS = 60_000.0
-
         /** Three times the longest pause between two reports. */
         const val REPORT_VALID_MILLIS = 1_500L
     }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.residency
 
 import cactusfold.decisions.residency.Blocked
+import cactusfold.decisions.residency.ModelRefusals
 import cactusfold.decisions.residency.PlanningGate
 import cactusfold.decisions.residency.Residency
 import cactusfold.decisions.residency.ResidencyPlan
@@ -29,9 +30,6 @@
     loadWindowMillis: Long,
     private val table: () -> RouteTable?
 ) {
-    /** Refusals of a model since its last load. */
-    private class Missed(var count: Int, var atMillis: Long)
-
     /** What members heard last of a model. */
     private class Told(val readyAtMillis: Long, val atMillis: Long)
 
@@ -39,7 +37,7 @@
     private val overhead = LoadOverhead()
     private val storeConcurrency = StoreConcurrency()
     private val works = HashMap<String, RunnerWork>()
-    private val missed = HashMap<String, Missed>()
+    private val refusals = ModelRefusals()
     private val told = HashMap<String, Told>()
     private val reportedAtMillis = HashMap<Blocked, Long>()
     private val storeLoads = StoreLoadWindow(loadWindowMillis)
@@ -61,7 +59,7 @@
     public fun stop() {
         jobs.cancelChildren()
         works.clear()
-        missed.clear()
+        refusals.clear()
         reportedAtMillis.clear()
         told.clear()
     }
@@ -107,7 +105,7 @@
                 it.state(inFlight[it.upstream.entry.id].orEmpty(), nowMillis)
             },
             demands = demand.demands(nowMillis).filter { it.model in known }
-                .map { it.copy(missed = missed[it.model]?.count ?: 0) },
+                .map { it.copy(missed = refusals.count(it.model)) },
             arrivalsPerSecond = demand.arrivalsPerSecond(nowMillis).filterKeys { it in known },
             habitualPerSecond = demand.habitualPerSecond(nowMillis).filterKeys { it in known },
             adapterUsedMillis = adaptersInUse(nowMillis),
@@ -142,13 +140,13 @@
 
     private fun carryOut(plan: ResidencyPlan, nowMillis: Long) {
         plan.blocked.forEach { report(it, nowMillis) }
-        plan.hopeless.forEach { miss(it, nowMillis) }
+        plan.hopeless.forEach { refusals.refused(it, nowMillis) }
         for (step in plan.steps) {
             val work = directory.find(step.runner)?.let(::workOf) ?: continue
             if (step is Residency.Load && step.source == WeightSource.STORE) {
                 storeLoads.began(nowMillis)
             }
-            if (step is Residency.Load) missed -= step.model
+            if (step is Residency.Load) refusals.loading(step.model)
             work.begin(step, nowMillis)
             scope.launch(jobs) { work.carryOut(step) }
         }
@@ -186,14 +184,6 @@
         )
     }
 
-    /** Demand that was refused still stands in the members' last reports; it counts once. */
-    private fun miss(model: String, nowMillis: Long) {
-        val known = missed.getOrPut(model) { Missed(0, nowMillis - MISS_MILLIS) }
-        if (nowMillis - known.atMillis < MISS_MILLIS) return
-        known.count++
-        known.atMillis = nowMillis
-    }
-
     private fun boundsOf(engine: EngineSpec): RunnerBounds = RunnerBounds(
         slots = engine.slots,
         weightMegabytes = engine.weightMegabytes,
@@ -204,9 +194,6 @@
     )
 
     private companion object {
-        /** Longer than a refused demand stands in the members' reports. */
-        const val MISS_MILLIS = 600L
-
         /** Pause between two lines about the same obstacle. */
         const val REPORT_MILLIS = 1_000L
 
--- a/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Simulation.kt
+++ b/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Simulation.kt
@@ -1,7 +1,8 @@
 package cactusfold.fleetmodel
 
-import cactusfold.decisions.residency.DecayingCounts
+import cactusfold.decisions.residency.ModelArrivals
 import cactusfold.decisions.residency.ModelDemand
+import cactusfold.decisions.residency.ModelRefusals
 import cactusfold.decisions.residency.Residency
 import cactusfold.decisions.residency.ResidencyPlan
 import cactusfold.decisions.residency.ResidencyView
@@ -44,10 +45,8 @@
     }.toMutableList()
     private val outcomes = spec.classes.associate { it.name to ClassOutcome(it.name) }
     private val waiting = LinkedHashSet<Call>()
-    private val rates = DecayingCounts(RATE_MILLIS)
-    private val habits = DecayingCounts(HABIT_MILLIS)
-    private val missed = HashMap<String, Int>()
-    private val missedAtMillis = HashMap<String, Double>()
+    private val arrivals = ModelArrivals()
+    private val refusals = ModelRefusals()
     private val storeLoads = StoreLoadWindow(WINDOW_MILLIS)
     private val loadsBySource = sortedMapOf<String, Int>()
     private val servedByModel = sortedMapOf<String, Int>()
@@ -119,8 +118,7 @@
         call.attempts++
         call.attemptAtMillis = queue.nowMillis
         val nowMillis = queue.nowMillis.toLong()
-        rates.add(call.model, 1, nowMillis)
-        habits.add(call.model, 1, nowMillis)
+        arrivals.arrived(call.model, 1, nowMillis)
         val attempt = call.attempts
         queue.after(call.kind.patienceMillis.toDouble()) {
             if (!call.isOver && call.attempts == attempt && call in waiting) leave(call)
@@ -217,8 +215,8 @@
         ),
         runners = up.map { it.state() },
         demands = waiting.groupBy { it.model }.map { (model, calls) -> demand(model, calls) },
-        arrivalsPerSecond = rates.perSecond(nowMillis),
-        habitualPerSecond = habits.perSecond(nowMillis),
+        arrivalsPerSecond = arrivals.latelyPerSecond(nowMillis),
+        habitualPerSecond = arrivals.habituallyPerSecond(nowMillis),
         adapterUsedMillis = emptyMap(),
         storeLoadsAllowed = storeLoads.allowed(engine.storeLoadsPerSecond, nowMillis),
         lastJoinedMillis = Long.MIN_VALUE / 2
@@ -230,19 +228,13 @@
         waiting = calls.size,
         targetAtMillis = calls.minOf { it.arrivedAtMillis + it.kind.targetMillis }.toLong(),
         limitAtMillis = calls.maxOf(::limitOf).toLong(),
-        missed = missed[model] ?: 0
+        missed = refusals.count(model)
     )
 
     private fun limitOf(call: Call): Double = call.attemptAtMillis + call.kind.patienceMillis
 
     private fun carryOut(plan: ResidencyPlan) {
-        for (model in plan.hopeless) {
-            val since = queue.nowMillis - (missedAtMillis[model] ?: -MISS_MILLIS)
-            if (since >= MISS_MILLIS) {
-                missed.merge(model, 1, Int::plus)
-                missedAtMillis[model] = queue.nowMillis
-            }
-        }
+        plan.hopeless.forEach { refusals.refused(it, queue.nowMillis.toLong()) }
         for ((model, readyAtMillis) in plan.readyAtMillis) {
             val retryAfterMillis = maxOf(readyAtMillis - queue.nowMillis, LEAST_RETRY_MILLIS)
             waiting.filter { it.model == model && limitOf(it) < readyAtMillis }
@@ -253,7 +245,7 @@
 
     private fun load(load: Residency.Load) {
         val runner = runners.first { it.id == load.runner }
-        missed -= load.model
+        refusals.loading(load.model)
         loadsBySource.merge(load.source.name, 1, Int::plus)
         val isFromStore = load.source == WeightSource.STORE
         if (isFromStore) {
@@ -312,11 +304,8 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
 
-        /** As in the product: pause between plans, smoothing of arrivals, pause between misses. */
+        /** As in the product: pause between plans, and the least that a caller is told to wait. */
         const val STEP_MILLIS = 50.0
-        const val RATE_MILLIS = 5_000.0
-        const val HABIT_MILLIS = 60_000.0
-        const val MISS_MILLIS = 600.0
         const val LEAST_RETRY_MILLIS = 1_000.0
 
         /** Window over which the weight store's rate is kept. */
