--- a/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
@@ -18,6 +18,7 @@
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.system.exitProcess
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
@@ -39,12 +40,32 @@
     @Option(names = ["--check"], description = ["Checks the settings and ends."])
     private var isCheck: Boolean = false
 
-    override fun call(): Int = when (val read = read()) {
-        is Read.Unusable -> {
-            read.problems.forEach(System.err::println)
-            ExitCode.CONFIG
+    override fun call(): Int = EntryProgram(configFile).let { if (isCheck) it.check() else it.run() }
+}
+
+/** Runs an entry process with the settings in [configFile]. */
+internal class EntryProgram(private val configFile: Path) {
+    /** Checks the settings and returns the exit code. */
+    fun check(): Int {
+        EntryLogging.start()
+        return when (val read = read()) {
+            is Read.Unusable -> report(read)
+            is Read.Usable -> ExitCode.OK
+        }
+    }
+
+    /** Serves until the process is told to stop, and returns the exit code. */
+    fun run(): Int {
+        EntryLogging.start()
+        return when (val read = read()) {
+            is Read.Unusable -> report(read)
+            is Read.Usable -> run(read.settings)
         }
-        is Read.Usable -> if (isCheck) ExitCode.OK else run(read.settings)
+    }
+
+    private fun report(unusable: Read.Unusable): Int {
+        unusable.problems.forEach(System.err::println)
+        return ExitCode.CONFIG
     }
 
     private sealed interface Read {
@@ -67,7 +88,7 @@
 
     private fun run(settings: Settings): Int {
         val logging = settings.section("log")
-        EntryLogging.start(logging.text("level"))
+        EntryLogging.setLevel(logging.text("level"))
         val vertx = Vertx.vertx(
             VertxOptions().setEventLoopPoolSize(1)
                 .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1))
@@ -121,5 +142,11 @@
     }
 }
 
-/** Entry point of `cactusfold-entry`. */
-public fun main(args: Array<String>): Unit = runCommand(EntryCommand(), args)
+/**
+ * Entry point of `cactusfold-entry`. The plain form `--config FILE` is read without the command-line
+ * library: its classes can't be archived, and loading them is a fifth of a start.
+ */
+public fun main(args: Array<String>) {
+    if (args.size != 2 || args[0] != "--config") return runCommand(EntryCommand(), args)
+    exitProcess(EntryProgram(Path.of(args[1])).run())
+}
--- a/entry/src/main/kotlin/cactusfold/entry/process/EntryLogging.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/process/EntryLogging.kt
@@ -1,48 +1,68 @@
 package cactusfold.entry.process
 
 import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.core.LifeCycle
+import org.apache.logging.log4j.core.appender.AsyncAppender
+import org.apache.logging.log4j.core.appender.ConsoleAppender
+import org.apache.logging.log4j.core.config.AbstractConfiguration
+import org.apache.logging.log4j.core.config.AppenderRef
+import org.apache.logging.log4j.core.config.ConfigurationSource
 import org.apache.logging.log4j.core.config.Configurator
-import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilderFactory
+import org.apache.logging.log4j.core.config.LoggerConfig
 
 /** Configures logging: one JSON object per line on standard output, written asynchronously. */
 public object EntryLogging {
-    /** Starts logging at [level]. Lines are dropped if the queue is full; callers never block. */
-    public fun start(level: String) {
+    /**
+     * Starts logging. Lines are dropped if the queue is full; callers never block. Has to be called
+     * before a library creates its first logger, which would load the default configuration.
+     */
+    public fun start() {
         System.setProperty("vertx.logger-delegate-factory-class-name", VERTX_LOGGER)
-        val builder = ConfigurationBuilderFactory.newConfigurationBuilder()
-        builder.setShutdownHook("disable")
-        builder.add(console("events-out", "%m%n"))
-        builder.add(console("messages-out", MESSAGE_PATTERN))
-        for (name in listOf("events", "messages")) {
-            builder.add(
-                builder.newAppender(name, "Async")
-                    .addAttribute("blocking", false)
-                    .addAttribute("bufferSize", QUEUE_LINES)
-                    .addComponent(builder.newAppenderRef("$name-out"))
-            )
-        }
-        builder.add(
-            builder.newLogger("events", Level.INFO).add(builder.newAppenderRef("events"))
-                .addAttribute("additivity", false)
-        )
-        builder.add(builder.newLogger("io.netty", Level.WARN))
-        builder.add(builder.newLogger("io.grpc", Level.ERROR))
-        builder.add(
-            builder.newRootLogger(Level.toLevel(level)).add(builder.newAppenderRef("messages"))
-        )
-        Configurator.reconfigure(builder.build())
+        System.setProperty("log4j2.disableJmx", "true")
+        System.setProperty("log4j.shutdownHookEnabled", "false")
+        Configurator.initialize(JsonLinesConfiguration())
     }
 
-    private fun console(name: String, pattern: String) =
-        ConfigurationBuilderFactory.newConfigurationBuilder().let { builder ->
-            builder.newAppender(name, "Console")
-                .addAttribute("target", "SYSTEM_OUT")
-                .add(builder.newLayout("PatternLayout").addAttribute("pattern", pattern))
-        }
+    /** Sets the minimum [level] of messages; events are written at any level. */
+    public fun setLevel(level: String): Unit = Configurator.setRootLevel(Level.toLevel(level))
 
-    private const val QUEUE_LINES = 1_024
     private const val VERTX_LOGGER = "io.vertx.core.logging.SLF4JLogDelegateFactory"
-    private const val MESSAGE_PATTERN =
-        "{\"time\":%d{UNIX_MILLIS},\"level\":\"%p\",\"logger\":\"%c{1}\"," +
-            "\"message\":\"%enc{%m}{JSON}\",\"error\":\"%enc{%ex{short}}{JSON}\"}%n"
+}
+
+/**
+ * Log4j configuration that is built directly. Configuration files and builders load every plugin of
+ * Log4j, which takes a large part of the processor time of a start.
+ */
+private class JsonLinesConfiguration :
+    AbstractConfiguration(null, ConfigurationSource.NULL_SOURCE) {
+
+    override fun initialize() {
+        val console = ConsoleAppender.newBuilder()
+            .setName(CONSOLE)
+            .setLayout(JsonLineLayout())
+            .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
+            .setImmediateFlush(false)
+            .build()
+        addAppender(console)
+        val async = AsyncAppender.newBuilder()
+            .setName(ASYNC)
+            .setAppenderRefs(arrayOf(AppenderRef.createAppenderRef(CONSOLE, null, null)))
+            .setBlocking(false)
+            .setBufferSize(QUEUE_LINES)
+            .setConfiguration(this)
+            .build()
+        addAppender(async)
+        rootLogger.level = Level.INFO
+        rootLogger.addAppender(async, null, null)
+        addLogger(EventLog.LOGGER, LoggerConfig(EventLog.LOGGER, Level.INFO, true))
+        addLogger("io.netty", LoggerConfig("io.netty", Level.WARN, true))
+        addLogger("io.grpc", LoggerConfig("io.grpc", Level.ERROR, true))
+        setState(LifeCycle.State.INITIALIZED)
+    }
+
+    private companion object {
+        const val CONSOLE = "console"
+        const val ASYNC = "async"
+        const val QUEUE_LINES = 2_048
+    }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/process/EventLog.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/process/EventLog.kt
@@ -59,8 +59,10 @@
         log.info(line.encode())
     }
 
-    private companion object {
-        const val MILLIS_PER_SECOND = 1_000
-        val log = LogManager.getLogger("events")
+    internal companion object {
+        /** Name of the logger of events, whose messages are complete JSON objects. */
+        const val LOGGER = "events"
+        private const val MILLIS_PER_SECOND = 1_000
+        private val log = LogManager.getLogger(LOGGER)
     }
 }
