--- a/decisions/src/main/kotlin/cactusfold/decisions/holding/CoordinatorLeaseMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/holding/CoordinatorLeaseMachine.kt
@@ -10,6 +10,7 @@
  * @property isOwnVm whether the holder runs or ran on the reader's VM. It is then either the reader
  *   itself or a process that has ended.
  * @property isSettled whether the quiet period before the holder's first action has passed.
+ * @property era the store's era that the holder knew when it wrote the row.
  */
 public data class CoordinatorLeaseRecord(
     public val holder: String,
@@ -17,7 +18,8 @@
     public val version: Long,
     public val isReleased: Boolean,
     public val isOwnVm: Boolean = false,
-    public val isSettled: Boolean = false
+    public val isSettled: Boolean = false,
+    public val era: Long = 0
 )
 
 /**
@@ -39,12 +41,15 @@
      *   first reading.
      * @property relinquishedFence the highest fence whose holder has promised not to act any more.
      * @property heard the last renewal that the holder announced.
+     * @property era the store's era at the last reading. It rises when the store loses recent
+     *   writes; the row then may be an earlier one, while a holder that is not in it still acts.
      */
     public data class Standby(
         public val record: CoordinatorLeaseRecord? = null,
         public val unchangedSinceMillis: Long? = null,
         public val relinquishedFence: Long = 0,
-        public val heard: AnnouncedRenewal? = null
+        public val heard: AnnouncedRenewal? = null,
+        public val era: Long = 0
     ) : CoordinatorLeaseState
 
     /**
@@ -86,22 +91,29 @@
  * conditional write proves that the row has not changed since.
  */
 public class CoordinatorLeaseMachine(private val times: CoordinatorLeaseSettings) {
-    /** Returns the state after the row was read as [record]; null if it does not exist. */
+    /**
+     * Returns the state after the row was read as [record], null if it does not exist, in the
+     * store's [era].
+     */
     public fun observed(
         state: CoordinatorLeaseState,
         record: CoordinatorLeaseRecord?,
-        nowMillis: Long
+        nowMillis: Long,
+        era: Long = 0
     ): CoordinatorLeaseState = when (state) {
         is CoordinatorLeaseState.LeaseHolder -> state
         is CoordinatorLeaseState.Standby -> {
-            val isUnchanged = state.unchangedSinceMillis != null && state.record == record
-            val heard = state.heard?.takeIf { it.version == record?.version }
+            val isSameEra = state.era == era
+            val isUnchanged = state.unchangedSinceMillis != null && state.record == record &&
+                isSameEra
+            // Versions of an earlier era are given out again, to other writes.
+            val heard = state.heard?.takeIf { it.version == record?.version && isSameEra }
             val since = when {
                 isUnchanged -> state.unchangedSinceMillis
                 heard != null -> minOf(heard.confirmedAtMillis, nowMillis)
                 else -> nowMillis
             }
-            state.copy(record = record, unchangedSinceMillis = since)
+            state.copy(record = record, unchangedSinceMillis = since, heard = heard, era = era)
         }
     }
 
@@ -130,15 +142,18 @@
         ) {
             return false
         }
-        val record = state.record ?: return true
-        if (isRelinquished(state, record)) return true
+        val record = state.record
+        if (isOfThisEra(state) && (record == null || isRelinquished(state, record))) return true
         val waited = nowMillis - state.unchangedSinceMillis
         return waited >= times.ttlMillis + times.marginMillis
     }
 
-    /** Returns the fence with which this process would take over the lease. */
+    /**
+     * Returns the fence with which this process would take over the lease. Fences of different eras
+     * lie in different ranges, since the row no longer shows those that the store has lost.
+     */
     public fun nextFence(state: CoordinatorLeaseState.Standby): Long =
-        (state.record?.fence ?: 0) + 1
+        maxOf(state.record?.fence ?: 0, (state.era - FIRST_ERA) * FENCES_PER_ERA) + 1
 
     /**
      * Returns the state after the row was written with this process as the holder.
@@ -161,6 +176,7 @@
      * its own quiet period.
      */
     public fun canActImmediately(state: CoordinatorLeaseState.Standby): Boolean {
+        if (!isOfThisEra(state)) return false
         val record = state.record ?: return true
         return record.isOwnVm && record.isSettled
     }
@@ -205,10 +221,25 @@
         state is CoordinatorLeaseState.LeaseHolder &&
             nowMillis - state.confirmedAtMillis < times.ttlMillis
 
+    /**
+     * Returns whether the row was written in the present era, so that no holder that the store has
+     * lost can still act: the writer of the first such row waited for it.
+     */
+    private fun isOfThisEra(state: CoordinatorLeaseState.Standby): Boolean =
+        state.era <= FIRST_ERA || state.record?.era == state.era
+
     private fun isRelinquished(
         state: CoordinatorLeaseState.Standby,
         record: CoordinatorLeaseRecord
     ): Boolean = record.isReleased || state.relinquishedFence >= record.fence
 
     private fun quiet(): Long = times.quietMillis + times.marginMillis
+
+    private companion object {
+        /** A store that has lost nothing yet counts this or, if it counts no eras, 0. */
+        const val FIRST_ERA = 1L
+
+        /** More than an era can have holders, each of which waits for seconds. */
+        const val FENCES_PER_ERA = 1_000_000L
+    }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -25,6 +25,8 @@
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.residency.OrderDependencies
 import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.entry.upstream.UpstreamPolling
+import cactusfold.entry.upstream.UpstreamsRevision
 import cactusfold.node.peer.PeerClients
 import cactusfold.node.peer.PeerServer
 import cactusfold.node.time.MonotonicClock
@@ -35,6 +37,8 @@
 import cactusfold.ports.http.PlatformHttp
 import cactusfold.ports.serving.OrderAuthority
 import cactusfold.ports.serving.ServingConfig
+import cactusfold.entry.upstream.Upstream
+import cactusfold.protocol.entry.Departure
 import cactusfold.protocol.entry.FleetNotice
 import cactusfold.protocol.entry.Holdings
 import cactusfold.protocol.entry.MemberReport
@@ -85,9 +89,16 @@
 
     private var table: RouteTable? = null
     private val config =
-        ConfigWatcher(store, clock, events, bounds.keyWithdrawalMillis, ::applyConfig)
+        ConfigWatcher(
+            store,
+            clock,
+            events,
+            bounds.keyWithdrawalMillis,
+            { lease.isCoordinator },
+            ::applyConfig
+        )
     private val directory: UpstreamDirectory =
-        UpstreamDirectory(store, clock, events, settings.zone, ::upstreamPollMillis)
+        UpstreamDirectory(store, clock, events, settings.zone, ::upstreamPolling)
     private val memberRow = StoredMember.newBuilder().setVm(settings.vm).setBoot(incarnation)
         .setAddress(peerAddress.toString()).setZone(settings.zone).build()
     private val lease = CoordinatorLeaseManager(
@@ -117,12 +128,20 @@
     ) { table }
     private val coordinator =
         FleetCoordinator(
-            CoordinatorDependencies(lease, directory, loads, demand, rates, clock, events),
+            CoordinatorDependencies(lease, directory, loads, demand, rates, config, clock, events),
             store,
             dispatcher
         )
     private val coordinatorClient: CoordinatorClient =
-        CoordinatorClient(lease, peers, clock, events, ::buildReport, ::handleNotice).also {
+        CoordinatorClient(
+            lease,
+            peers,
+            clock,
+            events,
+            ::buildReport,
+            ::handleNotice,
+            config::confirmed
+        ).also {
             it.localCoordinator = coordinator
         }
     private val rateLimiter: WorkspaceRateLimiter =
@@ -141,7 +160,9 @@
             waits = waits,
             rateLimiter = rateLimiter,
             suspects = suspects,
-            sender = UpstreamSender(vertx, WireHeaders, clock),
+            sender = UpstreamSender(vertx, WireHeaders, clock) {
+                directory.recordLeaving(it.entry.id, it.entry.startedAtEpochMillis)
+            },
             translator = WireHeaders,
             retries = RetryBudgets(bounds, clock) { coordinatorClient.memberCount },
             clock = clock,
@@ -244,13 +265,13 @@
     private fun applyConfig(next: ServingConfig) {
         table = RouteTable(next)
         rates.configured()
+        coordinator.wakeMembers()
     }
 
-    /** Members poll less often than the coordinator, which notifies them of leaving upstreams. */
-    private fun upstreamPollMillis(): Long = when {
-        lease.isCoordinator -> COORDINATOR_POLL_MILLIS
-        coordinatorClient.isConnected -> CONNECTED_POLL_MILLIS
-        else -> DISCONNECTED_POLL_MILLIS
+    private fun upstreamPolling(): UpstreamPolling = when {
+        lease.isCoordinator -> UpstreamPolling.Coordinator
+        coordinatorClient.isConnected -> UpstreamPolling.Member
+        else -> UpstreamPolling.Detached
     }
 
     private fun unreadyReason(): String? = when {
@@ -261,7 +282,7 @@
         else -> null
     }
 
-    private fun buildReport(): MemberReport {
+    private fun buildReport(): MemberReport.Builder {
         val uses = directory.usable.flatMap { upstream ->
             upstream.uses.map { (use, count) ->
                 RunnerUse.newBuilder().setRunner(upstream.entry.id).setModel(use.model)
@@ -275,15 +296,24 @@
             .addAllUses(uses)
             .addAllSuspects(suspects.takeUnsent())
             .addAllUnreachable(directory.down())
-            .build()
+            .addAllDepartures(directory.leaving.map(::departureOf))
     }
 
+    private fun departureOf(upstream: Upstream): Departure = Departure.newBuilder()
+        .setUpstream(upstream.entry.id)
+        .setStartedAtEpochMillis(upstream.entry.startedAtEpochMillis ?: 0)
+        .build()
+
     private fun handleNotice(notice: FleetNotice) {
         if (notice.holdingsCount > 0) {
             notice.holdingsList.forEach(::applyHoldings)
             directory.changed()
         }
         notice.leavingList.forEach { directory.find(it)?.isLeaving = true }
+        notice.departuresList.forEach(directory::recordDeparture)
+        if (notice.upstreamsRevision > 0) {
+            directory.announced(UpstreamsRevision(notice.fence, notice.upstreamsRevision))
+        }
         notice.forecastsList.forEach(waits::forecast)
         notice.suspectsList.forEach(suspects::reported)
         rateLimiter.heard()
@@ -306,11 +336,6 @@
         const val LEASE_RENEW_INTERVAL_MILLIS = 700L
         const val LEASE_MARGIN_MILLIS = 250L
 
-        /** Intervals between polls of the upstreams; a disconnected process gets no notices. */
-        const val COORDINATOR_POLL_MILLIS = 400L
-        const val CONNECTED_POLL_MILLIS = 2_400L
-        const val DISCONNECTED_POLL_MILLIS = 800L
-
         /** The load balancer checks every second and removes a process after two failures. */
         const val BALANCER_REMOVAL_MILLIS = 2_800L
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -42,12 +42,14 @@
         response.setChunked(true)
     }
 
-    override suspend fun write(piece: Buffer) {
+    override suspend fun write(piece: Buffer): Boolean {
         val complete = splitter.add(piece)
-        if (complete.length() == 0) return
+        if (splitter.partial.length() > MAX_EVENT_BYTES) return false
+        if (complete.length() == 0) return true
         recordPiece(clock.nowMillis())
         response.write(complete)
         if (response.writeQueueFull()) awaitDrain()
+        return true
     }
 
     private fun recordPiece(nowMillis: Long) {
@@ -97,4 +99,9 @@
         response.drainHandler { drained.complete(Unit) }
         if (response.writeQueueFull()) drained.await()
     }
+
+    private companion object {
+        /** An event holds some tokens; an event without end would take all memory. */
+        const val MAX_EVENT_BYTES = 64 * 1024
+    }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -72,6 +72,10 @@
                 val nowMillis = dependencies.clock.nowMillis()
                 val sinceMillis = fullSinceMillis ?: nowMillis.also { fullSinceMillis = it }
                 val maxWaitMillis = route.targetMillis / TARGET_SHARE_DIVISOR
+                val pauseMillis = dependencies.directory.pauseMillis(candidates) ?: 0
+                if (nowMillis - sinceMillis + pauseMillis > maxWaitMillis && pauseMillis > 0) {
+                    return stopRetrying(last, "upstreams-paused", pauseMillis)
+                }
                 if (nowMillis - sinceMillis > maxWaitMillis) return stopRetrying(last, "all-full")
                 delay(FULL_RECHECK_MILLIS)
                 continue
@@ -220,10 +224,12 @@
                         upstream.recordUnreachable(nowMillis)
                         dependencies.suspects.recordDown(upstream)
                     }
-                    MISDIRECTED ->
+                    MISDIRECTED -> {
                         request.facts.model
                             ?.let { upstream.recordMissing(it, request.facts.adapter, nowMillis) }
                             ?: upstream.recordFailure(nowMillis)
+                        dependencies.directory.markOutdated()
+                    }
                     else -> upstream.recordFull(nowMillis)
                 }
             }
@@ -257,10 +263,14 @@
         return !reply.hasBegun || reply.lastEventId != null
     }
 
-    private fun stopRetrying(last: SendEnd?, reason: String): RequestOutcome = when {
+    private fun stopRetrying(
+        last: SendEnd?,
+        reason: String,
+        retryAfterMillis: Long = GIVEN_UP_RETRY_AFTER_MILLIS
+    ): RequestOutcome = when {
         reply.hasBegun -> RequestOutcome.Aborted(reason)
         last is SendEnd.Whole -> RequestOutcome.Answered(last)
-        else -> refuse(reason, GIVEN_UP_RETRY_AFTER_MILLIS)
+        else -> refuse(reason, retryAfterMillis)
     }
 
     private fun refuse(code: String, retryAfterMillis: Long?): RequestOutcome =
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -57,16 +57,25 @@
     /** Receives the status and headers, before any piece; called once for each send. */
     public fun begin(start: AnswerStart)
 
-    /** Receives a piece of the body; suspends while the caller does not read (backpressure). */
-    public suspend fun write(piece: Buffer)
+    /**
+     * Receives a piece of the body; suspends while the caller does not read (backpressure). Returns
+     * false if the stream is not one of events and has to be ended.
+     */
+    public suspend fun write(piece: Buffer): Boolean
 }
 
-/** Sends requests to upstreams over pooled HTTP/1.1 connections, without pipelining. */
+/**
+ * Sends requests to upstreams over pooled HTTP/1.1 connections, without pipelining.
+ *
+ * @param onLeaving called when an answer of an upstream says that it is shutting down.
+ */
 public class UpstreamSender(
     vertx: Vertx,
     private val translator: HeaderTranslator,
-    private val clock: MonotonicClock
+    private val clock: MonotonicClock,
+    private val onLeaving: (Upstream) -> Unit
 ) {
+    private val bodies = AnswerBodies()
     private val client: HttpClientAgent = vertx.createHttpClient(
         HttpClientOptions()
             .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
@@ -121,6 +130,8 @@
             if (facts.id != null && facts.id != upstreamRequest.id) {
                 return SendEnd.Broken("the answer belongs to request ${facts.id}")
             }
+            if (facts.isLeaving) onLeaving(upstream)
+            facts.pauseMillis?.let { upstream.recordPause(it, clock.nowMillis()) }
             if (facts.wasNotExecuted) return notRun(response, start)
             val isSuccess = start.status in SUCCESS
             if (isSuccess && !facts.isSealed) return SendEnd.Broken("an answer without a seal")
@@ -129,16 +140,14 @@
                 return relay(response, start, sink, startedAtMillis)
             }
             upstream.recordLatency(clock.nowMillis() - startedAtMillis)
-            val body = response.body()
-            response.resume()
-            return SendEnd.Whole(start, body.coAwait()).also { isComplete = true }
+            val body = bodies.read(response) ?: return SendEnd.Broken("the answer is too long")
+            isComplete = true
+            return SendEnd.Whole(start, body)
         }
 
         private suspend fun notRun(response: HttpClientResponse, start: AnswerStart): SendEnd {
-            val body = response.body()
-            response.resume()
-            body.coAwait()
-            isComplete = true
+            // The connection is closed if the rest of the answer is not worth reading.
+            isComplete = bodies.read(response) != null
             return SendEnd.NotRun("status ${start.status}", start.status)
         }
 
@@ -157,7 +166,7 @@
                 upstream.silence.dataReceived(nowMillis)
                 if (isFirst) upstream.recordLatency(nowMillis - startedAtMillis)
                 isFirst = false
-                sink.write(piece)
+                if (!sink.write(piece)) return SendEnd.Broken("an event is too long")
             }
             isComplete = true
             return SendEnd.Streamed
--- a/entry/src/main/kotlin/cactusfold/entry/config/ConfigWatcher.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/config/ConfigWatcher.kt
@@ -7,19 +7,31 @@
 import cactusfold.ports.serving.ServingConfig
 import cactusfold.ports.table.ChangeFeed
 import cactusfold.ports.table.FeedResult
+import cactusfold.protocol.entry.ConfigConfirmation
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 
 /**
  * Follows the operator's configuration in the store. An older or unreadable version never replaces
  * the version in force.
+ *
+ * The coordinator confirms to the members which version is the newest, so that they read the store
+ * only for new versions, or when the last confirmation is getting old.
+ *
+ * @param isCoordinator whether this process confirms the version for others.
  */
 public class ConfigWatcher(
     private val feed: ChangeFeed,
     private val clock: MonotonicClock,
     private val events: EventLog,
     private val keyWithdrawalMillis: Long,
+    private val isCoordinator: () -> Boolean,
     private val onChange: (ServingConfig) -> Unit
 ) {
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private var announcedVersion = Long.MIN_VALUE
+
     /** The configuration in force; null until one has been read. */
     public var current: ServingConfig? = null
         private set
@@ -36,16 +48,43 @@
     /** Returns the time since [current] was confirmed as the newest; null if it never was. */
     public fun ageMillis(nowMillis: Long): Long? = confirmedAtMillis?.let { nowMillis - it }
 
+    /** Version and age of the configuration in force, to be announced to other processes. */
+    public fun confirmation(nowMillis: Long): ConfigConfirmation? {
+        val version = current?.version ?: return null
+        val ageMillis = ageMillis(nowMillis) ?: return null
+        return ConfigConfirmation.newBuilder().setVersion(version).setAgeMillis(ageMillis).build()
+    }
+
+    /**
+     * Records that another process knew [version] to be the newest at [atMillis] or later, on this
+     * process's clock.
+     */
+    public fun confirmed(version: Long, atMillis: Long) {
+        val inForce = current?.version ?: return
+        if (version == inForce) {
+            confirmedAtMillis = maxOf(confirmedAtMillis ?: atMillis, atMillis)
+        } else if (version > maxOf(inForce, announcedVersion)) {
+            announcedVersion = version
+            wake.trySend(Unit)
+        }
+    }
+
     /** Follows the configuration until cancelled. */
     public suspend fun run() {
         var position: Long? = null
+        var era: Long? = null
         var failures = 0
         while (true) {
+            if (current != null && failures == 0 && awaitReadDue()) position = null
             val sentAtMillis = clock.nowMillis()
             val result = position?.let { feed.changes(ConfigDecoder.TABLE, it, pollMillis()) }
                 ?: feed.snapshot(ConfigDecoder.TABLE)
             when (result) {
-                is FeedResult.Changes -> {
+                is FeedResult.Changes -> if (position != null && result.era != era) {
+                    events.write("store-era", "for" to "configuration", "era" to result.era)
+                    position = null
+                } else {
+                    era = result.era
                     if (failures > 0) events.write("store-regained", "for" to "configuration")
                     failures = 0
                     position = result.position
@@ -70,8 +109,28 @@
         }
     }
 
-    /** Returns the poll duration: two polls fit into the key withdrawal bound, with a margin. */
-    private fun pollMillis(): Long = (keyWithdrawalMillis * POLL_SHARE).toLong()
+    /**
+     * Suspends until the store has to be read by this process itself. Returns whether another
+     * process confirmed the version meanwhile; the position in the feed may then be too old.
+     */
+    private suspend fun awaitReadDue(): Boolean {
+        var hasWaited = false
+        while (!isCoordinator()) {
+            val ageMillis = ageMillis(clock.nowMillis()) ?: return hasWaited
+            val leftMillis = (keyWithdrawalMillis * MAX_RELAYED_AGE_SHARE).toLong() - ageMillis
+            if (leftMillis <= 0) return hasWaited
+            hasWaited = true
+            if (withTimeoutOrNull(leftMillis) { wake.receive() } != null) return true
+        }
+        return hasWaited
+    }
+
+    /**
+     * Returns how long the store may wait for a change. The coordinator's confirmations also have
+     * to reach the members; otherwise two polls fit into the key withdrawal bound, with a margin.
+     */
+    private fun pollMillis(): Long =
+        (keyWithdrawalMillis * if (isCoordinator()) COORDINATOR_POLL_SHARE else POLL_SHARE).toLong()
 
     private fun apply(value: ByteArray) {
         when (val decoded = ConfigDecoder.decode(value)) {
@@ -96,6 +155,10 @@
 
         /** Duration of one poll as a share of the key withdrawal bound. */
         const val POLL_SHARE = 0.36
+        const val COORDINATOR_POLL_SHARE = 0.1
+
+        /** Age of the last confirmation, as a share of the bound, at which the store is read. */
+        const val MAX_RELAYED_AGE_SHARE = 0.55
         const val MISSING_CONFIG_DELAY_MILLIS = 100L
         val RETRY_DELAYS_MILLIS = listOf(50L, 100L, 200L, 400L)
     }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
@@ -23,9 +23,11 @@
     private val peers: PeerClients,
     private val clock: MonotonicClock,
     private val events: EventLog,
-    private val buildReport: () -> MemberReport,
-    private val onNotice: (FleetNotice) -> Unit
+    private val buildReport: () -> MemberReport.Builder,
+    private val onNotice: (FleetNotice) -> Unit,
+    private val onConfigConfirmed: (version: Long, atMillis: Long) -> Unit
 ) {
+    private val sentReports = SentReports()
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private var lastNoticeAtMillis = Long.MIN_VALUE / 2
 
@@ -79,7 +81,7 @@
 
     private suspend fun reportToSelf() {
         localCoordinator?.let {
-            it.report(buildReport())
+            it.report(buildReport().build())
             memberCount = it.memberCount
         }
         withTimeoutOrNull(REPORT_INTERVAL_MILLIS) { wake.receive() }
@@ -108,12 +110,26 @@
 
     private fun reports() = flow {
         while (true) {
-            emit(buildReport())
+            emit(nextReport())
             withTimeoutOrNull(REPORT_INTERVAL_MILLIS) { wake.receive() }
             delay(COALESCE_DELAY_MILLIS)
         }
     }
 
+    private fun nextReport(): MemberReport =
+        buildReport().setSequence(sentReports.next(clock.nowMillis())).build()
+
+    /**
+     * The notice was made after the report that it names was sent, and nothing is assumed about how
+     * long either of them took. Thus the version was the newest at the sending of that report, less
+     * the age of the coordinator's own confirmation.
+     */
+    private fun confirmConfig(notice: FleetNotice) {
+        if (!notice.hasConfig()) return
+        val sentAtMillis = sentReports.sentAtMillis(notice.reportSequence) ?: return
+        onConfigConfirmed(notice.config.version, sentAtMillis - notice.config.ageMillis)
+    }
+
     private fun handleNotice(notice: FleetNotice) {
         if (notice.isReleased) {
             lease.recordRelease(notice.fence)
@@ -126,6 +142,7 @@
             lease.recordRenewal(AnnouncedRenewal(notice.leaseVersion, confirmedAtMillis))
         }
         memberCount = notice.memberCount.takeIf { it > 0 }
+        confirmConfig(notice)
         onNotice(notice)
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
@@ -38,6 +38,7 @@
     private val key = RowKey(TABLE, ROW)
     private var state: CoordinatorLeaseState = CoordinatorLeaseState.Standby()
     private var isStopping = false
+    private var era = 0L
 
     /** The lease holder as last read or written; null until the lease row has been read. */
     public var coordinator: CoordinatorAddress? = null
@@ -118,6 +119,7 @@
 
     private suspend fun resolveConflict(holding: CoordinatorLeaseState.LeaseHolder) {
         val read = table.get(key)
+        if (read is ReadResult.Found) noteEra(read.era)
         if (read is ReadResult.Found && state === holding) {
             state =
                 machine.conflicted(
@@ -139,12 +141,19 @@
         if (isStopping || (isConnected() && coordinator != null)) return delay(IDLE_INTERVAL_MILLIS)
         val read = table.get(key)
         if (read is ReadResult.Found) {
-            state = machine.observed(state, decodeLease(read.value), clock.nowMillis())
+            noteEra(read.era)
+            state = machine.observed(state, decodeLease(read.value), clock.nowMillis(), read.era)
             if (machine.mayTakeOver(state, clock.nowMillis()) && !isStopping) return takeOver()
         }
         delay(MIN_READ_INTERVAL_MILLIS + Random.nextLong(MIN_READ_INTERVAL_MILLIS))
     }
 
+    private fun noteEra(read: Long) {
+        if (read == era) return
+        if (era != 0L) events.write("store-era", "for" to "lease", "era" to read, "before" to era)
+        era = read
+    }
+
     private suspend fun takeOver() {
         val watching = state as? CoordinatorLeaseState.Standby ?: return
         val fence = machine.nextFence(watching)
@@ -167,7 +176,7 @@
     }
 
     private fun leaseValue(fence: Long, isSettled: Boolean): StoredHold.Builder =
-        self.toBuilder().setFence(fence).setIsSettled(isSettled)
+        self.toBuilder().setFence(fence).setIsSettled(isSettled).setEra(era)
 
     /** Decodes the lease row. An unreadable row names no coordinator and may be taken over. */
     private fun decodeLease(row: Row?): CoordinatorLeaseRecord? {
@@ -190,7 +199,8 @@
             version = row.version,
             isReleased = isReleased,
             isOwnVm = hold.address == self.address,
-            isSettled = hold.isSettled
+            isSettled = hold.isSettled,
+            era = hold.era
         )
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.fleet
 
+import cactusfold.entry.config.ConfigWatcher
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.rate.FleetTokenBuckets
 import cactusfold.entry.residency.FleetDemand
@@ -13,11 +14,13 @@
 import cactusfold.protocol.TokenGrant
 import cactusfold.protocol.TokenRequest
 import cactusfold.protocol.entry.CoordinatorGrpcKt.CoordinatorCoroutineImplBase
+import cactusfold.protocol.entry.Departure
 import cactusfold.protocol.entry.FleetNotice
 import cactusfold.protocol.entry.Forecast
 import cactusfold.protocol.entry.HeldModel
 import cactusfold.protocol.entry.Holdings
 import cactusfold.protocol.entry.MemberReport
+import java.util.concurrent.TimeUnit
 import kotlin.coroutines.CoroutineContext
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -33,6 +36,7 @@
     public val loads: LoadCoordinator,
     public val demand: FleetDemand,
     public val rates: FleetTokenBuckets,
+    public val config: ConfigWatcher,
     public val clock: MonotonicClock,
     public val events: EventLog
 )
@@ -51,12 +55,17 @@
         val forecasts = mutableListOf<Forecast>()
         val leaving = mutableSetOf<String>()
         val suspects = mutableListOf<SuspectReport>()
+        val departures = mutableListOf<Departure>()
         val wake = Channel<Unit>(Channel.CONFLATED)
+        var reportSequence = 0L
     }
 
     private val sessions = mutableSetOf<Session>()
     private val holdingsByRunner = LinkedHashMap<String, Holdings>()
     private val announcedLeaving = mutableSetOf<String>()
+    private val announcedDepartures = mutableSetOf<Departure>()
+    private var announcedRevision = 0L
+    private val planWake = Channel<Unit>(Channel.CONFLATED)
     private var releasedFence = 0L
 
     /** Called with notices that also apply to this process's own requests. */
@@ -78,30 +87,37 @@
         dependencies.demand.record(report, dependencies.clock.nowMillis())
         dependencies.rates.heard(report.vm, report.boot)
         forwardSuspects(report)
-        if (report.demandsList.any { it.waiting > 0 }) dependencies.loads.step()
+        report.departuresList.forEach(::announceDeparture)
+        if (report.demandsList.any { it.waiting > 0 }) planWake.trySend(Unit)
     }
 
     /** Runs the planner periodically and follows the table of members, until cancelled. */
     public suspend fun run() {
         var position: Long? = null
+        var era: Long? = null
         var lastReadAtMillis = Long.MIN_VALUE / 2
         val members = mutableSetOf<String>()
         while (true) {
             if (!dependencies.lease.isCoordinator) {
                 position = null
+                era = null
                 delay(IDLE_DELAY_MILLIS)
                 continue
             }
             val sentAtMillis = dependencies.clock.nowMillis()
             if (sentAtMillis - lastReadAtMillis < MEMBERS_READ_INTERVAL_MILLIS) {
-                dependencies.loads.step()
-                delay(STEP_INTERVAL_MILLIS)
+                plan()
                 continue
             }
             lastReadAtMillis = sentAtMillis
             when (val result = readMembers(position)) {
-                is FeedResult.Changes -> {
-                    if (position == null) members.clear()
+                is FeedResult.Changes -> if (era != null && result.era != era) {
+                    // Members whose rows the store has lost still use their shares.
+                    era = result.era
+                    position = null
+                } else {
+                    if (position == null && era == null) members.clear()
+                    era = result.era
                     for (row in result.rows) {
                         if (row.value == null) members -= row.sort else members += row.sort
                     }
@@ -116,6 +132,15 @@
         }
     }
 
+    /** Plans now, and waits for new demand or the next regular plan. */
+    private suspend fun plan() {
+        val beganNanos = System.nanoTime()
+        dependencies.loads.step()
+        val tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos)
+        delay(CoordinatorPace.planPauseMillis(tookMillis))
+        withTimeoutOrNull(STEP_INTERVAL_MILLIS) { planWake.receive() }
+    }
+
     private suspend fun readMembers(position: Long?): FeedResult =
         position?.let { feed.changes(MemberRegistration.TABLE, it, 0) }
             ?: feed.snapshot(MemberRegistration.TABLE)
@@ -130,6 +155,7 @@
             requests.collect { report ->
                 val current = session ?: Session(report.vm).also { join(it) }
                 session = current
+                current.reportSequence = report.sequence
                 report(report)
             }
         }
@@ -155,6 +181,7 @@
     private fun join(session: Session) {
         session.pending.putAll(holdingsByRunner)
         session.leaving += announcedLeaving
+        session.departures += announcedDepartures
         sessions += session
         dependencies.events.write("member-attached", "member" to session.vm)
     }
@@ -168,20 +195,25 @@
     private suspend fun nextNotice(session: Session): FleetNotice {
         withTimeoutOrNull(HEARTBEAT_INTERVAL_MILLIS) { session.wake.receive() }
         // Changes often arrive in bursts; the delay combines them into one notice.
-        delay(COALESCE_DELAY_MILLIS)
+        delay(CoordinatorPace.noticeMillis(sessions.size))
         val notice = FleetNotice.newBuilder()
             .addAllHoldings(session.pending.values)
             .addAllForecasts(session.forecasts)
             .addAllSuspects(session.suspects)
             .addAllLeaving(session.leaving)
+            .addAllDepartures(session.departures)
             .setFence(dependencies.lease.fence)
             .setMemberCount(memberCount ?: 0)
+            .setReportSequence(session.reportSequence)
+            .setUpstreamsRevision(dependencies.directory.revision)
             .also(::addRenewal)
+            .also(::addConfirmation)
             .build()
         session.pending.clear()
         session.forecasts.clear()
         session.suspects.clear()
         session.leaving.clear()
+        session.departures.clear()
         return notice
     }
 
@@ -191,6 +223,13 @@
             .setLeaseAgeMillis(dependencies.clock.nowMillis() - renewal.confirmedAtMillis)
     }
 
+    private fun addConfirmation(notice: FleetNotice.Builder) {
+        dependencies.config.confirmation(dependencies.clock.nowMillis())?.let(notice::setConfig)
+    }
+
+    /** Notifies the members without delay, of a change that every notice contains. */
+    public fun wakeMembers(): Unit = sessions.forEach { it.wake.trySend(Unit) }
+
     private fun sendHoldings(upstream: Upstream) {
         val holdings = Holdings.newBuilder().setRunner(upstream.entry.id)
         upstream.adaptersByModel.forEach { (model, adapters) ->
@@ -210,6 +249,9 @@
      */
     public fun announceLeaving() {
         if (!dependencies.lease.isCoordinator) return
+        val revision = dependencies.directory.revision
+        if (revision != announcedRevision) wakeMembers()
+        announcedRevision = revision
         val leaving = dependencies.directory.takeLeaving() - announcedLeaving
         if (leaving.isEmpty()) return
         announcedLeaving += leaving
@@ -219,6 +261,16 @@
         }
     }
 
+    /** Announces a departure to all members, the first time that one of them reports it. */
+    private fun announceDeparture(departure: Departure) {
+        if (!announcedDepartures.add(departure)) return
+        dependencies.directory.recordDeparture(departure)
+        sessions.forEach {
+            it.departures += departure
+            it.wake.trySend(Unit)
+        }
+    }
+
     private fun sendForecasts(forecasts: List<Forecast>) {
         onLocalNotice(FleetNotice.newBuilder().addAllForecasts(forecasts).build())
         sessions.forEach {
@@ -239,6 +291,7 @@
     private fun handleLeaseAcquired(fence: Long) {
         holdingsByRunner.clear()
         announcedLeaving.clear()
+        announcedDepartures.clear()
         dependencies.rates.start(fence)
         dependencies.loads.start()
     }
@@ -255,7 +308,6 @@
     private companion object {
         /** Maximum interval between two notices; a notice also serves as a heartbeat. */
         const val HEARTBEAT_INTERVAL_MILLIS = 400L
-        const val COALESCE_DELAY_MILLIS = 5L
         const val STEP_INTERVAL_MILLIS = 50L
         const val IDLE_DELAY_MILLIS = 100L
 
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -34,9 +34,13 @@
     /** Measures how long the upstream has sent no data although answers are outstanding. */
     public val silence: SilenceMonitor = SilenceMonitor()
 
-    /** Whether another process reported that the upstream is draining or gone. */
+    /** Whether the upstream said in an answer, or to another process, that it is leaving. */
     public var isLeaving: Boolean = false
 
+    /** Until when the upstream has asked to be sent nothing. */
+    public var pausedUntilMillis: Long = Long.MIN_VALUE / 2
+        private set
+
     /** Whether new requests may be sent to the upstream. */
     public val isUsable: Boolean get() = !entry.isDraining && !isLeaving
 
@@ -49,6 +53,8 @@
 
     /** Applies a newer announcement; its models only if it cannot predate the last [holds]. */
     public fun updateAnnouncement(next: UpstreamEntry, nowMillis: Long) {
+        // A row that the store restored from an older copy may say that it is not draining.
+        if (entry.isDraining || next.isDraining) isLeaving = true
         entry = next
         if (nowMillis - holdingsUpdatedAtMillis >= ANNOUNCEMENT_LAG_MILLIS) {
             adaptersByModel = next.adaptersByModel
@@ -135,6 +141,12 @@
         excludedUntilMillis = maxOf(excludedUntilMillis, nowMillis + FULL_BACKOFF_MILLIS)
     }
 
+    /** Sends nothing to the upstream for [pauseMillis], as it has asked. */
+    public fun recordPause(pauseMillis: Long, nowMillis: Long) {
+        pausedUntilMillis = maxOf(pausedUntilMillis, nowMillis + pauseMillis)
+        excludedUntilMillis = maxOf(excludedUntilMillis, pausedUntilMillis)
+    }
+
     /** Returns the data on which the choice among replicas is based. */
     public fun view(nowMillis: Long): ReplicaView = ReplicaView(
         upstream = entry.id,
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -10,8 +10,11 @@
 import cactusfold.ports.table.ChangeFeed
 import cactusfold.ports.table.FeedResult
 import cactusfold.ports.table.RowChange
+import cactusfold.protocol.entry.Departure
 import kotlin.random.Random
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** Mirrors the upstreams registered in the platform's store and selects among them. */
 public class UpstreamDirectory(
@@ -19,8 +22,12 @@
     private val clock: MonotonicClock,
     private val events: EventLog,
     private val zone: String,
-    private val pollMillis: () -> Long
+    private val polling: () -> UpstreamPolling
 ) {
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private var announcedRevision: UpstreamsRevision? = null
+    private var isOutdated = true
+
     private val upstreams = LinkedHashMap<String, Upstream>()
     private val choice = ReplicaChoice(ZONE_CROSSING_MILLIS, AFFINITY_LOAD_GAP)
     private val listeners = mutableListOf<() -> Unit>()
@@ -28,6 +35,10 @@
     private val departed = mutableSetOf<String>()
     private var storeFailedAtMillis = Long.MIN_VALUE / 2
 
+    /** Number of times that an upstream joined, left or restarted, as seen by this process. */
+    public var revision: Long = 0
+        private set
+
     /** Whether the upstreams have been read at least once. */
     public var isKnown: Boolean = false
         private set
@@ -50,9 +61,8 @@
 
     /** Returns the ids of draining upstreams and of those removed since the last call. */
     public fun takeLeaving(): Set<String> {
-        val leaving = upstreams.values.filter {
-            it.entry.isDraining
-        }.mapTo(mutableSetOf()) { it.entry.id }
+        val leaving = upstreams.values.filterNot { it.isUsable }
+            .mapTo(mutableSetOf()) { it.entry.id }
         leaving += departed
         departed.clear()
         return leaving
@@ -68,6 +78,19 @@
         listeners.forEach { it() }
     }
 
+    /** Records the coordinator's [announced] revision; a new one means that rows have changed. */
+    public fun announced(announced: UpstreamsRevision) {
+        if (announced == announcedRevision) return
+        announcedRevision = announced
+        markOutdated()
+    }
+
+    /** Has the rows read soon, since what is known of an upstream has turned out to be wrong. */
+    public fun markOutdated() {
+        isOutdated = true
+        wake.trySend(Unit)
+    }
+
     /** Returns the reachable upstreams of [service] that have [model] and [adapter] loaded. */
     public fun serving(service: String, model: String?, adapter: String?): List<Upstream> {
         val nowMillis = clock.nowMillis()
@@ -103,6 +126,33 @@
         return upstreams[chosen.upstream]
     }
 
+    /**
+     * Returns the time until the first of [candidates] may be sent requests again, if all of them
+     * have asked for a pause; otherwise null.
+     */
+    public fun pauseMillis(candidates: List<Upstream>): Long? {
+        val untilMillis = candidates.minOfOrNull { it.pausedUntilMillis } ?: return null
+        return (untilMillis - clock.nowMillis()).takeIf { it > 0 }
+    }
+
+    /** Records that the start of an upstream at [startedAtEpochMillis] is leaving. */
+    public fun recordLeaving(id: String, startedAtEpochMillis: Long?) {
+        val upstream = upstreams[id] ?: return
+        if (upstream.isLeaving || upstream.entry.startedAtEpochMillis != startedAtEpochMillis) return
+        upstream.isLeaving = true
+        events.write("upstream-leaving", "upstream" to id)
+        changed()
+    }
+
+    /** Records a [departure] that another process was told of. */
+    public fun recordDeparture(departure: Departure): Unit = recordLeaving(
+        departure.upstream,
+        departure.startedAtEpochMillis.takeIf { it > 0 }
+    )
+
+    /** The upstreams that have said that they are leaving and are still registered. */
+    public val leaving: List<Upstream> get() = upstreams.values.filter { it.isLeaving }
+
     /** Periodically notifies requests at silent upstreams, until cancelled. */
     public suspend fun watchSilence() {
         var checkedAtMillis = clock.nowMillis()
@@ -121,9 +171,18 @@
     /** Keeps the registered upstreams up to date until cancelled. */
     public suspend fun run() {
         var position: Long? = null
+        var era: Long? = null
         while (true) {
+            isOutdated = false
             when (val result = read(position)) {
-                is FeedResult.Changes -> {
+                is FeedResult.Changes -> if (era != null && result.era != era) {
+                    // Rows that the store has lost are written again by their upstreams.
+                    storeFailedAtMillis = clock.nowMillis()
+                    events.write("store-era", "for" to "upstreams", "era" to result.era)
+                    era = result.era
+                    position = null
+                } else {
+                    era = result.era
                     if (position == null) replaceAll(result.rows) else result.rows.forEach(::apply)
                     position = result.position
                     isKnown = true
@@ -142,7 +201,13 @@
 
     private suspend fun awaitNextPoll() {
         val readAtMillis = clock.nowMillis()
-        while (clock.nowMillis() - readAtMillis < pollMillis()) delay(POLL_CHECK_MILLIS)
+        while (true) {
+            val intervalMillis = polling().intervalMillis(isOutdated)
+            val leftMillis = readAtMillis + intervalMillis - clock.nowMillis()
+            if (leftMillis <= 0) return
+            // The role of this process may change during the wait, without a notice.
+            withTimeoutOrNull(leftMillis.coerceAtMost(POLL_CHECK_MILLIS)) { wake.receive() }
+        }
     }
 
     private suspend fun read(position: Long?): FeedResult =
@@ -175,11 +240,13 @@
         val known = upstreams[entry.id]
         if (known == null || known.entry.startedAtEpochMillis != entry.startedAtEpochMillis) {
             upstreams[entry.id] = Upstream(entry)
+            revision++
             lastJoinedMillis = clock.nowMillis()
             events.write("upstream-new", "upstream" to entry.id, "service" to entry.service)
             return
         }
         if (entry.isDraining && !known.entry.isDraining) {
+            revision++
             events.write(
                 "upstream-draining",
                 "upstream" to entry.id,
@@ -212,6 +279,7 @@
     private fun drop(id: String) {
         missingSinceMillis.remove(id)
         departed += id
+        revision++
         if (upstreams.remove(id) != null) events.write("upstream-gone", "upstream" to id)
     }
 
@@ -222,7 +290,7 @@
         /** Additional load, as a share of slots, accepted at the upstream with affinity. */
         const val AFFINITY_LOAD_GAP = 0.1
 
-        const val POLL_CHECK_MILLIS = 50L
+        const val POLL_CHECK_MILLIS = 400L
         const val SILENCE_CHECK_MILLIS = 100L
 
         /** A gap of this length between two checks is longer than scheduling delays explain. */
--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -1,5 +1,6 @@
 package cactusfold.ports.http
 
+import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientAgent
@@ -36,7 +37,11 @@
 /** The outcome of a request. It tells whether the server may have received the request. */
 public sealed interface HttpOutcome {
     /** The complete response. */
-    public data class Answer(public val status: Int, public val body: Buffer) : HttpOutcome {
+    public data class Answer(
+        public val status: Int,
+        public val body: Buffer,
+        public val headers: MultiMap = MultiMap.caseInsensitiveMultiMap()
+    ) : HttpOutcome {
         /** Returns the body as a JSON object, or null if it is not one. */
         public fun json(): JsonObject? = try {
             body.toJsonObject()
@@ -106,7 +111,9 @@
                 // The body is requested on the event loop; later, its first chunk may be lost.
                 request.send(Buffer.buffer(call.body))
                     .compose { response ->
-                        response.body().map { HttpOutcome.Answer(response.statusCode(), it) }
+                        response.body().map {
+                            HttpOutcome.Answer(response.statusCode(), it, response.headers())
+                        }
                     }
                     .coAwait()
             } catch (e: CancellationException) {
--- a/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
@@ -51,12 +51,17 @@
  *   not accepted.
  * @property wasNotExecuted whether the upstream guarantees that it did not run the request.
  * @property load null if the response does not report it.
+ * @property isLeaving whether the upstream is shutting down and takes no new requests soon.
+ * @property pauseMillis how long the upstream asks to be sent no further requests; null if it does
+ *   not ask.
  */
 public data class ResponseMetadata(
     public val id: String?,
     public val isSealed: Boolean,
     public val wasNotExecuted: Boolean,
-    public val load: ReportedLoad?
+    public val load: ReportedLoad?,
+    public val isLeaving: Boolean = false,
+    public val pauseMillis: Long? = null
 )
 
 /**
--- a/ports/src/main/kotlin/cactusfold/ports/table/ChangeFeed.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/table/ChangeFeed.kt
@@ -22,9 +22,14 @@
      * The rows or changes that were read.
      *
      * @property position from which the next call of [ChangeFeed.changes] continues.
+     * @property era rises when the store loses recent writes; a position of an earlier era means
+     *   nothing.
      */
-    public data class Changes(public val rows: List<RowChange>, public val position: Long) :
-        FeedResult
+    public data class Changes(
+        public val rows: List<RowChange>,
+        public val position: Long,
+        public val era: Long = 0
+    ) : FeedResult
 
     /** The changes after the position are no longer retained; a new snapshot is required. */
     public data object HistoryGone : FeedResult
--- a/ports/src/main/kotlin/cactusfold/ports/table/TableStore.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/table/TableStore.kt
@@ -35,8 +35,13 @@
 
 /** The result of a read. */
 public sealed interface ReadResult<out A> {
-    /** The read succeeded. */
-    public data class Found<A>(public val value: A) : ReadResult<A>
+    /**
+     * The read succeeded.
+     *
+     * @property era rises when the store loses recent writes, and versions are then given out
+     *   again; a version of an earlier era means nothing. Always 0 with stores that lose nothing.
+     */
+    public data class Found<A>(public val value: A, public val era: Long = 0) : ReadResult<A>
 
     /** The store did not respond, or responded with an error. */
     public data class Unavailable(public val reason: String) : ReadResult<Nothing>
