--- a/decisions/src/main/kotlin/cactusfold/decisions/holding/CoordinatorLeaseMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/holding/CoordinatorLeaseMachine.kt
@@ -195,21 +195,32 @@
      * Returns the state after a renewal failed because the row had another version. If this holder
      * wrote that version and the reply was lost, only the version is updated and the lease is not
      * extended.
+     *
+     * @param isSameEra whether the store has lost no writes since the last renewal. If it has, the
+     *   row may have returned to this holder after another one took over, unless the lease is valid.
      */
     public fun conflicted(
         state: CoordinatorLeaseState.LeaseHolder,
         record: CoordinatorLeaseRecord?,
         self: String,
-        nowMillis: Long
+        nowMillis: Long,
+        isSameEra: Boolean = true
     ): CoordinatorLeaseState = if (record != null &&
         record.holder == self &&
-        record.fence == state.fence
+        record.fence == state.fence &&
+        (isSameEra || isValid(state, nowMillis))
     ) {
         state.copy(version = record.version)
     } else {
         CoordinatorLeaseState.Standby(record, nowMillis)
     }
 
+    /**
+     * Returns the state after a renewal succeeded in another era of the store than the row was last
+     * read or written in. It may have replaced the row of another holder.
+     */
+    public fun displaced(): CoordinatorLeaseState = CoordinatorLeaseState.Standby()
+
     /** Returns whether this process holds the lease and its quiet period has passed. */
     public fun mayAct(state: CoordinatorLeaseState, nowMillis: Long): Boolean =
         state is CoordinatorLeaseState.LeaseHolder &&
--- a/decisions/src/test/kotlin/cactusfold/decisions/holding/CoordinatorLeaseRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/holding/CoordinatorLeaseRandomisedTest.kt
@@ -7,9 +7,10 @@
 
 /**
  * Simulates processes that compete for one lease, stored as a row with conditional writes, while
- * processes are paused, cut off from the store and restarted and replies are lost. Actions of
- * processes on different VMs must be at least the quiet period apart, and fences must rise with
- * each new holder.
+ * processes are paused, cut off from the store and restarted and replies are lost. In the runs with
+ * a restored store, it loses the writes of some seconds at times and gives out versions again.
+ * Actions of processes on different VMs must be at least the quiet period apart, and fences must
+ * rise with each new holder.
  */
 class CoordinatorLeaseRandomisedTest {
     private val times =
@@ -17,9 +18,13 @@
 
     @Test
     fun `actions of holders on two VMs are a quiet period apart`() = Seeds.each { random ->
-        Fleet(random, times).run()
+        Fleet(random, times, restoresStore = false).run()
     }
 
+    @Test
+    fun `they are a quiet period apart when the store comes back from an older copy`() =
+        Seeds.each { random -> Fleet(random, times, restoresStore = true).run() }
+
     private class Row(var record: CoordinatorLeaseRecord?)
 
     private class Pending(
@@ -28,7 +33,14 @@
         val dueMillis: Long
     )
 
+    private class Copy(
+        val atMillis: Long,
+        val record: CoordinatorLeaseRecord?,
+        val versions: Long
+    )
+
     private class Process(val name: String) {
+        var era = 0L
         var state: CoordinatorLeaseState = CoordinatorLeaseState.Standby()
         var pausedUntil = 0L
         var disconnectedUntil = 0L
@@ -37,7 +49,13 @@
         val self get() = "$name-$incarnation"
     }
 
-    private class Fleet(private val random: Random, private val times: CoordinatorLeaseSettings) {
+    private class Fleet(
+        private val random: Random,
+        private val times: CoordinatorLeaseSettings,
+        private val restoresStore: Boolean
+    ) {
+        private val copies = ArrayDeque<Copy>()
+        private var era = 1L
         private val machine = CoordinatorLeaseMachine(times)
         private val row = Row(null)
         private val pendingWrites = mutableListOf<Pending>()
@@ -53,6 +71,7 @@
             while (now < 120_000) {
                 now += 50
                 injectFault(now)
+                if (restoresStore) restoreAtTimes(now)
                 applyLate(now)
                 processes.filter { it.pausedUntil <= now && it.nextStepMillis <= now }
                     .forEach { step(it, now) }
@@ -71,6 +90,19 @@
             }
         }
 
+        /** Keeps copies of the row, and at times puts one of them in force. */
+        private fun restoreAtTimes(now: Long) {
+            copies.addLast(Copy(now, row.record, versions))
+            while (now - copies.first().atMillis > MAX_LOST_MILLIS) copies.removeFirst()
+            if (random.nextInt(200) != 0) return
+            val copy = copies.random(random)
+            row.record = copy.record
+            versions = copy.versions
+            copies.clear()
+            copies.addLast(Copy(now, row.record, versions))
+            era++
+        }
+
         private fun applyLate(now: Long) {
             val due = pendingWrites.filter { it.dueMillis <= now }
             pendingWrites.removeAll(due)
@@ -118,7 +150,8 @@
                     state.fence,
                     0,
                     isReleasing,
-                    isSettled = isSettled
+                    isSettled = isSettled,
+                    era = process.era
                 )
             // A holder stops acting before it releases the lease.
             if (isReleasing) process.state = CoordinatorLeaseState.Standby()
@@ -130,14 +163,17 @@
             val version = write(record, state.version)
             if (isReleasing) return
             process.state = when {
+                version != null && !isLost && process.era != era -> machine.displaced()
                 version == null || isLost -> machine.conflicted(
                     state,
                     row.record,
                     process.self,
-                    now
+                    now,
+                    isSameEra = process.era == era
                 )
                 else -> machine.renewed(state, version, now)
             }
+            process.era = era
         }
 
         /** Reads the row. A process knows that the previous one on its VM has ended. */
@@ -160,7 +196,8 @@
 
         private fun watch(process: Process, now: Long) {
             hear(process)
-            val state = machine.observed(process.state, read(process), now)
+            process.era = era
+            val state = machine.observed(process.state, read(process), now, era)
             process.state = state
             if (state !is CoordinatorLeaseState.Standby || !machine.mayTakeOver(state, now)) return
             val record = CoordinatorLeaseRecord(
@@ -168,10 +205,15 @@
                 machine.nextFence(state),
                 0,
                 isReleased = false,
-                isSettled = machine.canActImmediately(state)
+                isSettled = machine.canActImmediately(state),
+                era = era
             )
             val version = write(record, state.record?.version ?: 0) ?: return
             if (random.nextInt(10) != 0) process.state = machine.took(state, version, now, now)
         }
     }
+
+    private companion object {
+        const val MAX_LOST_MILLIS = 6_000L
+    }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
@@ -109,8 +109,11 @@
         val result = table.write(listOf(RowWrite.Replace(key, holding.version, value)))
         if (state !== holding) return
         when (result) {
-            is WriteResult.Written ->
+            is WriteResult.Written -> if (result.era == era) {
                 state = machine.renewed(holding, result.version ?: holding.version, sentAtMillis)
+            } else {
+                state = machine.displaced()
+            }
             is WriteResult.Conflict, is WriteResult.Unknown -> resolveConflict(holding)
             is WriteResult.NotWritten -> delay(RETRY_DELAY_MILLIS)
         }
@@ -119,14 +122,16 @@
 
     private suspend fun resolveConflict(holding: CoordinatorLeaseState.LeaseHolder) {
         val read = table.get(key)
-        if (read is ReadResult.Found) noteEra(read.era)
         if (read is ReadResult.Found && state === holding) {
+            val isSameEra = read.era == era
+            noteEra(read.era)
             state =
                 machine.conflicted(
                     holding,
                     decodeLease(read.value),
                     self.vm + self.boot,
-                    clock.nowMillis()
+                    clock.nowMillis(),
+                    isSameEra
                 )
         }
     }
@@ -162,7 +167,10 @@
         val write = watching.record?.let { RowWrite.Replace(key, it.version, value) }
             ?: RowWrite.Insert(key, value)
         when (val result = table.write(listOf(write))) {
-            is WriteResult.Written -> {
+            // The row that was replaced is not the one that was read.
+            is WriteResult.Written -> if (result.era != watching.era) {
+                delay(Random.nextLong(RETRY_DELAY_MILLIS))
+            } else {
                 val version = result.version ?: 0
                 state = machine.took(watching, version, sentAtMillis, clock.nowMillis())
                 coordinator = CoordinatorAddress(self.vm, HostPort.parse(self.address), fence)
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/config/ConfigWatcherTest.kt
@@ -0,0 +1,94 @@
+package cactusfold.entry.config
+
+import cactusfold.entry.process.EventLog
+import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.table.ChangeFeed
+import cactusfold.ports.table.FeedResult
+import cactusfold.ports.table.RowChange
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+class ConfigWatcherTest {
+    private val clock = MonotonicClock { nowMillis }
+    private var nowMillis = 10_000L
+    private val feed = CountingFeed()
+    private val watcher = ConfigWatcher(
+        feed,
+        clock,
+        EventLog("vm", clock, linesPerSecond = 1),
+        KEY_WITHDRAWAL_MILLIS,
+        isCoordinator = { false }
+    ) {}
+
+    /** Returns the stored version from a snapshot; polls for changes stay open. */
+    private class CountingFeed : ChangeFeed {
+        var version = 1L
+        var snapshots = 0
+        var polls = 0
+
+        override suspend fun snapshot(table: String): FeedResult {
+            snapshots++
+            val text = """{"version":$version,"routes":[],"services":[]}"""
+            return FeedResult.Changes(
+                listOf(RowChange("config", version, text.toByteArray())),
+                version
+            )
+        }
+
+        override suspend fun changes(table: String, position: Long, waitMillis: Long): FeedResult {
+            polls++
+            awaitCancellation()
+        }
+    }
+
+    private fun watching(check: suspend () -> Unit): Unit = runBlocking {
+        val watch: Job = launch(start = CoroutineStart.UNDISPATCHED) { watcher.run() }
+        check()
+        watch.cancel()
+    }
+
+    @Nested
+    inner class ConfirmedByTheCoordinator {
+        @Test
+        fun `a confirmation counts from the time that it proves, without reading the store`() =
+            watching {
+                watcher.confirmed(version = 1, atMillis = nowMillis + 1_000)
+                nowMillis += 5_000
+                assertTrue(watcher.isFresh(nowMillis))
+                nowMillis += 1_000
+                assertFalse(watcher.isFresh(nowMillis))
+                assertEquals(1 to 0, feed.snapshots to feed.polls)
+            }
+
+        @Test
+        fun `an older confirmation does not shorten the present one`() = watching {
+            watcher.confirmed(version = 1, atMillis = nowMillis - 4_000)
+            nowMillis += 4_000
+            assertTrue(watcher.isFresh(nowMillis))
+        }
+
+        @Test
+        fun `a newer version is read at once, and its announcement confirms nothing`() = watching {
+            feed.version = 2
+            watcher.confirmed(version = 2, atMillis = nowMillis + 4_000)
+            delay(PAUSE_MILLIS)
+            assertEquals(2, watcher.current?.version)
+            assertEquals(2 to 0, feed.snapshots to feed.polls)
+            assertEquals(0, watcher.ageMillis(nowMillis))
+        }
+    }
+
+    private companion object {
+        const val KEY_WITHDRAWAL_MILLIS = 5_000L
+        const val PAUSE_MILLIS = 50L
+    }
+}
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryPathTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryPathTest.kt
@@ -139,6 +139,93 @@
         }
     }
 
+    @Nested
+    inner class LeavingAndPausedUpstreams {
+        @Test
+        fun `an upstream that says it leaves gets no further requests, its next start does`() {
+            desk.behavior = RunnerBehavior.LEAVES
+            assertEquals(200, fixture.caller.call("/look/x").statusCode())
+            assertEquals(503, fixture.caller.call("/look/x").statusCode())
+            assertEquals(1, desk.ran.size)
+            desk.behavior = RunnerBehavior.NORMAL
+            fixture.operator.register("i-3", desk.apply { restarted() }, "desk")
+            eventually("the next start gets no requests") {
+                fixture.caller.call("/look/x").statusCode() == 200
+            }
+        }
+
+        @Test
+        fun `an upstream that asks for a pause is sent nothing, and callers learn its length`() {
+            desk.behavior = RunnerBehavior.ASKS_FOR_PAUSE
+            val refused = List(5) { fixture.caller.call("/book/x") }
+            assertEquals(setOf(503), refused.map { it.statusCode() }.toSet())
+            assertEquals(1, desk.refusedForPause.get())
+            val retryAfter = refused.last().headers().firstValue("Retry-After").get().toDouble()
+            assertTrue(retryAfter in 1.0..2.0, "$retryAfter s")
+        }
+    }
+
+    @Nested
+    inner class AnswersWithoutEnd {
+        @Test
+        fun `a body without end is cut off and not passed on`() {
+            desk.behavior = RunnerBehavior.SENDS_WITHOUT_END
+            assertEquals(502, fixture.caller.call("/book/x").statusCode())
+            desk.behavior = RunnerBehavior.NORMAL
+            eventually("later requests fail") {
+                fixture.caller.call("/book/x").statusCode() == 200
+            }
+        }
+
+        @Test
+        fun `an event without end is cut off, and the stream runs on another runner`() {
+            first.behavior = RunnerBehavior.SENDS_WITHOUT_END
+            repeat(6) {
+                val answer = runCatching { fixture.caller.call("/draft/x", model = "warm").body() }
+                assertTrue(answer.isFailure || answer.getOrThrow() == whole)
+            }
+            assertTrue(second.ran.isNotEmpty())
+        }
+    }
+
+    @Nested
+    inner class StoreRestoredFromOlderCopy {
+        @Test
+        fun `a configuration written after the restore comes in force, an older one does not`() {
+            val kept = fixture.store.lastVersion
+            fixture.operator.configure(version = 2, keys = listOf("key-2"))
+            eventually("configuration not in force") {
+                fixture.caller.call("/look/x", key = "key-2").statusCode() == 200
+            }
+            fixture.store.restore(kept)
+            repeat(20) {
+                assertEquals(401, fixture.caller.call("/look/x", key = "key-1").statusCode())
+                Thread.sleep(50)
+            }
+            fixture.operator.configure(version = 2, keys = listOf("key-2"))
+            fixture.operator.configure(version = 3, keys = listOf("key-3"))
+            eventually("new configuration not in force") {
+                fixture.caller.call("/look/x", key = "key-3").statusCode() == 200
+            }
+        }
+
+        @Test
+        fun `upstreams whose rows were lost are kept until they are written again`() {
+            val kept = fixture.store.lastVersion
+            val late = fixture.runner("i-4", "desk")
+            eventually("new upstream gets no requests") {
+                fixture.caller.call("/look/x")
+                late.ran.isNotEmpty()
+            }
+            fixture.store.restore(kept)
+            fixture.operator.register("i-4", late, "desk")
+            repeat(40) {
+                assertEquals(200, fixture.caller.call("/look/x").statusCode())
+                Thread.sleep(25)
+            }
+        }
+    }
+
     @Nested
     inner class Changes {
         @Test
--- a/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.entry.upstream.UpstreamPolling
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.table.ChangeFeed
 import cactusfold.ports.table.FeedResult
@@ -23,7 +24,9 @@
 
     private val clock = MonotonicClock { 10_000 }
     private val directory =
-        UpstreamDirectory(NoFeed, clock, EventLog("vm", clock, linesPerSecond = 1), "z") { 1_000 }
+        UpstreamDirectory(NoFeed, clock, EventLog("vm", clock, linesPerSecond = 1), "z") {
+            UpstreamPolling.Detached
+        }
     private val queue = ModelWaitQueue(directory, clock) {}
 
     private fun forecast(readyInMillis: Long): Forecast =
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
@@ -37,6 +37,24 @@
         }
     }
 
+    @Nested
+    inner class Leaving {
+        @Test
+        fun `an upstream that was announced as draining stays so for this start`() {
+            upstream.updateAnnouncement(entry.copy(isDraining = true), nowMillis = 1_000)
+            upstream.updateAnnouncement(entry, nowMillis = 2_000)
+            assertFalse(upstream.isUsable, "the store may be restored from an older copy")
+        }
+
+        @Test
+        fun `an upstream is available again after the longest pause that it asked for`() {
+            upstream.recordPause(3_000, nowMillis = 1_000)
+            upstream.recordPause(500, nowMillis = 1_100)
+            assertFalse(upstream.isAvailable(3_999))
+            assertTrue(upstream.isAvailable(4_000))
+        }
+    }
+
     @Nested
     inner class Failures {
         @Test
--- a/ports/src/main/kotlin/cactusfold/ports/table/TableStore.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/table/TableStore.kt
@@ -51,8 +51,10 @@
 public sealed interface WriteResult {
     /**
      * All writes took effect. [version] is that of the rows; null if the store does not report it.
+     * The conditions were met in [era], perhaps by other writes than the caller has read.
      */
-    public data class Written(public val version: Long? = null) : WriteResult
+    public data class Written(public val version: Long? = null, public val era: Long = 0) :
+        WriteResult
 
     /** No write took effect: the condition of the write at [index] was not met. */
     public data class Conflict(public val index: Int) : WriteResult
