--- a/decisions/src/main/kotlin/cactusfold/decisions/holding/CoordinatorLeaseMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/holding/CoordinatorLeaseMachine.kt
@@ -27,8 +27,13 @@
  *
  * @property version version of the row that the holder wrote last.
  * @property confirmedAtMillis a time no earlier than the sending of that write.
+ * @property era the store's era in which [version] is that of the row.
  */
-public data class AnnouncedRenewal(public val version: Long, public val confirmedAtMillis: Long)
+public data class AnnouncedRenewal(
+    public val version: Long,
+    public val confirmedAtMillis: Long,
+    public val era: Long = 0
+)
 
 /** The state of the coordinator lease from the point of view of one process. */
 public sealed interface CoordinatorLeaseState {
@@ -107,7 +112,7 @@
             val isUnchanged = state.unchangedSinceMillis != null && state.record == record &&
                 isSameEra
             // Versions of an earlier era are given out again, to other writes.
-            val heard = state.heard?.takeIf { it.version == record?.version && isSameEra }
+            val heard = state.heard?.takeIf { it.version == record?.version && it.era == era }
             val since = when {
                 isUnchanged -> state.unchangedSinceMillis
                 heard != null -> minOf(heard.confirmedAtMillis, nowMillis)
@@ -150,10 +155,16 @@
 
     /**
      * Returns the fence with which this process would take over the lease. Fences of different eras
-     * lie in different ranges, since the row no longer shows those that the store has lost.
+     * lie in different ranges, since the row no longer shows those that the store has lost. Within
+     * a range they follow the version of the row that is replaced: a write that was sent in an
+     * earlier era may still take effect and put an older fence into the row.
      */
-    public fun nextFence(state: CoordinatorLeaseState.Standby): Long =
-        maxOf(state.record?.fence ?: 0, (state.era - FIRST_ERA) * FENCES_PER_ERA) + 1
+    public fun nextFence(state: CoordinatorLeaseState.Standby): Long {
+        val last = state.record?.fence ?: 0
+        if (state.era <= FIRST_ERA) return last + 1
+        val rangeStart = (state.era - FIRST_ERA) * FENCES_PER_ERA
+        return maxOf(last, rangeStart + (state.record?.version ?: 0)) + 1
+    }
 
     /**
      * Returns the state after the row was written with this process as the holder.
@@ -250,7 +261,7 @@
         /** A store that has lost nothing yet counts this or, if it counts no eras, 0. */
         const val FIRST_ERA = 1L
 
-        /** More than an era can have holders, each of which waits for seconds. */
-        const val FENCES_PER_ERA = 1_000_000L
+        /** More than the store can give out versions. */
+        const val FENCES_PER_ERA = 1_000_000_000_000L
     }
 }
--- a/decisions/src/test/kotlin/cactusfold/decisions/holding/CoordinatorLeaseRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/holding/CoordinatorLeaseRandomisedTest.kt
@@ -186,11 +186,10 @@
         /** In one of three cases delivers the announcement of a holder's last renewal. */
         private fun hear(process: Process) {
             if (random.nextInt(3) != 0) return
-            val leaseHolders = processes.map {
-                it.state
-            }.filterIsInstance<CoordinatorLeaseState.LeaseHolder>()
-            val announcing = leaseHolders.randomOrNull(random) ?: return
-            val renewal = AnnouncedRenewal(announcing.version, announcing.confirmedAtMillis)
+            val announcing = processes.filter { it.state is CoordinatorLeaseState.LeaseHolder }
+                .randomOrNull(random) ?: return
+            val held = announcing.state as CoordinatorLeaseState.LeaseHolder
+            val renewal = AnnouncedRenewal(held.version, held.confirmedAtMillis, announcing.era)
             process.state = machine.heard(process.state, renewal)
         }
 
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
@@ -139,7 +139,9 @@
         lastNoticeAtMillis = clock.nowMillis()
         if (notice.leaseVersion > 0) {
             val confirmedAtMillis = lastNoticeAtMillis - notice.leaseAgeMillis
-            lease.recordRenewal(AnnouncedRenewal(notice.leaseVersion, confirmedAtMillis))
+            lease.recordRenewal(
+                AnnouncedRenewal(notice.leaseVersion, confirmedAtMillis, notice.leaseEra)
+            )
         }
         memberCount = notice.memberCount.takeIf { it > 0 }
         confirmConfig(notice)
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
@@ -65,7 +65,7 @@
     /** The last renewal by this process, sent to members; null if it is not the coordinator. */
     public val renewal: AnnouncedRenewal?
         get() = (state as? CoordinatorLeaseState.LeaseHolder)?.let {
-            AnnouncedRenewal(it.version, it.confirmedAtMillis)
+            AnnouncedRenewal(it.version, it.confirmedAtMillis, era)
         }
 
     /** Records the last lease renewal that the coordinator announced. */
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -220,6 +220,7 @@
     private fun addRenewal(notice: FleetNotice.Builder) {
         val renewal = dependencies.lease.renewal ?: return
         notice.setLeaseVersion(renewal.version)
+            .setLeaseEra(renewal.era)
             .setLeaseAgeMillis(dependencies.clock.nowMillis() - renewal.confirmedAtMillis)
     }
 
