--- a/decisions/src/main/kotlin/cactusfold/decisions/holding/CoordinatorLeaseMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/holding/CoordinatorLeaseMachine.kt
@@ -109,7 +109,8 @@
         is CoordinatorLeaseState.LeaseHolder -> state
         is CoordinatorLeaseState.Standby -> {
             val isSameEra = state.era == era
-            val isUnchanged = state.unchangedSinceMillis != null && state.record == record &&
+            val isUnchanged = state.unchangedSinceMillis != null &&
+                state.record == record &&
                 isSameEra
             // Versions of an earlier era are given out again, to other writes.
             val heard = state.heard?.takeIf { it.version == record?.version && it.era == era }
--- a/decisions/src/test/kotlin/cactusfold/decisions/holding/CoordinatorLeaseRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/holding/CoordinatorLeaseRandomisedTest.kt
@@ -33,11 +33,7 @@
         val dueMillis: Long
     )
 
-    private class Copy(
-        val atMillis: Long,
-        val record: CoordinatorLeaseRecord?,
-        val versions: Long
-    )
+    private class Copy(val atMillis: Long, val record: CoordinatorLeaseRecord?, val versions: Long)
 
     private class Process(val name: String) {
         var era = 0L
--- a/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
@@ -40,7 +40,9 @@
     @Option(names = ["--check"], description = ["Checks the settings and ends."])
     private var isCheck: Boolean = false
 
-    override fun call(): Int = EntryProgram(configFile).let { if (isCheck) it.check() else it.run() }
+    override fun call(): Int = EntryProgram(configFile).let {
+        if (isCheck) it.check() else it.run()
+    }
 }
 
 /** Runs an entry process with the settings in [configFile]. */
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -24,6 +24,7 @@
 import cactusfold.entry.residency.LoadCoordinator
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.residency.OrderDependencies
+import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamPolling
 import cactusfold.entry.upstream.UpstreamsRevision
@@ -37,7 +38,6 @@
 import cactusfold.ports.http.PlatformHttp
 import cactusfold.ports.serving.OrderAuthority
 import cactusfold.ports.serving.ServingConfig
-import cactusfold.entry.upstream.Upstream
 import cactusfold.protocol.entry.Departure
 import cactusfold.protocol.entry.FleetNotice
 import cactusfold.protocol.entry.Holdings
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -138,7 +138,11 @@
     /** Records that the start of an upstream at [startedAtEpochMillis] is leaving. */
     public fun recordLeaving(id: String, startedAtEpochMillis: Long?) {
         val upstream = upstreams[id] ?: return
-        if (upstream.isLeaving || upstream.entry.startedAtEpochMillis != startedAtEpochMillis) return
+        if (upstream.isLeaving ||
+            upstream.entry.startedAtEpochMillis != startedAtEpochMillis
+        ) {
+            return
+        }
         upstream.isLeaving = true
         events.write("upstream-leaving", "upstream" to id)
         changed()
--- a/training/src/main/kotlin/cactusfold/training/TrainingPlatform.kt
+++ b/training/src/main/kotlin/cactusfold/training/TrainingPlatform.kt
@@ -66,7 +66,11 @@
     }
 
     private fun callOnce(caller: CallerStandin) {
-        for (model in listOf("warm", "cold", "other")) attempt { caller.call("/draft/a", "key-1", model) }
+        for (model in listOf("warm", "cold", "other")) {
+            attempt {
+                caller.call("/draft/a", "key-1", model)
+            }
+        }
         for (path in listOf("/book/a", "/look/a", "/none/a")) attempt { caller.call(path) }
         attempt { caller.call("/look/a", key = "unknown") }
         Thread.sleep(PAUSE_MILLIS)
