Coordinator lost: requests wait for the next one, members keep slow connections, a known VM spends its reserve at once

Change: ReconnectPatience keeps a silent connection longer each time that one failed soon; the member falls back to the store meanwhile as before. A VM that was registered before uses its reserve at once.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -201,8 +201,9 @@
         keepRunning("coordinator") { coordinator.run() }
         keepRunning("link") { coordinatorClient.run() }
         scope.launch {
-            MemberRegistration(store, memberRow).register()
-            rateLimiter.isRegistered = true
+            val registration = MemberRegistration(store, memberRow).register()
+            coordinatorClient.registered(registration)
+            rateLimiter.registered(registration.wasRegistered)
         }
         status.start(settings.ready, HostPort(settings.address, settings.metricsPort))
         while (config.current == null) delay(CONFIG_CHECK_INTERVAL_MILLIS)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestAdmission.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestAdmission.kt
@@ -79,11 +79,14 @@
             request.arrivedAtMillis + route.targetMillis / TARGET_SHARE_DIVISOR
         val tokens = costOf(workspace)
         val untilMillis = minOf(deadlineAtMillis, targetWaitEndsAtMillis)
+        val limitWaitEndsAtMillis = request.arrivedAtMillis +
+            (deadlineAtMillis - request.arrivedAtMillis) / LIMIT_SHARE_DIVISOR
         return when (
             val decision = dependencies.rateLimiter.admit(
                 workspace,
                 tokens,
-                untilMillis
+                untilMillis,
+                maxOf(untilMillis, limitWaitEndsAtMillis)
             )
         ) {
             RateDecision.Admitted -> null
@@ -119,6 +122,13 @@
 
         /** A request waits for tokens for at most the latency target divided by this. */
         const val TARGET_SHARE_DIVISOR = 2
+
+        /**
+         * While no coordinator decides about rates, a request waits for at most its time limit
+         * divided by this. Another coordinator takes over within seconds, and callers retry only a
+         * few times.
+         */
+        const val LIMIT_SHARE_DIVISOR = 4
         const val STARTING_RETRY_AFTER_MILLIS = 500L
 
         /** Retry delay while keys or rates cannot be checked. */
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
@@ -29,6 +29,7 @@
 ) {
     private val sentReports = SentReports()
     private val wake = Channel<Unit>(Channel.CONFLATED)
+    private val patience = ReconnectPatience()
     private var lastNoticeAtMillis = Long.MIN_VALUE / 2
 
     /** The coordinator in this process, called directly instead of over the network. */
@@ -38,6 +39,11 @@
     public var memberCount: Int? = null
         private set
 
+    /** Records the number of members as of this process's [registration]. */
+    public fun registered(registration: Registration) {
+        memberCount = memberCount ?: registration.memberCount
+    }
+
     /** Whether the last notice is recent enough, or this process is the coordinator itself. */
     public val isConnected: Boolean
         get() = lease.isCoordinator ||
@@ -93,8 +99,9 @@
                 val stub = CoordinatorCoroutineStub(peers.channel(target.address))
                 lastNoticeAtMillis =
                     clock.nowMillis() - NOTICE_TIMEOUT_MILLIS + CONNECT_TIMEOUT_MILLIS
+                patience.started(clock.nowMillis())
                 val reading = launch { stub.attach(reports()).collect(::handleNotice) }
-                while (reading.isActive && isConnected && !lease.isCoordinator) delay(CHECK_MILLIS)
+                while (reading.isActive && isWorthKeeping(target)) delay(CHECK_MILLIS)
                 reading.cancel()
             }
         } catch (e: StatusException) {
@@ -108,6 +115,11 @@
         delay(RETRY_DELAY_MILLIS)
     }
 
+    /** A new connection costs the coordinator more than a slow one, so it is not given up soon. */
+    private fun isWorthKeeping(target: CoordinatorAddress): Boolean = !lease.isCoordinator &&
+        lease.coordinator?.address == target.address &&
+        !patience.isExhausted(clock.nowMillis())
+
     private fun reports() = flow {
         while (true) {
             emit(nextReport())
@@ -137,6 +149,7 @@
             return
         }
         lastNoticeAtMillis = clock.nowMillis()
+        patience.heard(lastNoticeAtMillis)
         if (notice.leaseVersion > 0) {
             val confirmedAtMillis = lastNoticeAtMillis - notice.leaseAgeMillis
             lease.recordRenewal(
@@ -158,6 +171,6 @@
         const val NOTICE_TIMEOUT_MILLIS = 1_300L
         const val CONNECT_TIMEOUT_MILLIS = 600L
         const val RETRY_DELAY_MILLIS = 150L
-        const val TOKEN_REQUEST_TIMEOUT_MILLIS = 300L
+        const val TOKEN_REQUEST_TIMEOUT_MILLIS = 700L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/rate/WorkspaceRateLimiter.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/WorkspaceRateLimiter.kt
@@ -37,14 +37,24 @@
     private val ask: suspend (TokenRequest) -> TokenGrant?
 ) {
     private val states = HashMap<String, TokenGrantState>()
-    private val createdAtMillis = clock.nowMillis()
+    private var reservesFromMillis = clock.nowMillis() + REGISTRATION_DELAY_MILLIS
 
     /** [REGISTRATION_DELAY_MILLIS] takes the place of the wait for a fresh registry. */
     private var settings = sharedGrantSettings.copy(registryFreshMillis = 0)
     private var spender = TokenGrantSpender(settings)
 
-    /** Whether this process is registered, so that the coordinator sets a reserve aside for it. */
-    public var isRegistered: Boolean = false
+    private var isRegistered = false
+
+    /**
+     * Records that this process is registered, so that the coordinator sets a reserve aside for it:
+     * at once if its VM [wasRegistered] before, else once the members have been read again.
+     */
+    public fun registered(wasRegistered: Boolean) {
+        isRegistered = true
+        val nowMillis = clock.nowMillis()
+        reservesFromMillis = if (wasRegistered) nowMillis else nowMillis + REGISTRATION_DELAY_MILLIS
+        states.clear()
+    }
 
     /** Records contact with the coordinator, which suspends the use of the reserves. */
     public fun heard() {
@@ -52,11 +62,15 @@
         states.replaceAll { _, state -> spender.contacted(state, nowMillis) }
     }
 
-    /** Takes [tokens] from the rate of [workspace], waiting for them until [untilMillis]. */
+    /**
+     * Takes [tokens] from the rate of [workspace], waiting for them until [untilMillis]. While no
+     * coordinator decides, for instance between two of them, it waits until [undecidedUntilMillis].
+     */
     public suspend fun admit(
         workspace: ServingWorkspace,
         tokens: Long,
-        untilMillis: Long
+        untilMillis: Long,
+        undecidedUntilMillis: Long = untilMillis
     ): RateDecision {
         val rate = workspace.ratePerSecond ?: return RateDecision.Admitted
         val limit = RateLimit(rate, workspace.burst)
@@ -64,11 +78,7 @@
         do {
             if (trySpend(workspace.name, limit, tokens)) return RateDecision.Admitted
             val grant = ask(requestOf(workspace.name, tokens))
-            if (grant == null) {
-                delay(RETRY_MILLIS)
-                continue
-            }
-            when (grant.outcome) {
+            when (grant?.outcome) {
                 TokenGrant.Outcome.GRANTED -> {
                     recordContact(workspace.name)
                     return RateDecision.Admitted
@@ -83,7 +93,9 @@
                 }
                 else -> delay(RETRY_MILLIS)
             }
-        } while (clock.nowMillis() < untilMillis)
+            val limitMillis =
+                if (refusal == RateDecision.Unknown) undecidedUntilMillis else untilMillis
+        } while (clock.nowMillis() < limitMillis)
         return if (trySpend(workspace.name, limit, tokens)) RateDecision.Admitted else refusal
     }
 
@@ -92,7 +104,7 @@
         val mayUseReserve = isRegistered && sizeReserve()
         val before =
             states[workspace]?.let { if (it.limit == limit) it else it.copy(limit = limit) }
-                ?: spender.start(limit, createdAtMillis + REGISTRATION_DELAY_MILLIS)
+                ?: spender.start(limit, reservesFromMillis)
         val step = spender.spend(before, tokens, clock.nowMillis(), mayUseReserve)
         states[workspace] = step.state
         return when (step.outcome) {
@@ -118,7 +130,8 @@
         .build()
 
     private fun recordContact(workspace: String) {
-        states[workspace] = spender.contacted(states.getValue(workspace), clock.nowMillis())
+        val state = states[workspace] ?: return
+        states[workspace] = spender.contacted(state, clock.nowMillis())
     }
 
     private companion object {
@@ -126,7 +139,7 @@
         const val MIN_ROUTER_SLOTS = 4
 
         /**
-         * Time after the start of this process by which every coordinator's list of members
+         * Time after the registration of this process by which every coordinator's list of members
          * includes it.
          */
         const val REGISTRATION_DELAY_MILLIS = 8_000L
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/rate/CoordinatorLostRateTest.kt
@@ -0,0 +1,82 @@
+package cactusfold.entry.rate
+
+import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.ServingWorkspace
+import cactusfold.protocol.TokenGrant
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+/** Load while one coordinator is lost and another one takes over: nobody decides about rates. */
+class CoordinatorLostRateTest {
+    private val clock = MonotonicClock.SYSTEM
+    private val workspace = ServingWorkspace(
+        name = "w",
+        keys = persistentListOf("key-1"),
+        priority = null,
+        isRateInTokens = true,
+        defaultRequestTokens = 10,
+        ratePerSecond = 1_000.0,
+        burst = 1_000.0
+    )
+    private var asked = 0
+
+    private fun limiter(answer: (Int) -> TokenGrant?) =
+        WorkspaceRateLimiter("vm1", "boot", clock, { 142 }) { answer(asked++) }
+
+    private fun grant(outcome: TokenGrant.Outcome, retryAfterMillis: Long = 0): TokenGrant =
+        TokenGrant.newBuilder().setOutcome(outcome).setRetryAfterMillis(retryAfterMillis).build()
+
+    private fun admit(limiter: WorkspaceRateLimiter): RateDecision = runBlocking {
+        val nowMillis = clock.nowMillis()
+        limiter.admit(workspace, 500, nowMillis + TARGET_MILLIS, nowMillis + UNDECIDED_MILLIS)
+    }
+
+    @Nested
+    inner class WhileNobodyDecides {
+        @Test
+        fun `a request waits beyond its target and runs once there is a coordinator`() {
+            val startedAtMillis = clock.nowMillis()
+            val limiter = limiter {
+                val isLost = clock.nowMillis() - startedAtMillis < TARGET_MILLIS * 2
+                if (isLost) null else grant(TokenGrant.Outcome.GRANTED)
+            }
+            assertEquals(RateDecision.Admitted, admit(limiter))
+        }
+
+        @Test
+        fun `a request is refused when its wait ends`() {
+            assertEquals(RateDecision.Unknown, admit(limiter { null }))
+        }
+    }
+
+    @Nested
+    inner class Decided {
+        @Test
+        fun `a request over the rate does not wait beyond its target`() {
+            val startedAtMillis = clock.nowMillis()
+            val refused = admit(limiter { grant(TokenGrant.Outcome.WAIT, TARGET_MILLIS * 2) })
+            assertIs<RateDecision.OverRate>(refused)
+            assertTrue(clock.nowMillis() - startedAtMillis < TARGET_MILLIS)
+        }
+
+        @Test
+        fun `a registration that ends during a request for tokens does not disturb it`() {
+            lateinit var limiter: WorkspaceRateLimiter
+            limiter = limiter {
+                limiter.registered(wasRegistered = false)
+                grant(TokenGrant.Outcome.GRANTED)
+            }
+            assertEquals(RateDecision.Admitted, admit(limiter))
+        }
+    }
+
+    private companion object {
+        const val TARGET_MILLIS = 100L
+        const val UNDECIDED_MILLIS = 600L
+    }
+}
--- a/training/src/main/kotlin/cactusfold/training/TrainingPlatform.kt
+++ b/training/src/main/kotlin/cactusfold/training/TrainingPlatform.kt
@@ -30,7 +30,7 @@
     @Option(
         names = ["--caller-ports"],
         split = ",",
-        description = ["Ports at which entry processes accept callers; without any, none are called."]
+        description = ["Ports of the entry processes for callers. Without any, none are called."]
     )
     private var callerPorts: List<Int> = emptyList()
 
