--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -31,6 +31,7 @@
 ) {
     private val requestsJob = SupervisorJob(scope.coroutineContext[Job])
     private var server: HttpServer? = null
+    private var isStopping = false
 
     /** Whether connections are closed after their next response, while the process drains. */
     public var isLeaving: Boolean = false
@@ -58,9 +59,11 @@
             .coAwait()
     }
 
-    /** Cancels the requests in progress and stops listening. */
+    /** Ends the requests in progress, each with an answer, and stops listening. */
     public suspend fun stop() {
+        isStopping = true
         requestsJob.cancel()
+        withTimeoutOrNull(ANSWER_TIMEOUT_MILLIS) { requestsJob.join() }
         server?.close()?.coAwait()
     }
 
@@ -113,7 +116,11 @@
         val outcome = try {
             withTimeoutOrNull(timeoutOf(read)) { flow.serve() } ?: timeoutOutcome(flow, reply)
         } catch (e: CancellationException) {
-            recordEnd(read, reply, "caller-left")
+            if (isStopping) {
+                finish(read, reply, stoppedOutcome(flow, reply))
+            } else {
+                recordEnd(read, reply, "caller-left")
+            }
             throw e
         }
         finish(read, reply, outcome)
@@ -135,6 +142,12 @@
         else -> RequestOutcome.Failed(ErrorAnswer.NotRun("timed-out", null))
     }
 
+    private fun stoppedOutcome(flow: RequestFlow, reply: CallerReply): RequestOutcome = when {
+        reply.hasBegun -> RequestOutcome.Aborted("stopping")
+        flow.isUncertain -> RequestOutcome.Failed(ErrorAnswer.MayHaveRun("stopping"))
+        else -> RequestOutcome.Failed(ErrorAnswer.NotRun("stopping", STOPPING_RETRY_AFTER_MILLIS))
+    }
+
     private fun finish(request: CallerRequest, reply: CallerReply, outcome: RequestOutcome) {
         when (outcome) {
             is RequestOutcome.Answered -> {
@@ -191,6 +204,9 @@
         const val UNROUTED_TIMEOUT_MILLIS = 1_000L
         const val STOPPING_RETRY_AFTER_MILLIS = 100L
 
+        /** Answers are written at once; this only bounds the wait if the process is starved. */
+        const val ANSWER_TIMEOUT_MILLIS = 300L
+
         /**
          * Factor on the configured idle timeout: callers reuse connections until shortly before it
          * expires, and closing one then would race with a request on its way.
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
@@ -124,7 +124,7 @@
         while (true) {
             emit(nextReport())
             withTimeoutOrNull(REPORT_INTERVAL_MILLIS) { wake.receive() }
-            delay(COALESCE_DELAY_MILLIS)
+            delay(CoordinatorPace.reportMillis(memberCount))
         }
     }
 
@@ -164,7 +164,6 @@
     private companion object {
         /** Maximum interval between two reports. */
         const val REPORT_INTERVAL_MILLIS = 400L
-        const val COALESCE_DELAY_MILLIS = 10L
         const val CHECK_MILLIS = 100L
 
         /** Silence after which the coordinator counts as lost: three notice intervals. */
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorPace.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorPace.kt
@@ -9,6 +9,10 @@
     fun noticeMillis(members: Int): Long =
         members.toLong().coerceIn(MIN_NOTICE_MILLIS, MAX_NOTICE_MILLIS)
 
+    /** Returns how long a member collects changes before it sends a report. */
+    fun reportMillis(members: Int?): Long =
+        noticeMillis(members ?: 0).coerceAtLeast(MIN_REPORT_MILLIS)
+
     /** Returns the pause after a plan that took [tookMillis]; planning takes up to a fifth. */
     fun planPauseMillis(tookMillis: Long): Long =
         (tookMillis * PLAN_PAUSE_FACTOR).coerceIn(MIN_PLAN_PAUSE_MILLIS, MAX_PLAN_PAUSE_MILLIS)
@@ -17,6 +21,7 @@
 
     /** Members learn of a loaded model within this time. */
     private const val MAX_NOTICE_MILLIS = 100L
+    private const val MIN_REPORT_MILLIS = 10L
     private const val PLAN_PAUSE_FACTOR = 4
 
     /** Requests for several models often arrive together; one plan then covers them. */
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -138,7 +138,7 @@
         dependencies.loads.step()
         val tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos)
         delay(CoordinatorPace.planPauseMillis(tookMillis))
-        withTimeoutOrNull(STEP_INTERVAL_MILLIS) { planWake.receive() }
+        withTimeoutOrNull(PLAN_INTERVAL_MILLIS) { planWake.receive() }
     }
 
     private suspend fun readMembers(position: Long?): FeedResult =
@@ -162,7 +162,7 @@
         try {
             while (reader.isActive && dependencies.lease.isCoordinator) {
                 val current = session
-                if (current == null) delay(STEP_INTERVAL_MILLIS) else send(nextNotice(current))
+                if (current == null) delay(SESSION_CHECK_MILLIS) else send(nextNotice(current))
             }
             if (!dependencies.lease.isCoordinator) send(releaseNotice())
         } finally {
@@ -237,6 +237,8 @@
             holdings.addModels(HeldModel.newBuilder().setModel(model).addAllAdapters(adapters))
         }
         val built = holdings.build()
+        // The runner may take another order now.
+        planWake.trySend(Unit)
         holdingsByRunner[upstream.entry.id] = built
         sessions.forEach {
             it.pending[upstream.entry.id] = built
@@ -309,7 +311,10 @@
     private companion object {
         /** Maximum interval between two notices; a notice also serves as a heartbeat. */
         const val HEARTBEAT_INTERVAL_MILLIS = 400L
-        const val STEP_INTERVAL_MILLIS = 50L
+        const val SESSION_CHECK_MILLIS = 50L
+
+        /** Interval between plans without new demand or a load that ended. */
+        const val PLAN_INTERVAL_MILLIS = 200L
         const val IDLE_DELAY_MILLIS = 100L
 
         /** Interval between two reads of the table of members. */
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -21,7 +21,7 @@
 import kotlinx.coroutines.withTimeout
 
 /** An entry process with its own store and runners, all on the loopback interface. */
-class EntryFixture : AutoCloseable {
+class EntryFixture(stopMillis: Long = 8_000) : AutoCloseable {
     private val vertx = Vertx.vertx()
     private val entryVertx = Vertx.vertx(io.vertx.core.VertxOptions().setEventLoopPoolSize(1))
     val store = StoreStandin(vertx).apply { start() }
@@ -38,7 +38,7 @@
             ready = HostPort("127.0.0.1", ready),
             store = HostPort("127.0.0.1", store.port),
             bounds = EntryBounds(
-                8_000,
+                stopMillis,
                 5_000,
                 500,
                 0.2,
@@ -71,6 +71,9 @@
         eventually("not ready") { readyStatus() == 200 && entry.isMemberCountKnown }
     }
 
+    /** Stops the entry process as SIGTERM does. */
+    fun stop(): Unit = runBlocking(entryVertx.orCreateContext.dispatcher()) { entry.stop() }
+
     fun readyStatus(): Int = caller.readyStatus(ready)
 
     override fun close() {
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PlannedStopTest.kt
@@ -0,0 +1,31 @@
+package cactusfold.entry.path
+
+import cactusfold.platform.standin.RunnerBehavior
+import java.net.http.HttpResponse
+import java.util.concurrent.CompletableFuture
+import kotlin.test.assertEquals
+import org.junit.jupiter.api.Test
+
+/** Requests in progress when a process is told to stop, under a short time to stop. */
+class PlannedStopTest {
+    @Test
+    fun `a request that waits for its model at the end is refused, one that may have run is not`() {
+        EntryFixture(stopMillis = 2_000).use { fixture ->
+            val runner = fixture.runner("i-1", "engine", setOf("warm"))
+            val desk = fixture.runner("i-2", "desk")
+            fixture.start()
+            runner.loadMillis = 60_000
+            desk.behavior = RunnerBehavior.NEVER_ANSWERS
+            val waiting = callAsync { fixture.caller.call("/draft/x", model = "cold") }
+            val running = callAsync { fixture.caller.call("/book/x") }
+            EntryFixture.eventually("not sent") { desk.ran.size == 1 }
+            fixture.stop()
+            assertEquals(503, waiting.get().statusCode())
+            assertEquals(502, running.get().statusCode())
+        }
+    }
+
+    private fun callAsync(
+        call: () -> HttpResponse<String>
+    ): CompletableFuture<HttpResponse<String>> = CompletableFuture.supplyAsync(call)
+}
