Coordinator at size: a fast VM takes a free lease first, and notices follow the coordinator's lag

Then the coordinator's VM loses the store, another VM takes over, and from 20 s on half of all requests are refused: the new coordinator, on a third of a core and with code that has not run yet, gets 95 connections at once, runs late with notices, and its members give it up again. 7,430 calls to the store, most of them from VMs without a coordinator.

Change: the settings carry the VM's share and speed of a core; a VM with less than a core waits up to 0.5 s before it takes a free lease, unless it follows a process on its own VM. The pause before notices grows with the lag of the event loop, up to 0.4 s. Tokens are asked of a coordinator that is late with notices too.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -13,6 +13,7 @@
 import cactusfold.entry.fleet.CoordinatorClient
 import cactusfold.entry.fleet.CoordinatorDependencies
 import cactusfold.entry.fleet.CoordinatorLeaseManager
+import cactusfold.entry.fleet.CoordinatorPace
 import cactusfold.entry.fleet.FleetCoordinator
 import cactusfold.entry.fleet.MemberRegistration
 import cactusfold.entry.process.EventLog
@@ -110,7 +111,8 @@
         events,
         StoredHold.newBuilder().setVm(settings.vm).setBoot(incarnation)
             .setAddress(peerAddress.toString()).build(),
-        LEASE_RENEW_INTERVAL_MILLIS
+        LEASE_RENEW_INTERVAL_MILLIS,
+        CoordinatorPace.takeoverDelayMillis(settings.cores)
     ) { coordinatorClient.isConnected }
     private val peers = PeerClients(eventLoops)
     private val waits = ModelWaitQueue(directory, clock) { coordinatorClient.wake() }
--- a/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
@@ -30,7 +30,11 @@
     public val loadWindowMillis: Long
 )
 
-/** Settings of an entry process. */
+/**
+ * Settings of an entry process.
+ *
+ * @property cores processing capacity of the VM, in cores of the usual speed.
+ */
 public data class EntrySettings(
     public val vm: String,
     public val address: String,
@@ -40,7 +44,8 @@
     public val callers: HostPort,
     public val ready: HostPort,
     public val store: HostPort,
-    public val bounds: EntryBounds
+    public val bounds: EntryBounds,
+    public val cores: Double = 1.0
 )
 
 private const val MILLIS_PER_SECOND = 1_000
@@ -53,6 +58,8 @@
         key("name", ValueType.Text, "name of the VM")
         key("address", ValueType.Text, "numeric address of the VM")
         key("zone", ValueType.Text, "availability zone of the VM")
+        key("core-share", ValueType.Decimal("cores"), "share of a core that the VM gets", "1")
+        key("core-speed", ValueType.Decimal("times"), "speed of that core, 1 is usual", "1")
         whole("first-inner-port", "ports", PORTS, "port for the other entry processes")
         whole("last-inner-port", "ports", PORTS, "port that serves metrics at /metrics")
     }
@@ -113,7 +120,8 @@
                 bounds.double("rate-tolerance-tokens")
             ),
             loadWindowMillis = millisOf(bounds.double("load-window-seconds"))
-        )
+        ),
+        cores = vm.double("core-share") * vm.double("core-speed")
     )
 }
 
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
@@ -70,7 +70,8 @@
     public suspend fun requestTokens(request: TokenRequest): TokenGrant? {
         if (lease.isCoordinator) return localCoordinator?.grant(request)
         val target = lease.coordinator ?: return null
-        if (!isConnected) return null
+        // A coordinator that is late with notices still grants tokens.
+        if (!isConnected && patience.isExhausted(clock.nowMillis())) return null
         return withTimeoutOrNull(TOKEN_REQUEST_TIMEOUT_MILLIS) {
             try {
                 CoordinatorCoroutineStub(peers.channel(target.address)).takeTokens(request)
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
@@ -33,6 +33,7 @@
     private val events: EventLog,
     private val self: StoredHold,
     private val renewMillis: Long,
+    private val takeoverDelayMillis: Long,
     private val isConnected: () -> Boolean
 ) {
     private val key = RowKey(TABLE, ROW)
@@ -146,13 +147,34 @@
         if (isStopping || (isConnected() && coordinator != null)) return delay(IDLE_INTERVAL_MILLIS)
         val read = table.get(key)
         if (read is ReadResult.Found) {
-            noteEra(read.era)
-            state = machine.observed(state, decodeLease(read.value), clock.nowMillis(), read.era)
-            if (machine.mayTakeOver(state, clock.nowMillis()) && !isStopping) return takeOver()
+            observe(read)
+            if (machine.mayTakeOver(state, clock.nowMillis()) && !isStopping) {
+                return takeOverAfterDelay()
+            }
         }
         delay(MIN_READ_INTERVAL_MILLIS + Random.nextLong(MIN_READ_INTERVAL_MILLIS))
     }
 
+    private fun observe(read: ReadResult.Found<Row?>) {
+        noteEra(read.era)
+        state = machine.observed(state, decodeLease(read.value), clock.nowMillis(), read.era)
+    }
+
+    /**
+     * Leaves the lease to a faster VM, unless this process follows another one on its own VM, which
+     * needs no quiet time.
+     */
+    private suspend fun takeOverAfterDelay() {
+        val isOwnVm = (state as? CoordinatorLeaseState.Standby)?.record?.isOwnVm ?: false
+        if (takeoverDelayMillis > 0 && !isOwnVm) {
+            delay(takeoverDelayMillis)
+            val read = table.get(key) as? ReadResult.Found ?: return
+            observe(read)
+            if (!machine.mayTakeOver(state, clock.nowMillis()) || isStopping) return
+        }
+        takeOver()
+    }
+
     private fun noteEra(read: Long) {
         if (read == era) return
         if (era != 0L) events.write("store-era", "for" to "lease", "era" to read, "before" to era)
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -65,6 +65,9 @@
     private val announcedLeaving = mutableSetOf<String>()
     private val announcedDepartures = mutableSetOf<Departure>()
     private var announcedRevision = 0L
+
+    /** Moving average of how much later than planned this process continues after a pause. */
+    private var lagMillis = 0.0
     private val planWake = Channel<Unit>(Channel.CONFLATED)
     private var releasedFence = 0L
 
@@ -195,7 +198,10 @@
     private suspend fun nextNotice(session: Session): FleetNotice {
         withTimeoutOrNull(HEARTBEAT_INTERVAL_MILLIS) { session.wake.receive() }
         // Changes often arrive in bursts; the delay combines them into one notice.
-        delay(CoordinatorPace.noticeMillis(sessions.size))
+        val pauseMillis = CoordinatorPace.noticeMillis(sessions.size, lagMillis)
+        val pausedAtMillis = dependencies.clock.nowMillis()
+        delay(pauseMillis)
+        recordLag(dependencies.clock.nowMillis() - pausedAtMillis - pauseMillis)
         val notice = FleetNotice.newBuilder()
             .addAllHoldings(session.pending.values)
             .addAllForecasts(session.forecasts)
@@ -217,6 +223,10 @@
         return notice
     }
 
+    private fun recordLag(lateMillis: Long) {
+        lagMillis += (lateMillis - lagMillis) * LAG_WEIGHT
+    }
+
     private fun addRenewal(notice: FleetNotice.Builder) {
         val renewal = dependencies.lease.renewal ?: return
         notice.setLeaseVersion(renewal.version)
@@ -313,6 +323,9 @@
         const val HEARTBEAT_INTERVAL_MILLIS = 400L
         const val SESSION_CHECK_MILLIS = 50L
 
+        /** Weight of a new measurement in the moving average of the lag. */
+        const val LAG_WEIGHT = 0.1
+
         /** Interval between plans without new demand or a load that ended. */
         const val PLAN_INTERVAL_MILLIS = 200L
         const val IDLE_DELAY_MILLIS = 100L
--- a/entry/src/test/kotlin/cactusfold/entry/EntrySettingsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/EntrySettingsTest.kt
@@ -22,6 +22,7 @@
                 name == "ip" -> "10.1.0.2"
                 name.startsWith("port-range") -> "7600"
                 name.startsWith("bounds.") -> "5"
+                name.startsWith("limits.") -> "0.5"
                 else -> "some-name"
             }
         }
@@ -33,6 +34,7 @@
             val valid = assertIs<SettingsResult.Valid>(readSettings(entrySchema, filled()))
             val settings = entrySettings(valid.settings)
             assertEquals(5_000, settings.bounds.stopMillis)
+            assertEquals(0.25, settings.cores)
             assertEquals(5, settings.bounds.keyWithdrawalMillis)
         }
     }
