--- a/cli/src/main/kotlin/cactusfold/cli/logs/Explanation.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/Explanation.kt
@@ -66,6 +66,11 @@
             "config-in-force", "store-lost", "store-regained", "coordinator-lost",
             "tokens-not-asked", "lease-taken", "lease-lost", "process-stopping", "process-start"
         )
-        val UPSTREAM_EVENTS = setOf("upstream-draining", "upstream-gone", "upstream-unreadable")
+        val UPSTREAM_EVENTS = setOf(
+            "upstream-draining",
+            "upstream-leaving",
+            "upstream-gone",
+            "upstream-unreadable"
+        )
     }
 }
--- a/cli/src/main/kotlin/cactusfold/cli/logs/LineDescriptions.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/LineDescriptions.kt
@@ -74,6 +74,8 @@
                     loadsOfModel(related)
             "crashes-upstreams" -> "$ended: similar requests have crashed upstreams"
             "all-full" -> "every upstream that could serve it was full or temporarily excluded"
+            "upstreams-paused" ->
+                "$ended: every upstream that could serve it had asked for a longer pause"
             "retry-budget" ->
                 "not retried: the fleet's retry budget was exhausted" +
                     failure(own)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -95,9 +95,10 @@
                     if (!isRetryableError(end, route)) return RequestOutcome.Answered(end)
                 is SendEnd.Broken -> {
                     dependencies.suspects.recordBroken(fingerprint, upstream)
-                    if (!mayRetry(route)) return stopRetrying(end, end.reason)
+                    if (!mayRetry(route)) return stopRetrying(end, UPSTREAM_FAILED)
                 }
-                is SendEnd.NotRun -> if (sends >= MAX_SENDS) return stopRetrying(end, end.reason)
+                is SendEnd.NotRun ->
+                    if (sends >= MAX_SENDS) return stopRetrying(end, UPSTREAMS_REFUSED)
             }
         }
     }
@@ -303,6 +304,12 @@
     }
 
     private companion object {
+        /**
+         * Codes for callers and metrics. What exactly happened is in the log; it may name other
+         * requests, and its wording has no bound.
+         */
+        const val UPSTREAM_FAILED = "upstream-failed"
+        const val UPSTREAMS_REFUSED = "upstreams-refused"
         const val MISDIRECTED = 421
         const val SERVER_ERROR = 500
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryPathTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryPathTest.kt
@@ -135,7 +135,8 @@
         @Test
         fun `a response that belongs to another request is not passed to the caller`() {
             desk.behavior = RunnerBehavior.SENDS_WRONG_REQUEST_ID
-            assertEquals(502, fixture.caller.call("/book/x").statusCode())
+            val answer = fixture.caller.call("/book/x")
+            assertEquals(502 to "upstream-failed\n", answer.statusCode() to answer.body())
         }
     }
 
