Members read the store themselves when their coordinator can't confirm the configuration

Cause, by reading: a coordinator that is cut off from the store stays the coordinator for up to 2 s. Its members took its confirmations until they were 2.75 s old, and a process without a coordinator read the configuration only that often, both longer than a change may take where the bound is 2 s. A runner's leaving could go unnoticed as long.

Change: the coordinator confirms every 0.25 s; a member reads the configuration itself once the last confirmation is 1.5 s old, and then reads the upstreams like a process without a coordinator.

Tests: ConfigWatcherTest, two cases.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -96,6 +96,7 @@
             events,
             bounds.keyWithdrawalMillis,
             { lease.isCoordinator },
+            { !lease.isCoordinator && coordinatorClient.isConnected },
             ::applyConfig
         )
     private val directory: UpstreamDirectory =
@@ -273,7 +274,8 @@
 
     private fun upstreamPolling(): UpstreamPolling = when {
         lease.isCoordinator -> UpstreamPolling.Coordinator
-        coordinatorClient.isConnected -> UpstreamPolling.Member
+        coordinatorClient.isConnected && config.isConfirmedRecently(clock.nowMillis()) ->
+            UpstreamPolling.Member
         else -> UpstreamPolling.Detached
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/config/ConfigWatcher.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/config/ConfigWatcher.kt
@@ -20,6 +20,7 @@
  * only for new versions, or when the last confirmation is getting old.
  *
  * @param isCoordinator whether this process confirms the version for others.
+ * @param isMember whether this process is in contact with a coordinator that does.
  */
 public class ConfigWatcher(
     private val feed: ChangeFeed,
@@ -27,9 +28,11 @@
     private val events: EventLog,
     private val keyWithdrawalMillis: Long,
     private val isCoordinator: () -> Boolean,
+    private val isMember: () -> Boolean,
     private val onChange: (ServingConfig) -> Unit
 ) {
     private val wake = Channel<Unit>(Channel.CONFLATED)
+    private val maxRelayedAgeMillis = (keyWithdrawalMillis * MAX_RELAYED_AGE_SHARE).toLong()
     private var announcedVersion = Long.MIN_VALUE
 
     /** The configuration in force; null until one has been read. */
@@ -48,6 +51,10 @@
     /** Returns the time since [current] was confirmed as the newest; null if it never was. */
     public fun ageMillis(nowMillis: Long): Long? = confirmedAtMillis?.let { nowMillis - it }
 
+    /** Whether the version was confirmed so recently that the store need not be read for it. */
+    public fun isConfirmedRecently(nowMillis: Long): Boolean =
+        (ageMillis(nowMillis) ?: Long.MAX_VALUE) < maxRelayedAgeMillis
+
     /** Version and age of the configuration in force, to be announced to other processes. */
     public fun confirmation(nowMillis: Long): ConfigConfirmation? {
         val version = current?.version ?: return null
@@ -115,12 +122,10 @@
      */
     private suspend fun awaitReadDue(): Boolean {
         var hasWaited = false
-        while (!isCoordinator()) {
-            val ageMillis = ageMillis(clock.nowMillis()) ?: return hasWaited
-            val leftMillis = (keyWithdrawalMillis * MAX_RELAYED_AGE_SHARE).toLong() - ageMillis
-            if (leftMillis <= 0) return hasWaited
+        while (isMember() && isConfirmedRecently(clock.nowMillis())) {
             hasWaited = true
-            if (withTimeoutOrNull(leftMillis) { wake.receive() } != null) return true
+            // The contact to the coordinator may be lost meanwhile.
+            if (withTimeoutOrNull(MEMBER_CHECK_MILLIS) { wake.receive() } != null) return true
         }
         return hasWaited
     }
@@ -155,10 +160,14 @@
 
         /** Duration of one poll as a share of the key withdrawal bound. */
         const val POLL_SHARE = 0.36
-        const val COORDINATOR_POLL_SHARE = 0.1
+        const val COORDINATOR_POLL_SHARE = 0.05
 
-        /** Age of the last confirmation, as a share of the bound, at which the store is read. */
-        const val MAX_RELAYED_AGE_SHARE = 0.55
+        /**
+         * Age of the last confirmation, as a share of the bound, at which a member reads the store.
+         * A coordinator may have lost the store, while changes come in force elsewhere.
+         */
+        const val MAX_RELAYED_AGE_SHARE = 0.3
+        const val MEMBER_CHECK_MILLIS = 200L
         const val MISSING_CONFIG_DELAY_MILLIS = 100L
         val RETRY_DELAYS_MILLIS = listOf(50L, 100L, 200L, 400L)
     }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -294,7 +294,7 @@
         /** Additional load, as a share of slots, accepted at the upstream with affinity. */
         const val AFFINITY_LOAD_GAP = 0.1
 
-        const val POLL_CHECK_MILLIS = 400L
+        const val POLL_CHECK_MILLIS = 200L
         const val SILENCE_CHECK_MILLIS = 100L
 
         /** A gap of this length between two checks is longer than scheduling delays explain. */
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamPolling.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamPolling.kt
@@ -23,7 +23,10 @@
             if (isOutdated) MIN_MEMBER_MILLIS else MAX_MEMBER_MILLIS
     }
 
-    /** Without a coordinator, each process notices changes itself. */
+    /**
+     * Without a coordinator, or with one that cannot read the store, each process notices changes
+     * itself.
+     */
     public data object Detached : UpstreamPolling {
         override fun intervalMillis(isOutdated: Boolean): Long = DETACHED_MILLIS
     }
--- a/entry/src/test/kotlin/cactusfold/entry/config/ConfigWatcherTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/config/ConfigWatcherTest.kt
@@ -20,13 +20,15 @@
 class ConfigWatcherTest {
     private val clock = MonotonicClock { nowMillis }
     private var nowMillis = 10_000L
+    private var isMember = true
     private val feed = CountingFeed()
     private val watcher = ConfigWatcher(
         feed,
         clock,
         EventLog("vm", clock, linesPerSecond = 1),
         KEY_WITHDRAWAL_MILLIS,
-        isCoordinator = { false }
+        isCoordinator = { false },
+        isMember = { isMember }
     ) {}
 
     /** Returns the stored version from a snapshot; polls for changes stay open. */
@@ -87,7 +89,28 @@
         }
     }
 
+    @Nested
+    inner class WithoutConfirmations {
+        @Test
+        fun `a member whose coordinator can't confirm the version reads the store itself`() =
+            watching {
+                nowMillis += 1_600
+                delay(CHECK_MILLIS)
+                assertEquals(2, feed.snapshots)
+                assertEquals(0, watcher.ageMillis(nowMillis))
+            }
+
+        @Test
+        fun `a process that loses its coordinator reads the store and then follows it`() =
+            watching {
+                isMember = false
+                delay(CHECK_MILLIS)
+                assertEquals(2 to 1, feed.snapshots to feed.polls)
+            }
+    }
+
     private companion object {
+        const val CHECK_MILLIS = 400L
         const val KEY_WITHDRAWAL_MILLIS = 5_000L
         const val PAUSE_MILLIS = 50L
     }
