Departures name one start of an upstream everywhere

Cause, by reading: the coordinator announced leaving upstreams by id and repeated all announced ids to each member that attached. An upstream that starts again under its id was then never used by members that attached later.

Test: UpstreamTest.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -25,7 +25,6 @@
 import cactusfold.entry.residency.LoadCoordinator
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.residency.OrderDependencies
-import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamPolling
 import cactusfold.entry.upstream.UpstreamsRevision
@@ -39,7 +38,6 @@
 import cactusfold.ports.http.PlatformHttp
 import cactusfold.ports.serving.OrderAuthority
 import cactusfold.ports.serving.ServingConfig
-import cactusfold.protocol.entry.Departure
 import cactusfold.protocol.entry.FleetNotice
 import cactusfold.protocol.entry.Holdings
 import cactusfold.protocol.entry.MemberReport
@@ -301,20 +299,14 @@
             .addAllUses(uses)
             .addAllSuspects(suspects.takeUnsent())
             .addAllUnreachable(directory.down())
-            .addAllDepartures(directory.leaving.map(::departureOf))
+            .addAllDepartures(directory.leaving.map { it.departure })
     }
 
-    private fun departureOf(upstream: Upstream): Departure = Departure.newBuilder()
-        .setUpstream(upstream.entry.id)
-        .setStartedAtEpochMillis(upstream.entry.startedAtEpochMillis ?: 0)
-        .build()
-
     private fun handleNotice(notice: FleetNotice) {
         if (notice.holdingsCount > 0) {
             notice.holdingsList.forEach(::applyHoldings)
             directory.changed()
         }
-        notice.leavingList.forEach { directory.find(it)?.isLeaving = true }
         notice.departuresList.forEach(directory::recordDeparture)
         if (notice.upstreamsRevision > 0) {
             directory.announced(UpstreamsRevision(notice.fence, notice.upstreamsRevision))
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -53,7 +53,6 @@
     private class Session(val vm: String) {
         val pending = LinkedHashMap<String, Holdings>()
         val forecasts = mutableListOf<Forecast>()
-        val leaving = mutableSetOf<String>()
         val suspects = mutableListOf<SuspectReport>()
         val departures = mutableListOf<Departure>()
         val wake = Channel<Unit>(Channel.CONFLATED)
@@ -62,7 +61,6 @@
 
     private val sessions = mutableSetOf<Session>()
     private val holdingsByRunner = LinkedHashMap<String, Holdings>()
-    private val announcedLeaving = mutableSetOf<String>()
     private val announcedDepartures = mutableSetOf<Departure>()
     private var announcedRevision = 0L
 
@@ -183,7 +181,6 @@
 
     private fun join(session: Session) {
         session.pending.putAll(holdingsByRunner)
-        session.leaving += announcedLeaving
         session.departures += announcedDepartures
         sessions += session
         dependencies.events.write("member-attached", "member" to session.vm)
@@ -206,7 +203,6 @@
             .addAllHoldings(session.pending.values)
             .addAllForecasts(session.forecasts)
             .addAllSuspects(session.suspects)
-            .addAllLeaving(session.leaving)
             .addAllDepartures(session.departures)
             .setFence(dependencies.lease.fence)
             .setMemberCount(memberCount ?: 0)
@@ -218,7 +214,6 @@
         session.pending.clear()
         session.forecasts.clear()
         session.suspects.clear()
-        session.leaving.clear()
         session.departures.clear()
         return notice
     }
@@ -265,16 +260,10 @@
         val revision = dependencies.directory.revision
         if (revision != announcedRevision) wakeMembers()
         announcedRevision = revision
-        val leaving = dependencies.directory.takeLeaving() - announcedLeaving
-        if (leaving.isEmpty()) return
-        announcedLeaving += leaving
-        sessions.forEach {
-            it.leaving += leaving
-            it.wake.trySend(Unit)
-        }
+        dependencies.directory.takeLeaving().forEach(::announceDeparture)
     }
 
-    /** Announces a departure to all members, the first time that one of them reports it. */
+    /** Announces a departure to all members, the first time that it is noticed. */
     private fun announceDeparture(departure: Departure) {
         if (!announcedDepartures.add(departure)) return
         dependencies.directory.recordDeparture(departure)
@@ -303,7 +292,6 @@
 
     private fun handleLeaseAcquired(fence: Long) {
         holdingsByRunner.clear()
-        announcedLeaving.clear()
         announcedDepartures.clear()
         dependencies.rates.start(fence)
         dependencies.loads.start()
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -3,6 +3,7 @@
 import cactusfold.decisions.routing.ReplicaView
 import cactusfold.ports.serving.ReportedLoad
 import cactusfold.ports.serving.UpstreamEntry
+import cactusfold.protocol.entry.Departure
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.ImmutableSet
 import kotlinx.collections.immutable.toImmutableMap
@@ -44,6 +45,11 @@
     /** Whether new requests may be sent to the upstream. */
     public val isUsable: Boolean get() = !entry.isDraining && !isLeaving
 
+    /** Identifies this start of the upstream to other processes, once it leaves. */
+    public val departure: Departure
+        get() = Departure.newBuilder().setUpstream(entry.id)
+            .setStartedAtEpochMillis(entry.startedAtEpochMillis ?: 0).build()
+
     /** Number of requests that this process has in flight at the upstream. */
     public var inFlight: Int = 0
         private set
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -32,7 +32,7 @@
     private val choice = ReplicaChoice(ZONE_CROSSING_MILLIS, AFFINITY_LOAD_GAP)
     private val listeners = mutableListOf<() -> Unit>()
     private val missingSinceMillis = HashMap<String, Long>()
-    private val departed = mutableSetOf<String>()
+    private val departed = mutableSetOf<Departure>()
     private var storeFailedAtMillis = Long.MIN_VALUE / 2
 
     /** Number of times that an upstream joined, left or restarted, as seen by this process. */
@@ -59,10 +59,10 @@
         return upstreams.values.filter { it.isDown(nowMillis) }.map { it.entry.id }
     }
 
-    /** Returns the ids of draining upstreams and of those removed since the last call. */
-    public fun takeLeaving(): Set<String> {
+    /** Returns the upstreams that are leaving, and those removed since the last call. */
+    public fun takeLeaving(): Set<Departure> {
         val leaving = upstreams.values.filterNot { it.isUsable }
-            .mapTo(mutableSetOf()) { it.entry.id }
+            .mapTo(mutableSetOf()) { it.departure }
         leaving += departed
         departed.clear()
         return leaving
@@ -282,9 +282,10 @@
 
     private fun drop(id: String) {
         missingSinceMillis.remove(id)
-        departed += id
+        val upstream = upstreams.remove(id) ?: return
+        departed += upstream.departure
         revision++
-        if (upstreams.remove(id) != null) events.write("upstream-gone", "upstream" to id)
+        events.write("upstream-gone", "upstream" to id)
     }
 
     private companion object {
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
@@ -46,6 +46,13 @@
             assertFalse(upstream.isUsable, "the store may be restored from an older copy")
         }
 
+        @Test
+        fun `a departure names one start of an upstream, not the next one under its id`() {
+            val next = Upstream(entry.copy(startedAtEpochMillis = 5))
+            assertEquals(upstream.departure.upstream, next.departure.upstream)
+            assertTrue(upstream.departure != next.departure)
+        }
+
         @Test
         fun `an upstream is available again after the longest pause that it asked for`() {
             upstream.recordPause(3_000, nowMillis = 1_000)
