--- a/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
@@ -146,7 +146,7 @@
 
 /**
  * Entry point of `cactusfold-entry`. The plain form `--config FILE` is read without the command-line
- * library: its classes can't be archived, and loading them is a fifth of a start.
+ * library, whose classes cannot be archived and are slow to load.
  */
 public fun main(args: Array<String>) {
     if (args.size != 2 || args[0] != "--config") return runCommand(EntryCommand(), args)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -44,12 +44,12 @@
 
     override suspend fun write(piece: Buffer): Boolean {
         val complete = splitter.add(piece)
-        if (splitter.partial.length() > MAX_EVENT_BYTES) return false
-        if (complete.length() == 0) return true
-        recordPiece(clock.nowMillis())
-        response.write(complete)
-        if (response.writeQueueFull()) awaitDrain()
-        return true
+        if (complete.length() > 0) {
+            recordPiece(clock.nowMillis())
+            response.write(complete)
+            if (response.writeQueueFull()) awaitDrain()
+        }
+        return splitter.partial.length() <= MAX_EVENT_BYTES
     }
 
     private fun recordPiece(nowMillis: Long) {
