--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -61,7 +61,7 @@
 
     private val sessions = mutableSetOf<Session>()
     private val holdingsByRunner = LinkedHashMap<String, Holdings>()
-    private val announcedDepartures = mutableSetOf<Departure>()
+    private val announcedDepartures = RecentDepartures()
     private var announcedRevision = 0L
 
     /** Moving average of how much later than planned this process continues after a pause. */
@@ -181,7 +181,7 @@
 
     private fun join(session: Session) {
         session.pending.putAll(holdingsByRunner)
-        session.departures += announcedDepartures
+        session.departures += announcedDepartures.all(dependencies.clock.nowMillis())
         sessions += session
         dependencies.events.write("member-attached", "member" to session.vm)
     }
@@ -265,7 +265,7 @@
 
     /** Announces a departure to all members, the first time that it is noticed. */
     private fun announceDeparture(departure: Departure) {
-        if (!announcedDepartures.add(departure)) return
+        if (!announcedDepartures.add(departure, dependencies.clock.nowMillis())) return
         dependencies.directory.recordDeparture(departure)
         sessions.forEach {
             it.departures += departure
--- /dev/null
+++ b/node/src/test/kotlin/cactusfold/node/http/ResponseChunkReaderTest.kt
@@ -0,0 +1,53 @@
+package cactusfold.node.http
+
+import io.vertx.core.Handler
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientResponse
+import java.io.IOException
+import java.lang.reflect.Proxy
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertNull
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Test
+
+class ResponseChunkReaderTest {
+    private val handlers = HashMap<String, Handler<Any?>>()
+
+    /** Keeps the handlers, so that a test decides when each event arrives. */
+    private val response = Proxy.newProxyInstance(
+        javaClass.classLoader,
+        arrayOf(HttpClientResponse::class.java)
+    ) { proxy, method, arguments ->
+        @Suppress("UNCHECKED_CAST")
+        (arguments?.firstOrNull() as? Handler<Any?>)?.let { handlers[method.name] = it }
+        proxy
+    } as HttpClientResponse
+
+    private fun reading(read: suspend (ResponseChunkReader) -> Unit): Unit = runBlocking {
+        withTimeout(TIMEOUT_MILLIS) { read(ResponseChunkReader(response)) }
+    }
+
+    @Test
+    fun `chunks are returned in order, and then the end`() = reading { reader ->
+        handlers.getValue("handler").handle(Buffer.buffer("a"))
+        assertEquals("a", reader.next().toString())
+        handlers.getValue("handler").handle(Buffer.buffer("b"))
+        handlers.getValue("endHandler").handle(null)
+        assertEquals("b", reader.next().toString())
+        assertNull(reader.next())
+    }
+
+    @Test
+    fun `a failure right after a chunk ends the read that follows`() = reading { reader ->
+        handlers.getValue("handler").handle(Buffer.buffer("a"))
+        handlers.getValue("exceptionHandler").handle(IOException("reset"))
+        assertEquals("a", reader.next().toString())
+        assertFailsWith<IOException> { reader.next() }
+    }
+
+    private companion object {
+        const val TIMEOUT_MILLIS = 2_000L
+    }
+}
--- a/router/src/main/kotlin/cactusfold/router/claim/ClaimManager.kt
+++ b/router/src/main/kotlin/cactusfold/router/claim/ClaimManager.kt
@@ -42,6 +42,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
 
 /**
  * Runs each non-repeatable request at most once across all routers.
@@ -151,16 +152,23 @@
         private suspend fun eventOf(result: WriteResult): ClaimEvent = when (result) {
             is WriteResult.Written -> ClaimEvent.Inserted
             is WriteResult.Conflict -> onConflict()
-            is WriteResult.NotWritten -> ClaimEvent.StoreDown
+            is WriteResult.NotWritten -> ClaimEvent.StoreDown.also { logUnavailable(result.reason) }
             is WriteResult.Unknown -> ClaimEvent.Unknown
         }
 
+        private fun logUnavailable(reason: String) {
+            log.warn("claim of request {} is unavailable: {}", request.raw.id, reason)
+        }
+
         /**
          * Takes over a claim that is past its duplicate window, or that its owner never dispatched;
          * joins any other claim.
          */
         private suspend fun onConflict(): ClaimEvent {
-            val row = (table.get(rowKey) as? ReadResult.Found)?.value ?: return ClaimEvent.StoreDown
+            val row = when (val read = table.get(rowKey)) {
+                is ReadResult.Found -> read.value
+                is ReadResult.Unavailable -> null.also { logUnavailable(read.reason) }
+            } ?: return ClaimEvent.StoreDown
             val stored = StoredClaim.parseFrom(row.value)
             if (stored.operationId == operationId) return ClaimEvent.Inserted
             if (isExpired(stored) || wasNeverDispatched(stored)) return takeOver(row)
@@ -356,6 +364,7 @@
     )
 
     private companion object {
+        val log = LogManager.getLogger(ClaimManager::class.java)
         const val IDEMPOTENCY_WINDOW_MILLIS = 86_400_000L
         const val MAX_JOIN_WAIT_MILLIS = 30_000L
         const val CALL_MARGIN_MILLIS = 500L
