Log the end of every request that was read, whatever ended it

The logs could not tell apart why a request got no answer: one that ended while its body was read, or by an unexpected exception, left no line at all. An exchange (receive, process, answer, log) is now a class of its own, taken out of CallerServer, and logs each end: caller-left also while the body is read, internal-error with the request's id and a stack trace.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -169,7 +169,6 @@
             clock = clock,
             events = events
         ),
-        WireHeaders,
         CallerMeters(metrics),
         events
     )
@@ -231,7 +230,7 @@
         callers.isLeaving = true
         scope.launch { lease.release() }
         delay(BALANCER_REMOVAL_MILLIS)
-        callers.isClosed = true
+        callers.refuseNew()
         val drainMillis = ShutdownBudget.drainMillis(bounds.stopMillis)
         while (callers.running > 0 && clock.nowMillis() - began < drainMillis) {
             delay(DRAIN_CHECK_INTERVAL_MILLIS)
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -0,0 +1,160 @@
+package cactusfold.entry.callers
+
+import cactusfold.entry.process.EventLog
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.kotlin.coroutines.coAwait
+import kotlin.coroutines.cancellation.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+
+/** What a server does with requests, from its start to its end. */
+public enum class ServingPhase {
+    OPEN,
+
+    /** New requests are refused because they might not finish before the process stops. */
+    REFUSING,
+
+    /** The requests that are still in progress are ended, each with an answer. */
+    ENDING
+}
+
+/** Collaborators of [CallerExchange] that are shared by all requests of a server. */
+public class ExchangeDependencies(
+    public val flow: RequestFlowDependencies,
+    public val meters: CallerMeters,
+    public val events: EventLog,
+    public val phase: () -> ServingPhase
+)
+
+/**
+ * One request of a caller and its response: receives the body, processes the request, answers it
+ * and logs how it ended.
+ */
+public class CallerExchange(
+    private val dependencies: ExchangeDependencies,
+    private val request: HttpServerRequest,
+    private val reply: CallerReply,
+    private val arrivedAtMillis: Long
+) {
+    private val facts = dependencies.flow.translator.call(request.headers())
+    private var flow: RequestFlow? = null
+
+    /** Runs the exchange to its end; cancelled when the caller leaves or the server ends it. */
+    public suspend fun run() {
+        try {
+            finish(process())
+        } catch (e: CancellationException) {
+            if (dependencies.phase() == ServingPhase.ENDING && flow != null) {
+                finish(stoppedOutcome())
+            } else {
+                recordEnd("caller-left")
+            }
+            throw e
+        } catch (e: Exception) {
+            log.error("request {} failed", facts.id, e)
+            recordEnd("internal-error")
+            throw e
+        }
+    }
+
+    private suspend fun process(): RequestOutcome {
+        val body = receive() ?: return RequestOutcome.Failed(BODY_TOO_LARGE)
+        if (dependencies.phase() != ServingPhase.OPEN) return RequestOutcome.Failed(STOPPING)
+        val read = CallerRequest(
+            request.method(),
+            request.uri(),
+            request.path().orEmpty(),
+            request.authority()?.host().orEmpty(),
+            request.headers(),
+            body,
+            facts,
+            arrivedAtMillis
+        )
+        val flow = RequestFlow(dependencies.flow, read, reply).also { flow = it }
+        return withTimeoutOrNull(timeoutOf(read)) { flow.serve() } ?: timeoutOutcome(flow)
+    }
+
+    private fun timeoutOf(request: CallerRequest): Long {
+        val route = dependencies.flow.table()?.route(request.host, request.path)
+        val callerTimeoutMillis = request.facts.requestTimeoutMillis ?: Long.MAX_VALUE
+        val timeoutMillis = minOf(
+            callerTimeoutMillis,
+            route?.timeoutMillis ?: UNROUTED_TIMEOUT_MILLIS
+        )
+        return timeoutMillis - (dependencies.flow.clock.nowMillis() - request.arrivedAtMillis)
+    }
+
+    private fun timeoutOutcome(flow: RequestFlow): RequestOutcome = when {
+        reply.hasBegun -> RequestOutcome.Aborted("timed-out")
+        flow.isUncertain -> RequestOutcome.Failed(ErrorAnswer.TimedOut)
+        else -> RequestOutcome.Failed(ErrorAnswer.NotRun("timed-out", null))
+    }
+
+    private fun stoppedOutcome(): RequestOutcome = when {
+        reply.hasBegun -> RequestOutcome.Aborted("stopping")
+        flow?.isUncertain == true -> RequestOutcome.Failed(ErrorAnswer.MayHaveRun("stopping"))
+        else -> RequestOutcome.Failed(STOPPING)
+    }
+
+    private fun finish(outcome: RequestOutcome) {
+        when (outcome) {
+            is RequestOutcome.Answered -> {
+                val answer = outcome.answer
+                if (answer == null) reply.endStream() else reply.relayAnswer(answer)
+                recordEnd(if (answer == null) "streamed" else "answered-${answer.start.status}")
+            }
+            is RequestOutcome.Failed -> {
+                reply.sendError(facts.id, outcome.answer)
+                recordEnd(outcome.answer.code)
+            }
+            is RequestOutcome.Aborted -> {
+                reply.abort()
+                recordEnd("cut: ${outcome.reason}")
+            }
+        }
+    }
+
+    private fun recordEnd(outcome: String) {
+        val tookMillis = dependencies.flow.clock.nowMillis() - arrivedAtMillis
+        val firstPieceMillis = reply.firstPieceAtMillis?.minus(arrivedAtMillis)
+        dependencies.meters.recordRequest(outcome, tookMillis)
+        firstPieceMillis?.let(dependencies.meters::recordFirstPiece)
+        dependencies.events.write(
+            "request-ended",
+            "request" to facts.id,
+            "path" to request.path(),
+            "model" to facts.model,
+            "outcome" to outcome,
+            "took_ms" to tookMillis,
+            "first_ms" to firstPieceMillis,
+            "pause_ms" to reply.longestPauseMillis.takeIf { firstPieceMillis != null },
+            "config" to dependencies.flow.table()?.config?.version
+        )
+    }
+
+    /** Returns the complete body, or null when it exceeds the configured maximum. */
+    private suspend fun receive(): Buffer? {
+        val limits = dependencies.flow.table()?.config?.limits
+        val maxBytes = limits?.bodyMaxBytes ?: DEFAULT_BODY_MAX_BYTES
+        val announced = request.getHeader("content-length")?.toLongOrNull() ?: 0
+        if (announced > maxBytes) return null
+        return request.body().coAwait().takeIf { it.length() <= maxBytes }
+    }
+
+    private companion object {
+        val log = LogManager.getLogger(CallerExchange::class.java)
+
+        const val PAYLOAD_TOO_LARGE = 413
+        val BODY_TOO_LARGE = ErrorAnswer.Rejected(PAYLOAD_TOO_LARGE, "body-too-large")
+
+        const val STOPPING_RETRY_AFTER_MILLIS = 100L
+        val STOPPING = ErrorAnswer.NotRun("stopping", STOPPING_RETRY_AFTER_MILLIS)
+
+        /** Maximum size of a body while no configuration is known. */
+        const val DEFAULT_BODY_MAX_BYTES = 4 * 1024 * 1024
+
+        /** Timeout of a request that matches no route; refusing it takes hardly any time. */
+        const val UNROUTED_TIMEOUT_MILLIS = 1_000L
+    }
+}
