A request that waits for its answer is not cut by the connection's idle timeout

Callers saw a request end with neither an answer nor a refusal. Cause: the server's idle timer counted from the last byte in either direction, so a request that waited longer for its model or its first event than 1.2 times the configured idle timeout lost its connection; the log said caller-left. The timeout was read at start, so after a configuration with a shorter one each process that restarted cut such requests.

Evidence: with an idle timeout of 500 ms and an answer after 1,500 ms the new test "a request that waits longer than the idle timeout is answered" failed before: "Expected value to be of type CallEnd.Answered, actual CallEnd.Cut" (cut after 601 ms).

Change: CallerConnections counts the requests in progress of each connection until their answers have been sent, and closes only connections without any, after the timeout of the configuration in force. A body that takes longer than the timeout to arrive is refused with 408. The second test shows that a shorter timeout holds for open connections at once.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -19,11 +19,16 @@
     ENDING
 }
 
-/** Collaborators of [CallerExchange] that are shared by all requests of a server. */
+/**
+ * Collaborators of [CallerExchange] that are shared by all requests of a server.
+ *
+ * @property idleTimeoutMillis how long a caller may take to send the body of a request.
+ */
 public class ExchangeDependencies(
     public val flow: RequestFlowDependencies,
     public val meters: CallerMeters,
     public val events: EventLog,
+    public val idleTimeoutMillis: () -> Long,
     public val phase: () -> ServingPhase
 )
 
@@ -59,7 +64,10 @@
     }
 
     private suspend fun process(): RequestOutcome {
-        val body = receive() ?: return RequestOutcome.Failed(BODY_TOO_LARGE)
+        val body = when (val received = receive()) {
+            is ReceivedBody.Complete -> received.body
+            is ReceivedBody.Refused -> return RequestOutcome.Failed(received.answer)
+        }
         if (dependencies.phase() != ServingPhase.OPEN) return RequestOutcome.Failed(STOPPING)
         val read = CallerRequest(
             request.method(),
@@ -133,13 +141,22 @@
         )
     }
 
-    /** Returns the complete body, or null when it exceeds the configured maximum. */
-    private suspend fun receive(): Buffer? {
+    private sealed interface ReceivedBody {
+        class Complete(val body: Buffer) : ReceivedBody
+        class Refused(val answer: ErrorAnswer) : ReceivedBody
+    }
+
+    private suspend fun receive(): ReceivedBody {
         val limits = dependencies.flow.table()?.config?.limits
         val maxBytes = limits?.bodyMaxBytes ?: DEFAULT_BODY_MAX_BYTES
         val announced = request.getHeader("content-length")?.toLongOrNull() ?: 0
-        if (announced > maxBytes) return null
-        return request.body().coAwait().takeIf { it.length() <= maxBytes }
+        if (announced > maxBytes) return ReceivedBody.Refused(BODY_TOO_LARGE)
+        val body = withTimeoutOrNull(dependencies.idleTimeoutMillis()) { request.body().coAwait() }
+        return when {
+            body == null -> ReceivedBody.Refused(BODY_TIMED_OUT)
+            body.length() > maxBytes -> ReceivedBody.Refused(BODY_TOO_LARGE)
+            else -> ReceivedBody.Complete(body)
+        }
     }
 
     private companion object {
@@ -148,6 +165,9 @@
         const val PAYLOAD_TOO_LARGE = 413
         val BODY_TOO_LARGE = ErrorAnswer.Rejected(PAYLOAD_TOO_LARGE, "body-too-large")
 
+        const val REQUEST_TIMEOUT = 408
+        val BODY_TIMED_OUT = ErrorAnswer.Rejected(REQUEST_TIMEOUT, "body-timed-out")
+
         const val STOPPING_RETRY_AFTER_MILLIS = 100L
         val STOPPING = ErrorAnswer.NotRun("stopping", STOPPING_RETRY_AFTER_MILLIS)
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.HeaderTranslator
+import io.vertx.core.Future
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerResponse
 import kotlinx.coroutines.CompletableDeferred
@@ -15,6 +16,7 @@
 ) : StreamSink {
     private var splitter = SseEventSplitter()
     private var lastPieceAtMillis = 0L
+    private var sent: Future<Void>? = null
 
     /** When the first complete event of a stream was sent to the caller; null before that. */
     public var firstPieceAtMillis: Long? = null
@@ -64,7 +66,7 @@
     /** Ends a stream whose upstream has sent everything, flushing an unterminated last event. */
     public fun endStream() {
         if (splitter.partial.length() > 0) response.write(splitter.partial)
-        response.end()
+        sent = response.end()
     }
 
     /** Resets the connection because the response cannot be completed. */
@@ -91,7 +93,13 @@
 
     private fun end(body: Buffer) {
         if (closesConnection()) response.putHeader("Connection", "close")
-        response.end(body)
+        sent = response.end(body)
+    }
+
+    /** Calls [action] when the response has been sent or failed; at once if there is none. */
+    public fun whenSent(action: () -> Unit) {
+        val future = sent ?: return action()
+        future.onComplete { action() }
     }
 
     private suspend fun awaitDrain() {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -8,7 +8,6 @@
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.kotlin.coroutines.coAwait
-import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
@@ -27,7 +26,9 @@
     events: EventLog
 ) {
     private val requestsJob = SupervisorJob(scope.coroutineContext[Job])
-    private val exchanges = ExchangeDependencies(flow, meters, events) { phase }
+    private val connections = CallerConnections(flow.clock, events, ::idleTimeoutMillis)
+    private val exchanges =
+        ExchangeDependencies(flow, meters, events, ::idleTimeoutMillis) { phase }
     private var server: HttpServer? = null
     private var phase = ServingPhase.OPEN
 
@@ -43,12 +44,12 @@
         val options = HttpServerOptions()
             .setMaxHeaderSize(limits.headerMaxBytes)
             .setMaxInitialLineLength(limits.headerMaxBytes)
-            .setIdleTimeout((limits.idleTimeoutMillis * IDLE_TIMEOUT_FACTOR).toInt())
-            .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
             .setTcpNoDelay(true)
             .setAcceptBacklog(ACCEPT_BACKLOG_CONNECTIONS)
             .setHandle100ContinueAutomatically(true)
+        scope.launch { connections.watch() }
         server = vertx.createHttpServer(options)
+            .connectionHandler(connections::opened)
             .requestHandler(::accept)
             .listen(address.port, address.host)
             .coAwait()
@@ -69,13 +70,17 @@
 
     private fun accept(request: HttpServerRequest) {
         val arrivedAtMillis = flow.clock.nowMillis()
+        val response = request.response()
+        val reply = CallerReply(response, flow.translator, flow.clock) { isLeaving }
         val job = Job(requestsJob)
         running++
-        job.invokeOnCompletion { running-- }
-        val response = request.response()
+        connections.requestStarted(request.connection())
+        job.invokeOnCompletion {
+            running--
+            reply.whenSent { connections.requestEnded(request.connection()) }
+        }
         response.closeHandler { job.cancel(CancellationException("caller disconnected")) }
         response.exceptionHandler { job.cancel(CancellationException("caller disconnected")) }
-        val reply = CallerReply(response, flow.translator, flow.clock) { isLeaving }
         val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis)
         CoroutineScope(scope.coroutineContext + job).launch(start = CoroutineStart.UNDISPATCHED) {
             try {
@@ -86,6 +91,11 @@
         }
     }
 
+    private fun idleTimeoutMillis(): Long {
+        val limits = flow.table()?.config?.limits ?: return UNCONFIGURED_IDLE_TIMEOUT_MILLIS
+        return (limits.idleTimeoutMillis * IDLE_TIMEOUT_FACTOR).toLong()
+    }
+
     private companion object {
         const val ACCEPT_BACKLOG_CONNECTIONS = 1_024
 
@@ -97,5 +107,8 @@
          * expires, and closing one then would race with a request on its way.
          */
         const val IDLE_TIMEOUT_FACTOR = 1.2
+
+        /** Idle timeout while no configuration is known. */
+        const val UNCONFIGURED_IDLE_TIMEOUT_MILLIS = 15_000L
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -25,7 +25,7 @@
     private val vertx = Vertx.vertx()
     private val entryVertx = Vertx.vertx(io.vertx.core.VertxOptions().setEventLoopPoolSize(1))
     val store = StoreStandin(vertx).apply { start() }
-    private val callers = freePort()
+    val callers = freePort()
     private val ready = freePort()
     private val entry = EntryProcess(
         EntrySettings(
