A stream whose retry is answered with an error ends at once

Callers saw a connection that stayed open with neither an answer nor an end. Two faults of the same kind: the headers of a stream were set on the caller's response before its first event, and an upstream's complete answer (an error of the retry) was relayed whatever had been sent before. Into a stream that had begun this threw "Response head already sent" and ended the request without an answer; after a stream without events the caller would have got the headers of two upstreams.

Evidence: both new tests of UnansweredRequestTest.StreamRetries failed before, the first with "Cut(afterMillis=18107, reason=closed after 0 bytes of a line)", the second with "header parser received no bytes" (the idle timeout closed the connection 18 s later).

Change: status and headers of a stream are committed with its first event; until then any other answer can take its place, and the request may run again. A stream that has begun and whose retry fails is cut at once.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -26,9 +26,11 @@
     public var longestPauseMillis: Long = 0
         private set
 
-    /** Whether the response has been committed to streaming, with its status and headers set. */
-    public var hasBegun: Boolean = false
-        private set
+    /** Status and headers of a stream of which no event has been sent yet. */
+    private var pendingStart: AnswerStart? = null
+
+    /** Whether a part of the response has been sent, so that no other can take its place. */
+    public val hasBegun: Boolean get() = response.headWritten()
 
     /** The id of the last complete event that was sent to the caller. */
     public val lastEventId: String? get() = splitter.lastEventId
@@ -36,8 +38,13 @@
     override fun begin(start: AnswerStart) {
         // A stream that is resumed at another upstream keeps the status and headers of the first.
         splitter = SseEventSplitter(splitter.lastEventId)
-        if (hasBegun) return
-        hasBegun = true
+        pendingStart = start.takeUnless { hasBegun }
+    }
+
+    /** Sets the status and headers of the stream, before its first piece. */
+    private fun commitStart() {
+        val start = pendingStart ?: return
+        pendingStart = null
         response.setStatusCode(start.status)
         translator.towardsCaller(start.headers).forEach { response.headers().add(it.key, it.value) }
         if (closesConnection()) response.putHeader("Connection", "close")
@@ -48,6 +55,7 @@
         val complete = splitter.add(piece)
         if (complete.length() > 0) {
             recordPiece(clock.nowMillis())
+            commitStart()
             response.write(complete)
             if (response.writeQueueFull()) awaitDrain()
         }
@@ -65,6 +73,7 @@
 
     /** Ends a stream whose upstream has sent everything, flushing an unterminated last event. */
     public fun endStream() {
+        commitStart()
         if (splitter.partial.length() > 0) response.write(splitter.partial)
         sent = response.end()
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -91,8 +91,7 @@
             last = end
             when (end) {
                 SendEnd.Streamed -> return RequestOutcome.Answered(null)
-                is SendEnd.Whole ->
-                    if (!isRetryableError(end, route)) return RequestOutcome.Answered(end)
+                is SendEnd.Whole -> if (!isRetryableError(end, route)) return relay(end)
                 is SendEnd.Broken -> {
                     dependencies.suspects.recordBroken(fingerprint, upstream)
                     if (!mayRetry(route)) return stopRetrying(end, UPSTREAM_FAILED)
@@ -274,6 +273,13 @@
         else -> refuse(reason, retryAfterMillis)
     }
 
+    /** Passes on [answer], unless a stream has begun, which only further events can complete. */
+    private fun relay(answer: SendEnd.Whole): RequestOutcome = if (reply.hasBegun) {
+        RequestOutcome.Aborted(UPSTREAM_FAILED)
+    } else {
+        RequestOutcome.Answered(answer)
+    }
+
     private fun refuse(code: String, retryAfterMillis: Long?): RequestOutcome =
         failOrAbort(ErrorAnswer.NotRun(code, retryAfterMillis))
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/UnansweredRequestTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/UnansweredRequestTest.kt
@@ -3,6 +3,8 @@
 import cactusfold.entry.path.EntryFixture.Companion.eventually
 import cactusfold.platform.standin.CallEnd
 import cactusfold.platform.standin.CallerConnection
+import cactusfold.platform.standin.RunnerBehavior
+import cactusfold.platform.standin.RunnerStandin
 import io.vertx.core.json.JsonObject
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -46,6 +48,51 @@
         }
     }
 
+    @Nested
+    inner class StreamRetries {
+        private fun withTwoRunners(test: (EntryFixture, RunnerStandin, RunnerStandin) -> Unit) =
+            EntryFixture().use { fixture ->
+                val first = fixture.runner("i-1", "engine", setOf("warm"))
+                val second = fixture.runner("i-2", "engine", setOf("warm"))
+                fixture.start()
+                test(fixture, first, second)
+            }
+
+        // Guards against an error answer that is written into a stream that has begun, which threw
+        // and left the connection open without an end.
+        @Test
+        fun `a stream whose retry is answered with an error is cut at once`() =
+            withTwoRunners { fixture, first, second ->
+                first.behavior = RunnerBehavior.CLOSES_MID_STREAM
+                second.behavior = RunnerBehavior.FAILS
+                repeat(6) {
+                    CallerConnection(fixture.callers).use { connection ->
+                        when (val end = connection.call("/draft/x", "warm")) {
+                            is CallEnd.Answered -> assertEquals(500, end.status)
+                            is CallEnd.Cut -> assertTrue(end.afterMillis < 1_000, "$end")
+                        }
+                    }
+                }
+                assertTrue(first.ran.isNotEmpty())
+            }
+
+        // Guards against the headers of a stream that broke before its first event being mixed with
+        // those of the answer that the caller gets.
+        @Test
+        fun `an answer after a stream without events has the headers of one upstream`() =
+            withTwoRunners { fixture, first, second ->
+                first.behavior = RunnerBehavior.CLOSES_BEFORE_EVENT
+                second.behavior = RunnerBehavior.FAILS
+                repeat(6) {
+                    val answer = fixture.caller.call("/draft/x", model = "warm")
+                    val seals = answer.headers().allValues("Cactusfold-Response-Seal").size
+                    // 502 where the runner that breaks off was the second.
+                    assertTrue(answer.statusCode() to seals in setOf(500 to 1, 502 to 0))
+                }
+                assertTrue(first.ran.isNotEmpty())
+            }
+    }
+
     private fun CallerConnection.status(path: String, model: String? = null): Int =
         assertIs<CallEnd.Answered>(call(path, model)).status
 }
