An unexpected exception in a request's coroutine is answered, not dropped

Callers would see a connection that stays open without an answer: an exception other than a cancellation ended the coroutine of the request, and nothing was sent; a cancellation of something else (a closed channel) was taken for the caller's leaving.

Change: CallerExchange turns every exception into an outcome, logged with its stack trace: 503 if nothing has run, 502 if it may have, a cut only if a part of the answer was sent. It counts a cancellation as its own only if its job is cancelled. The head of an answer is cleared before it is set, so that no header of a failed attempt remains.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -5,6 +5,8 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.kotlin.coroutines.coAwait
 import kotlin.coroutines.cancellation.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 
@@ -47,19 +49,27 @@
 
     /** Runs the exchange to its end; cancelled when the caller leaves or the server ends it. */
     public suspend fun run() {
-        try {
-            finish(process())
+        val outcome = try {
+            process()
         } catch (e: CancellationException) {
-            if (dependencies.phase() == ServingPhase.ENDING && flow != null) {
-                finish(stoppedOutcome())
+            // Something else than this exchange may have been cancelled, such as a channel.
+            if (currentCoroutineContext().isActive) {
+                failedOutcome(e)
             } else {
-                recordEnd("caller-left")
+                endCancelled()
+                throw e
             }
-            throw e
         } catch (e: Exception) {
-            log.error("request {} failed", facts.id, e)
-            recordEnd("internal-error")
-            throw e
+            failedOutcome(e)
+        }
+        finish(outcome)
+    }
+
+    private fun endCancelled() {
+        if (dependencies.phase() == ServingPhase.ENDING && flow != null) {
+            finish(stoppedOutcome())
+        } else {
+            recordEnd("caller-left")
         }
     }
 
@@ -105,22 +115,37 @@
         else -> RequestOutcome.Failed(STOPPING)
     }
 
+    private fun failedOutcome(cause: Exception): RequestOutcome {
+        log.error("request {} failed", facts.id, cause)
+        return when {
+            reply.hasBegun -> RequestOutcome.Aborted(INTERNAL_ERROR)
+            flow?.isUncertain == true -> RequestOutcome.Failed(
+                ErrorAnswer.MayHaveRun(INTERNAL_ERROR)
+            )
+            else -> RequestOutcome.Failed(ErrorAnswer.NotRun(INTERNAL_ERROR, null))
+        }
+    }
+
     private fun finish(outcome: RequestOutcome) {
-        when (outcome) {
-            is RequestOutcome.Answered -> {
-                val answer = outcome.answer
-                if (answer == null) reply.endStream() else reply.relayAnswer(answer)
-                recordEnd(if (answer == null) "streamed" else "answered-${answer.start.status}")
-            }
-            is RequestOutcome.Failed -> {
-                reply.sendError(facts.id, outcome.answer)
-                recordEnd(outcome.answer.code)
-            }
-            is RequestOutcome.Aborted -> {
-                reply.abort()
-                recordEnd("cut: ${outcome.reason}")
-            }
+        val sent = try {
+            outcome.also(::send)
+        } catch (e: Exception) {
+            failedOutcome(e).also(::send)
         }
+        recordEnd(labelOf(sent))
+    }
+
+    private fun send(outcome: RequestOutcome): Unit = when (outcome) {
+        is RequestOutcome.Answered -> outcome.answer?.let(reply::relayAnswer) ?: reply.endStream()
+        is RequestOutcome.Failed -> reply.sendError(facts.id, outcome.answer)
+        is RequestOutcome.Aborted -> reply.abort()
+    }
+
+    private fun labelOf(outcome: RequestOutcome): String = when (outcome) {
+        is RequestOutcome.Answered ->
+            outcome.answer?.let { "answered-${it.start.status}" } ?: "streamed"
+        is RequestOutcome.Failed -> outcome.answer.code
+        is RequestOutcome.Aborted -> "cut: ${outcome.reason}"
     }
 
     private fun recordEnd(outcome: String) {
@@ -162,6 +187,9 @@
     private companion object {
         val log = LogManager.getLogger(CallerExchange::class.java)
 
+        /** Outcome of a request that ended by an unexpected exception. */
+        const val INTERNAL_ERROR = "internal-error"
+
         const val PAYLOAD_TOO_LARGE = 413
         val BODY_TOO_LARGE = ErrorAnswer.Rejected(PAYLOAD_TOO_LARGE, "body-too-large")
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -3,6 +3,7 @@
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.HeaderTranslator
 import io.vertx.core.Future
+import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerResponse
 import kotlinx.coroutines.CompletableDeferred
@@ -45,9 +46,7 @@
     private fun commitStart() {
         val start = pendingStart ?: return
         pendingStart = null
-        response.setStatusCode(start.status)
-        translator.towardsCaller(start.headers).forEach { response.headers().add(it.key, it.value) }
-        if (closesConnection()) response.putHeader("Connection", "close")
+        setHead(start.status, translator.towardsCaller(start.headers))
         response.setChunked(true)
     }
 
@@ -85,24 +84,23 @@
 
     /** Relays an upstream's complete answer. */
     public fun relayAnswer(answer: SendEnd.Whole) {
-        response.setStatusCode(answer.start.status)
-        translator.towardsCaller(answer.start.headers)
-            .forEach { response.headers().add(it.key, it.value) }
-        end(answer.body)
+        setHead(answer.start.status, translator.towardsCaller(answer.start.headers))
+        sent = response.end(answer.body)
     }
 
     /** Sends an error answer that comes from this process rather than from an upstream. */
     public fun sendError(id: String?, answer: ErrorAnswer) {
-        response.setStatusCode(answer.status)
-        translator.refusal(id, answer.retryAfterMillis)
-            .forEach { response.headers().add(it.key, it.value) }
+        setHead(answer.status, translator.refusal(id, answer.retryAfterMillis))
         response.putHeader("Content-Type", "text/plain")
-        end(Buffer.buffer(answer.code + "\n"))
+        sent = response.end(Buffer.buffer(answer.code + "\n"))
     }
 
-    private fun end(body: Buffer) {
+    private fun setHead(status: Int, headers: MultiMap) {
+        // An earlier attempt to set them may have failed midway.
+        response.headers().clear()
+        response.setStatusCode(status)
+        headers.forEach { response.headers().add(it.key, it.value) }
         if (closesConnection()) response.putHeader("Connection", "close")
-        sent = response.end(body)
     }
 
     /** Calls [action] when the response has been sent or failed; at once if there is none. */
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -102,7 +102,7 @@
         private const val BLOCK = 100
         private const val PORT_BLOCKS = 200
 
-        private fun freePort(): Int {
+        fun freePort(): Int {
             while (true) {
                 val port = nextPort.getAndIncrement()
                 try {
