A repeated SIGTERM no longer ends a process that still drains

Callers saw whole requests end with neither an answer nor a refusal when planned stops overlapped. Cause: the second call of EntryProcess.stop returned at once, and the program took that for the end of the stop and exited, with all requests in progress.

The new test "a repeated stop does not end the process before requests in progress are answered" failed before ("Expected value to be true").

Change: a call of stop during a stop waits for its end. The tasks of signals no longer share the fate of a failed one: an exception in a reload would have cancelled the scope in which a later SIGTERM is handled. A process that is stopped while it still waits for a configuration does not start to listen.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.system.exitProcess
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import picocli.CommandLine.Command
@@ -106,11 +107,15 @@
             logging.int("lines-per-second")
         )
         val done = CountDownLatch(1)
-        val scope = CoroutineScope(dispatcher)
+        // A failure in one of these tasks, such as a reload, must not cancel the others.
+        val scope = CoroutineScope(SupervisorJob() + dispatcher)
         Signal.handle(Signal("TERM")) {
             scope.launch {
-                entry.stop()
-                done.countDown()
+                try {
+                    entry.stop()
+                } finally {
+                    done.countDown()
+                }
             }
         }
         Signal.handle(Signal("HUP")) { scope.launch { entry.logReload(currentProblems()) } }
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -52,6 +52,7 @@
 import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -174,6 +175,7 @@
     )
     private val status = StatusServer(vertx, metrics, ::unreadyReason)
     private var isStopping = false
+    private val stopped = CompletableDeferred<Unit>()
 
     private fun httpClient(timeoutMillis: Long): PlatformHttp = PlatformHttp(
         vertx,
@@ -207,6 +209,7 @@
         }
         status.start(settings.ready, HostPort(settings.address, settings.metricsPort))
         while (config.current == null) delay(CONFIG_CHECK_INTERVAL_MILLIS)
+        if (isStopping) return
         callers.start(config.current!!.limits)
         events.write("process-serving", "config" to config.current?.version)
     }
@@ -221,10 +224,25 @@
         }
     }
 
-    /** Drains in-flight requests, as far as the shutdown time allows, and stops the process. */
+    /**
+     * Drains in-flight requests, as far as the shutdown time allows, and stops the process. A call
+     * during a stop returns when that one has ended.
+     */
     public suspend fun stop() {
-        if (isStopping) return
+        if (isStopping) return stopped.await()
         isStopping = true
+        try {
+            drain()
+            callers.stop()
+            scope.coroutineContext[Job]?.cancel()
+            peerServer.stop(0)
+            peers.close()
+        } finally {
+            stopped.complete(Unit)
+        }
+    }
+
+    private suspend fun drain() {
         val began = clock.nowMillis()
         events.write("process-stopping", "running" to callers.running)
         callers.isLeaving = true
@@ -236,10 +254,6 @@
             delay(DRAIN_CHECK_INTERVAL_MILLIS)
         }
         events.write("process-stopped", "running" to callers.running)
-        callers.stop()
-        scope.coroutineContext[Job]?.cancel()
-        peerServer.stop(0)
-        peers.close()
     }
 
     /** Logs a reload of the settings; it only checks them, and changes need a restart. */
--- a/entry/src/test/kotlin/cactusfold/entry/path/PlannedStopTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PlannedStopTest.kt
@@ -4,6 +4,7 @@
 import java.net.http.HttpResponse
 import java.util.concurrent.CompletableFuture
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import org.junit.jupiter.api.Test
 
 /** Requests in progress when a process is told to stop, under a short time to stop. */
@@ -25,6 +26,24 @@
         }
     }
 
+    // Guards against a repeated SIGTERM that ends a process while it still drains.
+    @Test
+    fun `a repeated stop does not end the process before requests in progress are answered`() {
+        EntryFixture(stopMillis = 6_000).use { fixture ->
+            val desk = fixture.runner("i-1", "desk")
+            fixture.start()
+            desk.answerDelayMillis = 1_500
+            val running = callAsync { fixture.caller.call("/book/x") }
+            EntryFixture.eventually("not sent") { desk.ran.size == 1 }
+            val first = CompletableFuture.runAsync { fixture.stop() }
+            Thread.sleep(100)
+            fixture.stop()
+            assertTrue(running.isDone)
+            assertEquals(200, running.get().statusCode())
+            first.get()
+        }
+    }
+
     private fun callAsync(
         call: () -> HttpResponse<String>
     ): CompletableFuture<HttpResponse<String>> = CompletableFuture.supplyAsync(call)
