--- a/decisions/src/test/kotlin/cactusfold/decisions/claim/ClaimMachineTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/claim/ClaimMachineTest.kt
@@ -1,7 +1,7 @@
 package cactusfold.decisions.claim
 
 import cactusfold.decisions.BrokenInvariant
-import cactusfold.decisions.Seeds
+import cactusfold.seeds.Seeds
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
--- a/decisions/src/test/kotlin/cactusfold/decisions/holding/CoordinatorLeaseRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/holding/CoordinatorLeaseRandomisedTest.kt
@@ -1,6 +1,6 @@
 package cactusfold.decisions.holding
 
-import cactusfold.decisions.Seeds
+import cactusfold.seeds.Seeds
 import kotlin.random.Random
 import kotlin.test.assertTrue
 import org.junit.jupiter.api.Test
--- a/decisions/src/test/kotlin/cactusfold/decisions/placement/CellRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/placement/CellRandomisedTest.kt
@@ -1,6 +1,6 @@
 package cactusfold.decisions.placement
 
-import cactusfold.decisions.Seeds
+import cactusfold.seeds.Seeds
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertTrue
--- a/decisions/src/test/kotlin/cactusfold/decisions/rate/BucketTakeTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/rate/BucketTakeTest.kt
@@ -1,6 +1,6 @@
 package cactusfold.decisions.rate
 
-import cactusfold.decisions.Seeds
+import cactusfold.seeds.Seeds
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
