--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -6,34 +6,30 @@
 import cactusfold.entry.rate.RateTolerance
 import cactusfold.node.time.MonotonicClock
 import cactusfold.platform.standin.CallerStandin
-import cactusfold.platform.standin.OperatorStandin
 import cactusfold.platform.standin.RunnerStandin
-import cactusfold.platform.standin.StoreStandin
 import cactusfold.settings.schema.HostPort
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
-import java.net.BindException
-import java.net.ServerSocket
 import java.util.UUID
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 
 /** An entry process with its own store and runners, all on the loopback interface. */
 class EntryFixture(stopMillis: Long = 8_000) : AutoCloseable {
-    private val vertx = Vertx.vertx()
+    private val platform = PlatformFixture()
     private val entryVertx = Vertx.vertx(io.vertx.core.VertxOptions().setEventLoopPoolSize(1))
-    val store = StoreStandin(vertx).apply { start() }
-    private val callers = freePort()
-    private val ready = freePort()
+    val store get() = platform.store
+    val operator get() = platform.operator
+    private val callers = FreePorts.next()
+    private val ready = FreePorts.next()
     private val entry = EntryProcess(
         EntrySettings(
             vm = "vm1",
             address = "127.0.0.1",
             zone = "z1",
-            peerPort = freePort(),
-            metricsPort = freePort(),
+            peerPort = FreePorts.next(),
+            metricsPort = FreePorts.next(),
             callers = HostPort("127.0.0.1", callers),
             ready = HostPort("127.0.0.1", ready),
             store = HostPort("127.0.0.1", store.port),
@@ -55,14 +51,10 @@
         linesPerSecond = 1_000
     )
 
-    val operator = OperatorStandin(store)
     val caller = CallerStandin(callers)
 
-    fun runner(id: String, service: String, models: Set<String> = emptySet()): RunnerStandin {
-        val runner = RunnerStandin(vertx, id, models).apply { start() }
-        operator.register(id, runner, service)
-        return runner
-    }
+    fun runner(id: String, service: String, models: Set<String> = emptySet()): RunnerStandin =
+        platform.runner(id, service, models)
 
     fun start() {
         operator.configure(version = 1, keys = listOf("key-1"))
@@ -78,7 +70,7 @@
 
     override fun close() {
         entryVertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS)
-        vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS)
+        platform.close()
     }
 
     companion object {
@@ -91,26 +83,5 @@
                 Thread.sleep(20)
             }
         }
-
-        /** Below the ephemeral port range, so that no connection or listener takes a port. */
-        private val nextPort =
-            AtomicInteger(
-                FIRST_PORT + (ProcessHandle.current().pid() % PORT_BLOCKS).toInt() * BLOCK
-            )
-
-        private const val FIRST_PORT = 12_000
-        private const val BLOCK = 100
-        private const val PORT_BLOCKS = 200
-
-        private fun freePort(): Int {
-            while (true) {
-                val port = nextPort.getAndIncrement()
-                try {
-                    return ServerSocket(port).use { it.localPort }
-                } catch (_: BindException) {
-                    continue
-                }
-            }
-        }
     }
 }
