Soak of planned work through entry processes of their own

Cause: callers saw whole requests without an answer or a refusal under planned work; no test ran a process with its signals, kept connections and overlapping changes.

Change: PlannedWorkSoakTest runs each seed once: an entry process, sometimes with another beside it, 8 to 16 callers with kept connections, and random SIGTERM, SIGHUP and changes of the configuration. It checks that whole requests are answered or refused, that refused ones have not run, that complete answers are, and that the processes end in time, with code 0 and without errors in their output. 16 seeds by default, four at a time.

--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/PlannedWorkSoakTest.kt
@@ -0,0 +1,71 @@
+package cactusfold.entry.soak
+
+import cactusfold.seeds.Seeds
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+/**
+ * Random planned work on entry processes that serve callers: SIGTERM once or more often, SIGHUP and
+ * changes of the configuration, which overlap. Runs each of the [Seeds] once for all tests.
+ */
+class PlannedWorkSoakTest {
+    @Nested
+    inner class Requests {
+        @Test
+        fun `a whole request gets an answer or a refusal`() = check(Rule.ANSWERED)
+
+        @Test
+        fun `a refused request has not run`() = check(Rule.TRUE_REFUSAL)
+
+        @Test
+        fun `an answer that looks complete is complete`() = check(Rule.COMPLETE)
+    }
+
+    @Nested
+    inner class Processes {
+        @Test
+        fun `SIGTERM ends a process within the time to stop, with code 0`() =
+            check(Rule.TIMELY_EXIT)
+
+        @Test
+        fun `SIGHUP ends no process`() = check(Rule.SURVIVES_HANGUP)
+
+        @Test
+        fun `the output contains no errors`() = check(Rule.CLEAN_OUTPUT)
+    }
+
+    private companion object {
+        const val DEFAULT_SEEDS = 16
+        const val CONCURRENT_RUNS = 4
+
+        val reports: List<SoakReport> by lazy {
+            val pool = Executors.newFixedThreadPool(CONCURRENT_RUNS)
+            try {
+                Seeds.range(DEFAULT_SEEDS)
+                    .map { seed -> pool.submit(Callable { SoakRun(SoakPlan(seed)).run() }) }
+                    .map { it.get() }
+                    .also(::summarize)
+            } finally {
+                pool.shutdownNow()
+            }
+        }
+
+        fun check(rule: Rule) {
+            val broken = reports.mapNotNull { it.describe(rule) }
+            assertTrue(
+                broken.isEmpty(),
+                "$rule broken for ${broken.size} of ${reports.size} seeds\n" +
+                    broken.joinToString("\n")
+            )
+        }
+
+        private fun summarize(reports: List<SoakReport>) {
+            val ends = reports.flatMap { it.ends.entries }.groupBy({ it.key }, { it.value })
+                .mapValues { it.value.sum() }
+            println("${reports.size} seeds of planned work; requests by their end: $ends")
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/ProcessRules.kt
@@ -0,0 +1,55 @@
+package cactusfold.entry.soak
+
+import io.vertx.core.json.DecodeException
+import io.vertx.core.json.JsonObject
+import java.util.concurrent.TimeUnit
+
+/** Checks what the processes of a run do as a whole. */
+class ProcessRules(private val plan: SoakPlan) {
+    val violations = mutableListOf<Violation>()
+
+    /** A process that was not told to stop runs, also after SIGHUP. */
+    fun checkAlive(entry: EntryJvm) {
+        if (entry.isAlive) return
+        violations += Violation(Rule.SURVIVES_HANGUP, "gone", "exit code ${entry.exitCode}")
+    }
+
+    /** The process ends by itself, in time and with code 0. */
+    fun checkExit(entry: EntryJvm, terminatedAtNanos: Long) {
+        if (!entry.awaitExit(plan.stopMillis + GRACE_MILLIS)) {
+            violations += Violation(Rule.TIMELY_EXIT, "still runs", "$plan")
+            return
+        }
+        val exitedAtNanos = entry.exitedAtNanos ?: System.nanoTime()
+        val tookMillis = TimeUnit.NANOSECONDS.toMillis(exitedAtNanos - terminatedAtNanos)
+        if (tookMillis > plan.stopMillis) {
+            violations += Violation(Rule.TIMELY_EXIT, "late", "$tookMillis ms")
+        }
+        if (entry.exitCode != 0) {
+            violations += Violation(Rule.TIMELY_EXIT, "exit code", "${entry.exitCode}")
+        }
+    }
+
+    /** The output consists of log lines without errors. */
+    fun checkOutput(entry: EntryJvm) {
+        entry.output().filterNot(::isExpected).forEach {
+            violations += Violation(Rule.CLEAN_OUTPUT, "unexpected output", it)
+        }
+    }
+
+    /** Whether [line] is a log line, perhaps with moment, thread and level before its fields. */
+    private fun isExpected(line: String): Boolean = try {
+        val json = JsonObject("{" + line.substringAfter("{"))
+        val levels = line.substringBefore("{").split(' ') + json.getString("level").orEmpty()
+        levels.none { it in ERRORS } && !json.containsKey("error")
+    } catch (_: DecodeException) {
+        line == INCUBATOR_WARNING
+    }
+
+    private companion object {
+        /** Only tells a late exit from none. */
+        const val GRACE_MILLIS = 5_000L
+        val ERRORS = setOf("ERROR", "FATAL")
+        const val INCUBATOR_WARNING = "WARNING: Using incubator modules: jdk.incubator.foreign"
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/RequestRules.kt
@@ -0,0 +1,107 @@
+package cactusfold.entry.soak
+
+import cactusfold.platform.standin.CallEnd
+import cactusfold.platform.standin.ExecutedRequest
+import java.util.concurrent.TimeUnit
+
+/** Checks what became of each request of [run], whose process wrote [output]. */
+class RequestRules(private val run: SoakRun, private val output: List<String>) {
+    private val plan = run.plan
+    private val executions: Map<String, List<ExecutedRequest>> =
+        run.platform.runners.flatMap { it.ran }.groupBy { it.id }
+
+    private sealed interface Verdict {
+        data class Sound(val end: String) : Verdict
+        data class Broken(val rule: Rule, val kind: String) : Verdict
+    }
+
+    /** Returns the report of the run, with [others] that are already known. */
+    fun report(others: List<Violation>): SoakReport {
+        val violations = others.toMutableList()
+        val ends = sortedMapOf<String, Int>()
+        for (call in run.calls) {
+            val end = when (val verdict = judge(call)) {
+                is Verdict.Sound -> verdict.end
+                is Verdict.Broken -> {
+                    violations += Violation(verdict.rule, verdict.kind, describe(call))
+                    "${verdict.rule}: ${verdict.kind}"
+                }
+            }
+            ends.merge(end, 1, Int::plus)
+        }
+        return SoakReport(plan, violations, ends)
+    }
+
+    private fun judge(call: SentCall): Verdict {
+        val ran = executions[call.id].orEmpty()
+        val tookMillis = millis(call.endedAtNanos - call.sentAtNanos)
+        return when (val end = call.end) {
+            is CallEnd.Answered -> when {
+                tookMillis > SILENT_MILLIS -> broken(Rule.ANSWERED, "answered too late")
+                end.status == OK && !call.plan.isComplete(end.body) ->
+                    broken(Rule.COMPLETE, "incomplete answer")
+                end.status in REFUSALS && ran.isNotEmpty() ->
+                    broken(Rule.TRUE_REFUSAL, "refused but ran")
+                end.status !in ANSWERS -> broken(Rule.ANSWERED, "status ${end.status}")
+                else -> Verdict.Sound("${end.status}")
+            }
+            is CallEnd.Cut -> when {
+                tookMillis > SILENT_MILLIS -> broken(Rule.ANSWERED, "open without an answer")
+                reachedLimit(call) -> Verdict.Sound("cut at the time limit")
+                ran.any { isAtWorkAtTheEnd(it, call) } ->
+                    Verdict.Sound("cut while the upstream worked in the last sixth")
+                ran.isNotEmpty() -> broken(Rule.ANSWERED, "cut after it ran")
+                tookMillis > CROSSING_MILLIS -> broken(Rule.ANSWERED, "cut late, not run")
+                else -> Verdict.Sound("cut, crossed a close")
+            }
+        }
+    }
+
+    private fun broken(rule: Rule, kind: String) = Verdict.Broken(rule, kind)
+
+    private fun reachedLimit(call: SentCall): Boolean =
+        millis(call.endedAtNanos - call.startedAtNanos) >=
+            minOf(call.plan.timeoutMillis, CallPlan.ROUTE_TIMEOUT_MILLIS)
+
+    /** Whether the upstream worked in the last sixth of the time to stop, on a timely request. */
+    private fun isAtWorkAtTheEnd(ran: ExecutedRequest, call: SentCall): Boolean {
+        val endedAtNanos = ran.endedAtNanos ?: System.nanoTime()
+        return sinceTermMillis(endedAtNanos) >= plan.stopMillis * 5 / 6 &&
+            sinceTermMillis(call.sentAtNanos) <= TIMELY_MILLIS
+    }
+
+    private fun describe(call: SentCall): String {
+        val runs = executions[call.id].orEmpty().joinToString { ran ->
+            "${sinceTermMillis(ran.startedAtNanos)}..${ran.endedAtNanos?.let(::sinceTermMillis)}"
+        }
+        val end = when (val end = call.end) {
+            is CallEnd.Answered -> "${end.status} with ${end.body.length} characters"
+            is CallEnd.Cut -> "cut: ${end.reason}"
+        }
+        val lines = output.filter { call.id in it }.joinToString("") { "\n    $it" }
+        return "request ${call.id} (${call.plan}), in ms after SIGTERM: " +
+            "sent ${sinceTermMillis(call.sentAtNanos)}, ran [$runs], " +
+            "ended ${sinceTermMillis(call.endedAtNanos)}; $end$lines"
+    }
+
+    private fun sinceTermMillis(nanos: Long): Long = millis(nanos - run.terminatedAtNanos)
+
+    private fun millis(nanos: Long): Long = TimeUnit.NANOSECONDS.toMillis(nanos)
+
+    private companion object {
+        const val OK = 200
+        val REFUSALS = setOf(429, 503)
+
+        /** An answer of an upstream, a refusal, "may have run" and "timed out". */
+        val ANSWERS = REFUSALS + setOf(OK, 502, 504)
+
+        /** A request that ends sooner may have crossed the close of its connection. */
+        const val CROSSING_MILLIS = 200L
+
+        /** Later requests have to be answered or refused within the time to stop. */
+        const val TIMELY_MILLIS = 3_000L
+
+        /** A connection is not left open without an answer for longer. */
+        const val SILENT_MILLIS = CallPlan.ROUTE_TIMEOUT_MILLIS + 2_000
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
@@ -0,0 +1,67 @@
+package cactusfold.entry.soak
+
+import cactusfold.entry.path.PlatformFixture
+import io.vertx.core.json.JsonObject
+import kotlin.random.Random
+
+/** Planned work on an entry process. */
+sealed interface PlannedWork {
+    data object Terminate : PlannedWork
+    data object Hangup : PlannedWork
+
+    /** A change of the configuration; a rate of zero means no limit. */
+    data class Configure(
+        val version: Int,
+        val routes: Int,
+        val keys: Int,
+        val ratePerSecond: Int,
+        val idleTimeoutMillis: Int
+    ) : PlannedWork {
+        fun write(platform: PlatformFixture) {
+            platform.operator.limits = JsonObject().put("idle-timeout-ms", idleTimeoutMillis)
+            platform.operator.addedRoutes = (1..routes).map { "/added-$it/" }
+            platform.operator.configure(version, (1..keys).map { "key-$it" }, ratePerSecond)
+        }
+    }
+}
+
+/** Whether another entry process runs beside, and which of them coordinates. */
+enum class Beside { NONE, COORDINATES, FOLLOWS }
+
+/** All that is random about one run, derived from [seed]. */
+class SoakPlan(val seed: Int) {
+    private val random = Random(seed)
+    val stopMillis: Long = random.nextLong(4_000, 8_001)
+    val beside: Beside = Beside.entries.random(random)
+    val loadMillis: Long = random.nextLong(100, 1_501)
+    val callers: List<Random> = List(random.nextInt(8, 17)) { Random(random.nextLong()) }
+
+    /** Time from the first request to the first SIGTERM. */
+    val leadMillis: Long = random.nextLong(500, 2_001)
+    val initial: PlannedWork.Configure = configure(1, routes = 0)
+
+    /** Planned work, with its time in milliseconds after the first SIGTERM. */
+    val work: List<Pair<Long, PlannedWork>> = draw().sortedBy { it.first }
+
+    private fun draw(): List<Pair<Long, PlannedWork>> = buildList {
+        add(0L to PlannedWork.Terminate)
+        repeat(random.nextInt(3)) { add(random.nextLong(1, stopMillis) to PlannedWork.Terminate) }
+        repeat(random.nextInt(4)) { add(anyTime() to PlannedWork.Hangup) }
+        val changes = List(random.nextInt(5)) { anyTime() }.sorted()
+        changes.forEachIndexed { i, at -> add(at to configure(i + 2, routes = i + 1)) }
+    }
+
+    private fun anyTime(): Long = random.nextLong(-leadMillis, stopMillis)
+
+    private fun configure(version: Int, routes: Int) = PlannedWork.Configure(
+        version,
+        routes,
+        keys = random.nextInt(1, 4),
+        ratePerSecond = if (version == 1) 0 else listOf(0, 300, 100_000).random(random),
+        idleTimeoutMillis = listOf(1_000, 2_500, 60_000).random(random)
+    )
+
+    override fun toString(): String = "stopMillis=$stopMillis beside=$beside " +
+        "loadMillis=$loadMillis callers=${callers.size} leadMillis=$leadMillis initial=$initial " +
+        "work=$work"
+}
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakReport.kt
@@ -0,0 +1,18 @@
+package cactusfold.entry.soak
+
+/** What a run must keep. */
+enum class Rule { ANSWERED, TRUE_REFUSAL, COMPLETE, TIMELY_EXIT, SURVIVES_HANGUP, CLEAN_OUTPUT }
+
+/** A broken rule; [kind] groups equal ones. */
+class Violation(val rule: Rule, val kind: String, val details: String)
+
+/** Result of one run; [ends] counts how requests ended. */
+class SoakReport(
+    val plan: SoakPlan,
+    val violations: List<Violation>,
+    val ends: Map<String, Int> = emptyMap()
+) {
+    fun describe(rule: Rule): String? = violations.filter { it.rule == rule }
+        .takeIf { it.isNotEmpty() }
+        ?.joinToString("\n", "seed ${plan.seed}, $plan:\n") { "${it.kind}: ${it.details}" }
+}
