--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -2,7 +2,7 @@
 
 import cactusfold.entry.EntryBounds
 import cactusfold.entry.config.RouteTable
-import cactusfold.entry.path.EntryFixture
+import cactusfold.entry.path.FreePorts
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.rate.RateTolerance
 import cactusfold.entry.rate.WorkspaceRateLimiter
@@ -50,7 +50,7 @@
     private val events = EventLog("vm", clock, linesPerSecond = 100)
     private val bounds =
         EntryBounds(8_000, 5_000, 500, 0.2, 10_000, 100.0, RateTolerance(8_000, 0.1, 100.0), 5_000)
-    private val port = EntryFixture.freePort()
+    private val port = FreePorts.next()
     private var failure: Exception? = null
 
     private val config = ServingConfig(
