A request that is still being read at the end of a stop is refused

A request whose body was arriving when a stopping process ended the remaining requests got neither an answer nor a log line, and so would one that arrived after that on an open connection: its job was cancelled before it began.

Evidence: "a request whose body is still arriving at the end is refused" failed before with "Cut(afterMillis=0, reason=closed before the answer)".

Change: at the end of a stop every exchange that is cancelled sends its outcome, also while it receives; requests that arrive later are refused at once, and these answers close their connections.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -65,8 +65,11 @@
         finish(outcome)
     }
 
+    /** Refuses the request without receiving its body, because the server is ending. */
+    public fun refuse(): Unit = finish(RequestOutcome.Failed(STOPPING))
+
     private fun endCancelled() {
-        if (dependencies.phase() == ServingPhase.ENDING && flow != null) {
+        if (dependencies.phase() == ServingPhase.ENDING && !reply.isClosed) {
             finish(stoppedOutcome())
         } else {
             recordEnd("caller-left")
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -33,6 +33,9 @@
     /** Whether a part of the response has been sent, so that no other can take its place. */
     public val hasBegun: Boolean get() = response.headWritten()
 
+    /** Whether the caller has closed the connection. */
+    public val isClosed: Boolean get() = response.closed()
+
     /** The id of the last complete event that was sent to the caller. */
     public val lastEventId: String? get() = splitter.lastEventId
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -60,7 +60,10 @@
         phase = ServingPhase.REFUSING
     }
 
-    /** Ends the requests in progress, each with an answer, and stops listening. */
+    /**
+     * Ends the requests in progress, each with an answer, and stops listening. Requests that arrive
+     * until their connections are closed are refused.
+     */
     public suspend fun stop() {
         phase = ServingPhase.ENDING
         requestsJob.cancel()
@@ -71,7 +74,11 @@
     private fun accept(request: HttpServerRequest) {
         val arrivedAtMillis = flow.clock.nowMillis()
         val response = request.response()
-        val reply = CallerReply(response, flow.translator, flow.clock) { isLeaving }
+        val reply = CallerReply(response, flow.translator, flow.clock) {
+            isLeaving || phase == ServingPhase.ENDING
+        }
+        val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis)
+        if (phase == ServingPhase.ENDING) return exchange.refuse()
         val job = Job(requestsJob)
         running++
         connections.requestStarted(request.connection())
@@ -81,7 +88,6 @@
         }
         response.closeHandler { job.cancel(CancellationException("caller disconnected")) }
         response.exceptionHandler { job.cancel(CancellationException("caller disconnected")) }
-        val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis)
         CoroutineScope(scope.coroutineContext + job).launch(start = CoroutineStart.UNDISPATCHED) {
             try {
                 exchange.run()
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.entry.EntryBounds
 import cactusfold.entry.config.RouteTable
+import cactusfold.entry.path.EntryFixture
 import cactusfold.entry.path.FreePorts
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.rate.RateTolerance
@@ -25,6 +26,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.test.assertEquals
 import kotlinx.collections.immutable.persistentListOf
@@ -126,4 +128,27 @@
             assertEquals(CallEnd.Answered(503, "internal-error\n", closes = false), answer())
         }
     }
+
+    @Nested
+    inner class Stop {
+        private fun stop() = runBlocking(vertx.orCreateContext.dispatcher()) { server.stop() }
+
+        private fun awaitRunning(count: Int) =
+            EntryFixture.eventually("not running") { server.running == count }
+
+        // Guards against a request that ends without an answer because it is being read when the
+        // remaining requests are ended.
+        @Test
+        fun `a request whose body is still arriving at the end is refused`() {
+            CallerConnection(port).use { connection ->
+                val end = CompletableFuture.supplyAsync {
+                    connection.send("/x/1", bodyPauseMillis = 1_000)
+                    connection.receive()
+                }
+                awaitRunning(1)
+                stop()
+                assertEquals(CallEnd.Answered(503, "stopping\n", closes = true), end.get())
+            }
+        }
+    }
 }
