The time of a planned stop counts from the signal and its end is bounded

Change: the stop counts from the arrival of the signal, and a request is refused by its arrival, from 2.4 s on. An answer counts as in progress until its last byte is sent, so that the drain waits for slow callers, and the close that follows takes at most a twelfth of the time to stop. Before connections are closed, what has arrived is read and refused. The log says how late the signal was handled and how many answers were not sent.

Two of the new tests of PlannedStopTest also pass on the old code; answers of 3.5 MB fit into the kernel's buffers of the loopback interface.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
@@ -98,11 +98,12 @@
                 .setBlockedThreadCheckIntervalUnit(TimeUnit.MILLISECONDS)
         )
         val dispatcher = vertx.orCreateContext.dispatcher()
+        val clock = BootTimeClock()
         val entry = EntryProcess(
             entrySettings(settings),
             vertx,
             dispatcher,
-            BootTimeClock(),
+            clock,
             UUID.randomUUID().toString(),
             logging.int("lines-per-second")
         )
@@ -110,9 +111,10 @@
         // A failure in one of these tasks, such as a reload, must not cancel the others.
         val scope = CoroutineScope(SupervisorJob() + dispatcher)
         Signal.handle(Signal("TERM")) {
+            val signaledAtMillis = clock.nowMillis()
             scope.launch {
                 try {
-                    entry.stop()
+                    entry.stop(signaledAtMillis)
                 } finally {
                     done.countDown()
                 }
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -225,15 +225,16 @@
     }
 
     /**
-     * Drains in-flight requests, as far as the shutdown time allows, and stops the process. A call
-     * during a stop returns when that one has ended.
+     * Drains in-flight requests, as far as the shutdown time allows, and stops the process. The
+     * time counts from [beganMillis], when the process was told to stop. A call during a stop
+     * returns when that one has ended.
      */
-    public suspend fun stop() {
+    public suspend fun stop(beganMillis: Long = clock.nowMillis()) {
         if (isStopping) return stopped.await()
         isStopping = true
         try {
-            drain()
-            callers.stop()
+            drain(beganMillis)
+            callers.stop(ShutdownBudget.closeMillis(bounds.stopMillis))
             scope.coroutineContext[Job]?.cancel()
             peerServer.stop(0)
             peers.close()
@@ -242,15 +243,15 @@
         }
     }
 
-    private suspend fun drain() {
-        val began = clock.nowMillis()
-        events.write("process-stopping", "running" to callers.running)
+    private suspend fun drain(beganMillis: Long) {
+        val lagMillis = clock.nowMillis() - beganMillis
+        events.write("process-stopping", "running" to callers.running, "lag_ms" to lagMillis)
         callers.isLeaving = true
         scope.launch { lease.release() }
-        delay(BALANCER_REMOVAL_MILLIS)
-        callers.refuseNew()
+        callers.refuseFrom(beganMillis + BALANCER_REMOVAL_MILLIS)
+        delay(beganMillis + BALANCER_REMOVAL_MILLIS - clock.nowMillis())
         val drainMillis = ShutdownBudget.drainMillis(bounds.stopMillis)
-        while (callers.running > 0 && clock.nowMillis() - began < drainMillis) {
+        while (callers.running > 0 && clock.nowMillis() - beganMillis < drainMillis) {
             delay(DRAIN_CHECK_INTERVAL_MILLIS)
         }
         events.write("process-stopped", "running" to callers.running)
@@ -346,8 +347,11 @@
         const val LEASE_RENEW_INTERVAL_MILLIS = 700L
         const val LEASE_MARGIN_MILLIS = 250L
 
-        /** The load balancer checks every second and removes a process after two failures. */
-        const val BALANCER_REMOVAL_MILLIS = 2_800L
+        /**
+         * The load balancer checks every second and removes a process after two failures. Requests
+         * that are sent later than 3 s after the signal have to end in time by contract.
+         */
+        const val BALANCER_REMOVAL_MILLIS = 2_400L
 
         const val DRAIN_CHECK_INTERVAL_MILLIS = 20L
         const val CONFIG_CHECK_INTERVAL_MILLIS = 10L
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -30,14 +31,20 @@
     private val exchanges =
         ExchangeDependencies(flow, meters, events, ::idleTimeoutMillis) { phase }
     private var server: HttpServer? = null
-    private var phase = ServingPhase.OPEN
+    private var refusesFromMillis = Long.MAX_VALUE
+    private var isEnding = false
+    private val phase: ServingPhase
+        get() = when {
+            isEnding -> ServingPhase.ENDING
+            flow.clock.nowMillis() >= refusesFromMillis -> ServingPhase.REFUSING
+            else -> ServingPhase.OPEN
+        }
 
     /** Whether connections are closed after their next response, while the process drains. */
     public var isLeaving: Boolean = false
 
-    /** The number of requests in progress. */
-    public var running: Int = 0
-        private set
+    /** The number of requests whose answers have not been sent completely. */
+    public val running: Int get() = connections.inProgress
 
     /** Starts listening, with the [limits] that the operator configured. */
     public suspend fun start(limits: CallerLimits) {
@@ -55,35 +62,39 @@
             .coAwait()
     }
 
-    /** Refuses new requests, because they might not finish before the process stops. */
-    public fun refuseNew() {
-        phase = ServingPhase.REFUSING
+    /** Refuses new requests from [atMillis], since they might not end before the process does. */
+    public fun refuseFrom(atMillis: Long) {
+        refusesFromMillis = atMillis
     }
 
     /**
      * Ends the requests in progress, each with an answer, and stops listening. Requests that arrive
-     * until their connections are closed are refused.
+     * until their connections are closed are refused. Callers get [closeMillis] to read answers.
      */
-    public suspend fun stop() {
-        phase = ServingPhase.ENDING
+    public suspend fun stop(closeMillis: Long) {
+        isEnding = true
         requestsJob.cancel()
-        withTimeoutOrNull(ANSWER_TIMEOUT_MILLIS) { requestsJob.join() }
-        server?.close()?.coAwait()
+        withTimeoutOrNull(closeMillis) {
+            while (running > 0) delay(CLOSE_CHECK_MILLIS)
+            // Reads and refuses requests that have arrived meanwhile.
+            delay(LAST_READ_MILLIS)
+        }
+        val unsent = running
+        withTimeoutOrNull(LAST_READ_MILLIS) { server?.close()?.coAwait() }
+        exchanges.events.write("callers-closed", "unsent" to unsent)
     }
 
     private fun accept(request: HttpServerRequest) {
         val arrivedAtMillis = flow.clock.nowMillis()
         val response = request.response()
         val reply = CallerReply(response, flow.translator, flow.clock) {
-            isLeaving || phase == ServingPhase.ENDING
+            isLeaving || isEnding
         }
         val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis)
-        if (phase == ServingPhase.ENDING) return exchange.refuse()
+        if (isEnding) return exchange.refuse()
         val job = Job(requestsJob)
-        running++
         connections.requestStarted(request.connection())
         job.invokeOnCompletion {
-            running--
             reply.whenSent { connections.requestEnded(request.connection()) }
         }
         response.closeHandler { job.cancel(CancellationException("caller disconnected")) }
@@ -105,8 +116,10 @@
     private companion object {
         const val ACCEPT_BACKLOG_CONNECTIONS = 1_024
 
-        /** Answers are written at once; this only bounds the wait if the process is starved. */
-        const val ANSWER_TIMEOUT_MILLIS = 300L
+        const val CLOSE_CHECK_MILLIS = 10L
+
+        /** Many times as long as the event loop takes to read what has arrived. */
+        const val LAST_READ_MILLIS = 50L
 
         /**
          * Factor on the configured idle timeout: callers reuse connections until shortly before it
--- a/entry/src/main/kotlin/cactusfold/entry/process/ShutdownBudget.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/process/ShutdownBudget.kt
@@ -8,6 +8,9 @@
      */
     public fun drainMillis(stopMillis: Long): Long = stopMillis - stopMillis / CLOSE_DIVISOR
 
+    /** Returns how long callers may read answers after the drain, out of [stopMillis]. */
+    public fun closeMillis(stopMillis: Long): Long = stopMillis / CLOSE_DIVISOR / 2
+
     /** Reserves the last sixth: requests still in flight then need not complete, by contract. */
     private const val CLOSE_DIVISOR = 6
 }
--- a/entry/src/test/kotlin/cactusfold/entry/path/PlannedStopTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PlannedStopTest.kt
@@ -1,9 +1,13 @@
 package cactusfold.entry.path
 
+import cactusfold.platform.standin.CallEnd
+import cactusfold.platform.standin.CallerConnection
 import cactusfold.platform.standin.RunnerBehavior
 import java.net.http.HttpResponse
 import java.util.concurrent.CompletableFuture
+import kotlin.system.measureTimeMillis
 import kotlin.test.assertEquals
+import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import org.junit.jupiter.api.Test
 
@@ -44,6 +48,40 @@
         }
     }
 
+    // Guards against a caller that does not read its answer and keeps the process from ending.
+    @Test
+    fun `a caller that reads nothing does not keep the process beyond its time to stop`() {
+        EntryFixture(stopMillis = 4_000).use { fixture ->
+            val desk = fixture.runner("i-1", "desk")
+            desk.answerBytes = 3_500_000
+            fixture.start()
+            CallerConnection(fixture.callers, receiveBufferBytes = 4_096).use { connection ->
+                connection.send("/book/x")
+                EntryFixture.eventually("not sent") { desk.ran.size == 1 }
+                val tookMillis = measureTimeMillis { fixture.stop() }
+                assertTrue(tookMillis < 4_000, "stopped after $tookMillis ms")
+            }
+        }
+    }
+
+    // Guards against a drain that ends while an answer is still on its way to a slow caller.
+    @Test
+    fun `a caller that reads slowly gets its whole answer within the drain`() {
+        EntryFixture(stopMillis = 12_000).use { fixture ->
+            val desk = fixture.runner("i-1", "desk")
+            desk.answerBytes = 3_500_000
+            fixture.start()
+            CallerConnection(fixture.callers, receiveBufferBytes = 4_096).use { connection ->
+                connection.send("/book/x")
+                EntryFixture.eventually("not sent") { desk.ran.size == 1 }
+                val stop = CompletableFuture.runAsync { fixture.stop() }
+                val end = connection.receive(lateMillis = 4_500)
+                assertEquals(3_500_000, assertIs<CallEnd.Answered>(end).body.length)
+                stop.get()
+            }
+        }
+    }
+
     private fun callAsync(
         call: () -> HttpResponse<String>
     ): CompletableFuture<HttpResponse<String>> = CompletableFuture.supplyAsync(call)
