Do not pass on a stream that ends inside an event as complete

Callers saw a success with a torn last event when an upstream's stream ended inside an event and its framing gave no sign of that: the last chunk came, the length was reached, or the connection was closed in order and the answer had neither. Nothing was resumed.

Cause: the relay took the end of the body for the end of the stream, and CallerReply.endStream wrote the unterminated rest before the last chunk.

Evidence: AnswerFramingTest.StreamsThatEndInsideAnEvent, through an entry process over loopback. Before the change all three tests failed, for instance 'a stream that ends with its connection inside an event is broken': expected 'id: 1 ... id: 6 / data: piece 6', but was (200, 'id: 1 ... id: 3 / data: piece 3 / id: 4 / da').

Change: the sink says whether it is between two events. A stream that ends elsewhere is a broken send, so it is resumed after the last complete event or cut; the rest is dropped with the splitter of that send. This holds for each framing, since the check comes after the framing's own end.

The other tests pin what held before: answers and streams without a length are complete after an orderly close, and broken after a reset, also after the last byte; short lengths and missing last chunks are broken; HTTP/1.0 answers are read. With the change all 15 tests pass.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -31,6 +31,8 @@
     /** The id of the last complete event that was sent to the caller. */
     public val lastEventId: String? get() = splitter.lastEventId
 
+    override val isBetweenEvents: Boolean get() = splitter.partial.length() == 0
+
     override fun begin(start: AnswerStart) {
         // A stream that is resumed at another upstream keeps the status and headers of the first.
         splitter = SseEventSplitter(splitter.lastEventId)
@@ -61,9 +63,8 @@
         lastPieceAtMillis = nowMillis
     }
 
-    /** Ends a stream whose upstream has sent everything, flushing an unterminated last event. */
+    /** Ends a stream whose upstream has sent all of its events. */
     public fun endStream() {
-        if (splitter.partial.length() > 0) response.write(splitter.partial)
         response.end()
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -62,6 +62,9 @@
      * false if the stream is not one of events and has to be ended.
      */
     public suspend fun write(piece: Buffer): Boolean
+
+    /** Whether the pieces so far end with an event; a stream that ends elsewhere was broken off. */
+    public val isBetweenEvents: Boolean
 }
 
 /**
@@ -169,6 +172,7 @@
                 if (!sink.write(piece)) return SendEnd.Broken("an event is too long")
             }
             isComplete = true
+            if (!sink.isBetweenEvents) return SendEnd.Broken("the stream ended inside an event")
             return SendEnd.Streamed
         }
 
