Do not cut a caller whose stream broke before its first event

Callers got a closed connection without an answer when an upstream sent the head of a stream and broke off before the first complete event, although nothing of the stream had been sent to them. A route that allows another run did not use it, and one that does not gave no status.

Cause: CallerReply counted a stream as begun once an upstream's head had arrived. A begun stream without an event id may not be resumed, and only a cut can end it.

Evidence: AnswerFramingTest.StreamsBrokenBeforeTheirFirstEvent, three tests, for a reset, an end inside the first event and a close without the last chunk. All three failed before the change with 'java.io.IOException: HTTP/1.1 header parser received no bytes' at the caller.

Change: the head of the upstream whose events come first is set with its first complete event. It was written to the socket only then before, too, so callers see no change in time. Until then the request may run again if its route allows, and otherwise ends with 502, or 504 at its time limit.

EndlessAnswersTest passes the head before the piece now, as the sender does; what it checks is unchanged.

Measured: AnswerFramingTest (18 tests), EntryPathTest, EndlessAnswersTest, SseEventSplitterTest and PlannedStopTest pass.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -14,6 +14,7 @@
     private val closesConnection: () -> Boolean
 ) : StreamSink {
     private var splitter = SseEventSplitter()
+    private var start: AnswerStart? = null
     private var lastPieceAtMillis = 0L
 
     /** When the first complete event of a stream was sent to the caller; null before that. */
@@ -24,7 +25,7 @@
     public var longestPauseMillis: Long = 0
         private set
 
-    /** Whether the response has been committed to streaming, with its status and headers set. */
+    /** Whether the status and headers of a stream were sent, with its first complete event. */
     public var hasBegun: Boolean = false
         private set
 
@@ -34,12 +35,17 @@
     override val isBetweenEvents: Boolean get() = splitter.partial.length() == 0
 
     override fun begin(start: AnswerStart) {
-        // A stream that is resumed at another upstream keeps the status and headers of the first.
         splitter = SseEventSplitter(splitter.lastEventId)
+        this.start = start
+    }
+
+    /** A stream that is resumed at another upstream keeps the status and headers of the first. */
+    private fun sendHead() {
         if (hasBegun) return
         hasBegun = true
-        response.setStatusCode(start.status)
-        translator.towardsCaller(start.headers).forEach { response.headers().add(it.key, it.value) }
+        val sent = checkNotNull(start) { "a piece came before the status and headers" }
+        response.setStatusCode(sent.status)
+        translator.towardsCaller(sent.headers).forEach { response.headers().add(it.key, it.value) }
         if (closesConnection()) response.putHeader("Connection", "close")
         response.setChunked(true)
     }
@@ -47,6 +53,7 @@
     override suspend fun write(piece: Buffer): Boolean {
         val complete = splitter.add(piece)
         if (complete.length() > 0) {
+            sendHead()
             recordPiece(clock.nowMillis())
             response.write(complete)
             if (response.writeQueueFull()) awaitDrain()
@@ -65,6 +72,7 @@
 
     /** Ends a stream whose upstream has sent all of its events. */
     public fun endStream() {
+        sendHead()
         response.end()
     }
 
--- a/entry/src/test/kotlin/cactusfold/entry/callers/EndlessAnswersTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/EndlessAnswersTest.kt
@@ -3,6 +3,7 @@
 import cactusfold.node.time.MonotonicClock
 import cactusfold.platform.WireHeaders
 import io.vertx.core.Handler
+import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpServerResponse
@@ -84,6 +85,8 @@
         @Test
         fun `complete events before one without end reach the caller`() = runBlocking {
             val reply = CallerReply(response, WireHeaders, MonotonicClock.SYSTEM) { false }
+            val headers = MultiMap.caseInsensitiveMultiMap()
+            reply.begin(AnswerStart(200, headers, WireHeaders.answer(200, headers)))
             val complete = "id: 1\ndata: a\n\n"
             assertFalse(reply.write(Buffer.buffer(complete + "x".repeat(70_000))))
             assertEquals(complete, written.toString())
--- a/entry/src/test/kotlin/cactusfold/entry/path/AnswerFramingTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/AnswerFramingTest.kt
@@ -182,6 +182,39 @@
             assertStreamIsBroken(RawAnswer(AnswerFraming.LENGTH, AnswerEnd.INSIDE_EVENT))
     }
 
+    @Nested
+    inner class StreamsBrokenBeforeTheirFirstEvent {
+        /** Checks that the stream runs anew, and that the caller is told if it may not. */
+        private fun assertNothingWasSent(answer: RawAnswer) {
+            first.rawAnswer = answer.copy(completeEvents = 0)
+            repeat(CALLS) {
+                val received = fixture.caller.call("/draft/x", model = "warm")
+                assertEquals(200 to stream, received.statusCode() to received.body(), "$answer")
+            }
+            assertTrue(first.ran.isNotEmpty(), "the first runner was not chosen")
+            assertTrue(second.ran.all { it.lastEventId == null })
+            second.rawAnswer = first.rawAnswer
+            val received = fixture.caller.call("/once/x", model = "warm")
+            val expected = 502 to "upstream-failed\n"
+            assertEquals(expected, received.statusCode() to received.body(), "$answer")
+        }
+
+        // The caller's connection was closed without an answer, also where the stream may run anew.
+        @Test
+        fun `a stream reset before its first event runs on another runner`() =
+            assertNothingWasSent(RawAnswer(CLOSE, AnswerEnd.RESET))
+
+        // As above, for an end that is known to be early only by the event in it.
+        @Test
+        fun `a stream that ends inside its first event runs on another runner`() =
+            assertNothingWasSent(RawAnswer(CLOSE, AnswerEnd.INSIDE_EVENT))
+
+        // As above, for an orderly close instead of the last chunk.
+        @Test
+        fun `a stream closed before its first event runs on another runner`() =
+            assertNothingWasSent(RawAnswer(AnswerFraming.CHUNKS, AnswerEnd.CLOSED_EARLY))
+    }
+
     private companion object {
         val CLOSE = AnswerFraming.CONNECTION_CLOSE
 
