Test long answers without a length

The answers of AnswerFramingTest fit into one read of the socket. Answers of 2 MB do not, so that the end or the reset of the connection meets a paused reader with data that was not taken yet.

--- a/entry/src/test/kotlin/cactusfold/entry/path/AnswerFramingTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/AnswerFramingTest.kt
@@ -44,7 +44,7 @@
 
     private fun assertPlainIsWhole(answer: RawAnswer): Unit = repeat(CALLS) {
         val received = plain(answer)
-        val expected = 200 to "whole answer of i-3"
+        val expected = 200 to desk.plainBody
         assertEquals(expected, received.statusCode() to received.body(), "$answer")
         assertDelimited(received)
     }
@@ -135,6 +135,26 @@
             assertStreamIsBroken(RawAnswer(AnswerFraming.CHUNKS, AnswerEnd.CLOSED_EARLY))
     }
 
+    @Nested
+    inner class LongAnswers {
+        @BeforeEach
+        fun lengthen() {
+            desk.plainBody = "0123456789".repeat(200_000)
+        }
+
+        @Test
+        fun `a long answer that ends with its connection is complete`() {
+            assertPlainIsWhole(RawAnswer(CLOSE, AnswerEnd.WHOLE))
+        }
+
+        @Test
+        fun `a long answer that is reset or shorter than announced is broken`() {
+            assertPlainIsBroken(RawAnswer(CLOSE, AnswerEnd.RESET))
+            assertPlainIsBroken(RawAnswer(CLOSE, AnswerEnd.RESET_AFTER_BODY))
+            assertPlainIsBroken(RawAnswer(AnswerFraming.LENGTH, AnswerEnd.CLOSED_EARLY))
+        }
+    }
+
     @Nested
     inner class ResetAnswers {
         @Test
