--- a/entry/src/test/kotlin/cactusfold/entry/path/AnswerFramingTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/AnswerFramingTest.kt
@@ -135,6 +135,31 @@
             assertStreamIsBroken(RawAnswer(AnswerFraming.CHUNKS, AnswerEnd.CLOSED_EARLY))
     }
 
+    @Nested
+    inner class StreamsSilentBeforeTheirFirstEvent {
+        private val silent =
+            RawAnswer(CLOSE, AnswerEnd.RESET, completeEvents = 0, endDelayMillis = 10_000)
+
+        // A runner that was silent after its head kept the stream until the time limit.
+        @Test
+        fun `a stream that is silent after its head runs on another runner`() {
+            first.rawAnswer = silent
+            repeat(CALLS) {
+                val received = fixture.caller.call("/draft/x", model = "warm")
+                assertEquals(200 to stream, received.statusCode() to received.body())
+            }
+            assertTrue(first.ran.isNotEmpty(), "the first runner was not chosen")
+        }
+
+        // The caller's connection was closed at the time limit without an answer.
+        @Test
+        fun `a stream that may not run again gets a status at its time limit`() {
+            listOf(first, second).forEach { it.rawAnswer = silent }
+            val received = fixture.caller.call("/once/x", model = "warm")
+            assertEquals(504 to "timed-out\n", received.statusCode() to received.body())
+        }
+    }
+
     @Nested
     inner class LongAnswers {
         @BeforeEach
