A stopping process follows the next coordinator until it has drained

Callers of workspaces with a rate were refused, or left without an answer before the refusal came, by processes that were stopped as planned. Cause: a process that had been told to stop no longer read the lease, so it never learnt of the next coordinator and could not ask for tokens for the rest of its drain.

Evidence: the new test "a coordinator that stops asks its successor for tokens until it has drained" failed before: "expected 200 = 40 but was 200 = 27, 503 rate-unsure = 13". It passes now.

Change: the lease is read during a stop as before it; it is still never taken then.

--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
@@ -144,7 +144,7 @@
     }
 
     private suspend fun checkLease() {
-        if (isStopping || (isConnected() && coordinator != null)) return delay(IDLE_INTERVAL_MILLIS)
+        if (isConnected() && coordinator != null) return delay(IDLE_INTERVAL_MILLIS)
         val read = table.get(key)
         if (read is ReadResult.Found) {
             observe(read)
