A stream is refused before its caller gives up waiting for a coordinator

"a request is refused before its caller gives up" failed before ("refused after 1178 ms", for a caller with 500 ms). A stream now waits for at most half of that time.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestAdmission.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestAdmission.kt
@@ -79,14 +79,15 @@
             request.arrivedAtMillis + route.targetMillis / TARGET_SHARE_DIVISOR
         val tokens = costOf(workspace)
         val untilMillis = minOf(deadlineAtMillis, targetWaitEndsAtMillis)
-        val limitWaitEndsAtMillis = request.arrivedAtMillis +
-            (deadlineAtMillis - request.arrivedAtMillis) / LIMIT_SHARE_DIVISOR
+        val limitWaitMillis = (deadlineAtMillis - request.arrivedAtMillis) / LIMIT_SHARE_DIVISOR
+        val patienceMillis = route.patienceMillis?.let { it / PATIENCE_SHARE_DIVISOR }
+        val undecidedWaitMillis = minOf(limitWaitMillis, patienceMillis ?: limitWaitMillis)
         return when (
             val decision = dependencies.rateLimiter.admit(
                 workspace,
                 tokens,
                 untilMillis,
-                maxOf(untilMillis, limitWaitEndsAtMillis)
+                maxOf(untilMillis, request.arrivedAtMillis + undecidedWaitMillis)
             )
         ) {
             RateDecision.Admitted -> null
@@ -129,6 +130,9 @@
          * few times.
          */
         const val LIMIT_SHARE_DIVISOR = 4
+
+        /** A stream waits for at most this share of the time after which its caller gives up. */
+        const val PATIENCE_SHARE_DIVISOR = 2
         const val STARTING_RETRY_AFTER_MILLIS = 500L
 
         /** Retry delay while keys or rates cannot be checked. */
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -28,7 +28,9 @@
 import io.vertx.kotlin.coroutines.dispatcher
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import kotlin.system.measureTimeMillis
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CancellationException
@@ -55,26 +57,29 @@
     private val port = FreePorts.next()
     private var failure: Exception? = null
 
+    private fun route(prefix: String, patienceMillis: Long?) = ServingRoute(
+        name = prefix,
+        host = "127.0.0.1",
+        prefix = prefix,
+        repeatability = Repeatability.IDEMPOTENT,
+        services = persistentListOf(WeightedService("s", 1.0)),
+        timeoutMillis = 4_000,
+        targetMillis = 200,
+        patienceMillis = patienceMillis,
+        maxAttempts = 1,
+        priority = 1,
+        allowsAnonymous = false
+    )
+
     private val config = ServingConfig(
         version = 1,
         routes = persistentListOf(
-            ServingRoute(
-                name = "x",
-                host = "127.0.0.1",
-                prefix = "/x/",
-                repeatability = Repeatability.IDEMPOTENT,
-                services = persistentListOf(WeightedService("s", 1.0)),
-                timeoutMillis = 4_000,
-                targetMillis = 1_000,
-                patienceMillis = null,
-                maxAttempts = 1,
-                priority = 1,
-                allowsAnonymous = false
-            )
+            route("/x/", patienceMillis = null),
+            route("/stream/", patienceMillis = 500)
         ),
         services = persistentMapOf(),
         workspaces = persistentListOf(
-            ServingWorkspace("w", persistentListOf("key-1"), null, false, 1, null, 0.0)
+            ServingWorkspace("w", persistentListOf("key-1"), null, false, 1, 10.0, 0.0)
         ),
         limits = CallerLimits(16_384, 4_096, 3_000, 15_000)
     )
@@ -129,6 +134,19 @@
         }
     }
 
+    @Nested
+    inner class WithoutCoordinator {
+        // Guards against a wait for a coordinator that outlasts the caller of a stream.
+        @Test
+        fun `a request is refused before its caller gives up`() {
+            val tookMillis = measureTimeMillis {
+                val end = CallerConnection(port).use { it.call("/stream/1") }
+                assertEquals(CallEnd.Answered(503, "rate-unsure\n", closes = false), end)
+            }
+            assertTrue(tookMillis < 500, "refused after $tookMillis ms")
+        }
+    }
+
     @Nested
     inner class Stop {
         private fun stop() = runBlocking(vertx.orCreateContext.dispatcher()) { server.stop(500) }
