--- a/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
@@ -1,6 +1,7 @@
 package cactusfold.ports.serving
 
 import io.vertx.core.MultiMap
+import kotlinx.collections.immutable.ImmutableList
 
 /**
  * Metadata from the headers of a caller's request. A field is null if its header is missing or does
@@ -12,6 +13,8 @@
  * @property outputTokens number of output tokens as stated by the caller.
  * @property promptPrefixId identifies the first block of the prompt, which other requests may
  *   share.
+ * @property sharedBlocks ids of all blocks of the prompt that other requests may share: all but the
+ *   last, which belongs to the request or its session.
  * @property lastEventId last event that the caller received of a stream that it resumes.
  */
 public data class RequestMetadata(
@@ -23,6 +26,7 @@
     public val promptTokens: Long?,
     public val outputTokens: Long?,
     public val promptPrefixId: String?,
+    public val sharedBlocks: ImmutableList<String>,
     public val lastEventId: String?
 )
 
