Requests whose prompt holds a block that crashes runners are refused

Cause: a request became a suspect by a hash of workspace, URI and body, and only if the upstream later refused another connection within 2 s. Requests of which no two are alike never gained a second crash.

A member that attaches is told of the known crashes. When an upstream closes the connection of a request with shared blocks, one connection attempt at once shows whether it is down; a request waits for this before it is sent again, and is not sent after two crashes of its own. Requests whose answer had been written for over 0.5 s are no evidence. The tracker of whole requests stays as it was.

Now at most five crashes, and all sound requests that share the other blocks are served. EntryPathTest passes.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -4,9 +4,12 @@
 import cactusfold.decisions.holding.CoordinatorLeaseSettings
 import cactusfold.entry.callers.CallerMeters
 import cactusfold.entry.callers.CallerServer
+import cactusfold.entry.callers.CrashDetector
 import cactusfold.entry.callers.RequestFlowDependencies
 import cactusfold.entry.callers.RetryBudgets
+import cactusfold.entry.callers.SharedPromptBlocks
 import cactusfold.entry.callers.SharedSuspects
+import cactusfold.entry.callers.UpstreamProbe
 import cactusfold.entry.callers.UpstreamSender
 import cactusfold.entry.config.ConfigWatcher
 import cactusfold.entry.config.RouteTable
@@ -116,6 +119,7 @@
     private val peers = PeerClients(eventLoops)
     private val waits = ModelWaitQueue(directory, clock) { coordinatorClient.wake() }
     private val suspects = SharedSuspects(clock) { coordinatorClient.wake() }
+    private val promptBlocks = SharedPromptBlocks(clock, events) { coordinatorClient.wake() }
     private val demand = FleetDemand()
     private val rates = FleetTokenBuckets(clock, bounds.rateTolerance) { table }
     private val loads = LoadCoordinator(
@@ -129,7 +133,17 @@
     ) { table }
     private val coordinator =
         FleetCoordinator(
-            CoordinatorDependencies(lease, directory, loads, demand, rates, config, clock, events),
+            CoordinatorDependencies(
+                lease,
+                directory,
+                loads,
+                demand,
+                rates,
+                config,
+                promptBlocks,
+                clock,
+                events
+            ),
             store,
             dispatcher
         )
@@ -161,6 +175,8 @@
             waits = waits,
             rateLimiter = rateLimiter,
             suspects = suspects,
+            promptBlocks = promptBlocks,
+            crashes = CrashDetector(scope, clock, promptBlocks, UpstreamProbe(vertx)::isRefused),
             sender = UpstreamSender(vertx, WireHeaders, clock) {
                 directory.recordLeaving(it.entry.id, it.entry.startedAtEpochMillis)
             },
@@ -298,6 +314,8 @@
             .addAllDemands(waits.takeDemands())
             .addAllUses(uses)
             .addAllSuspects(suspects.takeUnsent())
+            .addAllPromptCrashes(promptBlocks.takeUnsentCrashes())
+            .addAllCompletedBlocks(promptBlocks.takeUnsentCompletions())
             .addAllUnreachable(directory.down())
             .addAllDepartures(directory.leaving.map { it.departure })
     }
@@ -313,6 +331,8 @@
         }
         notice.forecastsList.forEach(waits::forecast)
         notice.suspectsList.forEach(suspects::reported)
+        notice.promptCrashesList.forEach(promptBlocks::reported)
+        notice.completedBlocksList.forEach(promptBlocks::reported)
         rateLimiter.heard()
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
@@ -32,6 +32,8 @@
     public val waits: ModelWaitQueue,
     public val rateLimiter: WorkspaceRateLimiter,
     public val suspects: SharedSuspects,
+    public val promptBlocks: SharedPromptBlocks,
+    public val crashes: CrashDetector,
     public val sender: UpstreamSender,
     public val translator: HeaderTranslator,
     public val retries: RetryBudgets,
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CrashDetector.kt
@@ -0,0 +1,57 @@
+package cactusfold.entry.callers
+
+import cactusfold.decisions.suspect.CrashId
+import cactusfold.entry.upstream.Upstream
+import cactusfold.node.time.MonotonicClock
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+
+/**
+ * Finds out whether an upstream that broke off a request has crashed: it then refuses connections.
+ *
+ * @param isRefused connects to the upstream once and returns whether it refused.
+ */
+public class CrashDetector(
+    private val scope: CoroutineScope,
+    private val clock: MonotonicClock,
+    private val blocks: SharedPromptBlocks,
+    private val isRefused: suspend (Upstream) -> Boolean
+) {
+    private val checks = HashMap<String, Deferred<Boolean>>()
+
+    /**
+     * Checks whether [upstream] has crashed after it broke off a request with [promptBlocks], and
+     * records the crash, also if the caller does not wait for the result.
+     */
+    public suspend fun recordBroken(upstream: Upstream, promptBlocks: List<String>): Boolean {
+        val atMillis = clock.nowMillis()
+        val id = CrashId(upstream.entry.id, upstream.entry.startedAtEpochMillis ?: 0)
+        val recording = scope.async {
+            val hasCrashed = blocks.isKnown(id) || check(upstream)
+            if (hasCrashed) {
+                if (!upstream.isDown(clock.nowMillis())) {
+                    upstream.recordUnreachable(clock.nowMillis())
+                }
+                blocks.crashed(id, promptBlocks, atMillis)
+            }
+            hasCrashed
+        }
+        return recording.await()
+    }
+
+    /** Requests that were broken off together wait for one check. */
+    private suspend fun check(upstream: Upstream): Boolean {
+        val id = upstream.entry.id
+        val check = checks.getOrPut(id) {
+            scope.async {
+                try {
+                    isRefused(upstream)
+                } finally {
+                    checks.remove(id)
+                }
+            }
+        }
+        return check.await()
+    }
+}
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -1,6 +1,5 @@
 package cactusfold.entry.callers
 
-import cactusfold.decisions.suspect.SuspectVerdict
 import cactusfold.entry.residency.ModelWait
 import cactusfold.entry.upstream.ModelUse
 import cactusfold.entry.upstream.Upstream
@@ -47,13 +46,11 @@
         val adapter = request.facts.adapter
         dependencies.retries.recordRequest(service)
         model?.let(dependencies.waits::arrived)
-        val fingerprint = dependencies.suspects.fingerprint(request, admitted.workspace)
+        val suspicion = RequestSuspicion(dependencies, request, admitted.workspace)
         var last: SendEnd? = null
         var fullSinceMillis: Long? = null
         while (true) {
-            if (dependencies.suspects.verdict(fingerprint) == SuspectVerdict.REFUSE) {
-                return refuse("crashes-upstreams", null)
-            }
+            if (suspicion.isRefused) return refuse("crashes-upstreams", null)
             val candidates = dependencies.directory.serving(service, model, adapter)
             if (candidates.isEmpty() && model != null) {
                 val targetAtMillis = request.arrivedAtMillis + route.targetMillis
@@ -89,12 +86,13 @@
                 mayAbandon(upstream, route, service)
             }
             last = end
+            if (end.isSuccess) suspicion.recordCompleted()
             when (end) {
                 SendEnd.Streamed -> return RequestOutcome.Answered(null)
                 is SendEnd.Whole ->
                     if (!isRetryableError(end, route)) return RequestOutcome.Answered(end)
                 is SendEnd.Broken -> {
-                    dependencies.suspects.recordBroken(fingerprint, upstream)
+                    suspicion.recordBroken(upstream, end)
                     if (!mayRetry(route)) return stopRetrying(end, UPSTREAM_FAILED)
                 }
                 is SendEnd.NotRun ->
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -12,11 +12,13 @@
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpClosedException
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
 import io.vertx.core.net.HostAndPort
 import io.vertx.kotlin.coroutines.coAwait
+import java.io.IOException
 import kotlinx.coroutines.CancellationException
 
 /** A request in the form in which it is sent to an upstream. */
@@ -30,6 +32,8 @@
     public val isStream: Boolean
 )
 
+private val SUCCESS = 200..299
+
 /** Status and headers of an upstream's answer. */
 public class AnswerStart(
     public val status: Int,
@@ -39,19 +43,34 @@
 
 /** How sending a request to one upstream ended. */
 public sealed interface SendEnd {
+    /** Whether this is a complete and successful answer. */
+    public val isSuccess: Boolean get() = false
+
     /** The upstream did not execute the request and will not; [status] is null if not connected. */
     public data class NotRun(public val reason: String, public val status: Int? = null) : SendEnd
 
-    /** No complete answer arrived; the upstream may have executed the request. */
-    public data class Broken(public val reason: String) : SendEnd
+    /**
+     * No complete answer arrived; the upstream may have executed the request.
+     *
+     * @property closed set if the upstream closed or reset the connection.
+     */
+    public data class Broken(public val reason: String, public val closed: Closed? = null) :
+        SendEnd
 
     /** The upstream's complete answer. */
-    public class Whole(public val start: AnswerStart, public val body: Buffer) : SendEnd
+    public class Whole(public val start: AnswerStart, public val body: Buffer) : SendEnd {
+        override val isSuccess: Boolean get() = start.status in SUCCESS
+    }
 
     /** The complete stream was passed to the sink. */
-    public data object Streamed : SendEnd
+    public data object Streamed : SendEnd {
+        override val isSuccess: Boolean get() = true
+    }
 }
 
+/** The upstream closed a connection [writtenForMillis] after the first part of its answer. */
+public data class Closed(public val writtenForMillis: Long)
+
 /** Receives a streamed answer. */
 public interface StreamSink {
     /** Receives the status and headers, before any piece; called once for each send. */
@@ -105,6 +124,7 @@
     ) {
         private var request: HttpClientRequest? = null
         private var isComplete = false
+        private var firstPieceAtMillis: Long? = null
 
         suspend fun run(): SendEnd = try {
             val open = client.request(options()).coAwait()
@@ -114,7 +134,7 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
-            failure(e.message ?: e.javaClass.simpleName)
+            failure(e)
         } finally {
             upstream.silence.sendEnded(this)
             if (!isComplete) request?.reset()
@@ -159,22 +179,27 @@
         ): SendEnd {
             val pieces = ResponseChunkReader(response)
             sink.begin(start)
-            var isFirst = true
             while (true) {
                 val piece = pieces.next() ?: break
                 val nowMillis = clock.nowMillis()
                 upstream.silence.dataReceived(nowMillis)
-                if (isFirst) upstream.recordLatency(nowMillis - startedAtMillis)
-                isFirst = false
+                if (firstPieceAtMillis == null) {
+                    firstPieceAtMillis = nowMillis
+                    upstream.recordLatency(nowMillis - startedAtMillis)
+                }
                 if (!sink.write(piece)) return SendEnd.Broken("an event is too long")
             }
             isComplete = true
             return SendEnd.Streamed
         }
 
-        private fun failure(reason: String): SendEnd = when (request) {
-            null -> SendEnd.NotRun("not connected: $reason")
-            else -> SendEnd.Broken(reason)
+        private fun failure(cause: Exception): SendEnd {
+            val reason = cause.message ?: cause.javaClass.simpleName
+            if (request == null) return SendEnd.NotRun("not connected: $reason")
+            val isClosed = cause is IOException || cause is HttpClosedException
+            val nowMillis = clock.nowMillis()
+            val closed = Closed(nowMillis - (firstPieceAtMillis ?: nowMillis)).takeIf { isClosed }
+            return SendEnd.Broken(reason, closed)
         }
 
         private fun options(): RequestOptions = RequestOptions()
@@ -190,6 +215,5 @@
         const val CONNECT_TIMEOUT_MILLIS = 500
         const val KEEP_ALIVE_SECONDS = 30
         const val MAX_CONNECTIONS_PER_UPSTREAM = 256
-        val SUCCESS = 200..299
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.fleet
 
+import cactusfold.entry.callers.SharedPromptBlocks
 import cactusfold.entry.config.ConfigWatcher
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.rate.FleetTokenBuckets
@@ -13,6 +14,7 @@
 import cactusfold.protocol.SuspectReport
 import cactusfold.protocol.TokenGrant
 import cactusfold.protocol.TokenRequest
+import cactusfold.protocol.entry.CompletedBlock
 import cactusfold.protocol.entry.CoordinatorGrpcKt.CoordinatorCoroutineImplBase
 import cactusfold.protocol.entry.Departure
 import cactusfold.protocol.entry.FleetNotice
@@ -20,6 +22,7 @@
 import cactusfold.protocol.entry.HeldModel
 import cactusfold.protocol.entry.Holdings
 import cactusfold.protocol.entry.MemberReport
+import cactusfold.protocol.entry.PromptCrash
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.CoroutineContext
 import kotlinx.coroutines.channels.Channel
@@ -37,6 +40,7 @@
     public val demand: FleetDemand,
     public val rates: FleetTokenBuckets,
     public val config: ConfigWatcher,
+    public val promptBlocks: SharedPromptBlocks,
     public val clock: MonotonicClock,
     public val events: EventLog
 )
@@ -55,6 +59,8 @@
         val forecasts = mutableListOf<Forecast>()
         val suspects = mutableListOf<SuspectReport>()
         val departures = mutableListOf<Departure>()
+        val crashes = LinkedHashMap<String, PromptCrash>()
+        val completedBlocks = LinkedHashMap<String, CompletedBlock>()
         val wake = Channel<Unit>(Channel.CONFLATED)
         var reportSequence = 0L
     }
@@ -88,6 +94,7 @@
         dependencies.demand.record(report, dependencies.clock.nowMillis())
         dependencies.rates.heard(report.vm, report.boot)
         forwardSuspects(report)
+        forwardPromptBlocks(report)
         report.departuresList.forEach(::announceDeparture)
         if (report.demandsList.any { it.waiting > 0 }) planWake.trySend(Unit)
     }
@@ -182,6 +189,10 @@
     private fun join(session: Session) {
         session.pending.putAll(holdingsByRunner)
         session.departures += announcedDepartures.all(dependencies.clock.nowMillis())
+        // The member may have just started.
+        dependencies.promptBlocks.knownCrashes().associateByTo(session.crashes) { it.id }
+        dependencies.promptBlocks.knownCompletions()
+            .associateByTo(session.completedBlocks) { it.block }
         sessions += session
         dependencies.events.write("member-attached", "member" to session.vm)
     }
@@ -204,6 +215,8 @@
             .addAllForecasts(session.forecasts)
             .addAllSuspects(session.suspects)
             .addAllDepartures(session.departures)
+            .addAllPromptCrashes(session.crashes.values)
+            .addAllCompletedBlocks(session.completedBlocks.values)
             .setFence(dependencies.lease.fence)
             .setMemberCount(memberCount ?: 0)
             .setReportSequence(session.reportSequence)
@@ -215,6 +228,8 @@
         session.forecasts.clear()
         session.suspects.clear()
         session.departures.clear()
+        session.crashes.clear()
+        session.completedBlocks.clear()
         return notice
     }
 
@@ -290,6 +305,26 @@
         }
     }
 
+    private fun forwardPromptBlocks(report: MemberReport) {
+        if (report.promptCrashesCount + report.completedBlocksCount == 0) return
+        report.promptCrashesList.forEach(dependencies.promptBlocks::reported)
+        report.completedBlocksList.forEach(dependencies.promptBlocks::reported)
+        // What this process knows by now also contains what others reported of the same crashes.
+        val ids = report.promptCrashesList.mapTo(mutableSetOf()) { it.id }
+        val crashes = dependencies.promptBlocks.knownCrashes().filter { it.id in ids }
+        sessions.filter { it.vm != report.vm }.forEach { session ->
+            crashes.associateByTo(session.crashes) { it.id }
+            for (completed in report.completedBlocksList) {
+                session.completedBlocks.merge(completed.block, completed) { a, b ->
+                    if (a.ageMillis < b.ageMillis) a else b
+                }
+            }
+            session.wake.trySend(Unit)
+        }
+    }
+
+    private val PromptCrash.id: String get() = "$upstream $startedAtEpochMillis"
+
     private fun handleLeaseAcquired(fence: Long) {
         holdingsByRunner.clear()
         announcedDepartures.clear()
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -61,6 +61,7 @@
     fun runner(id: String, service: String, models: Set<String> = emptySet()): RunnerStandin {
         val runner = RunnerStandin(vertx, id, models).apply { start() }
         operator.register(id, runner, service)
+        runner.onReturn = { operator.register(id, runner, service) }
         return runner
     }
 
--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PoisonBlockTest.kt
@@ -0,0 +1,78 @@
+package cactusfold.entry.path
+
+import cactusfold.platform.standin.RunnerStandin
+import java.net.http.HttpResponse
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+/** End-to-end tests of a prompt block that crashes the runners, in requests that all differ. */
+class PoisonBlockTest {
+    private lateinit var fixture: EntryFixture
+    private lateinit var runners: List<RunnerStandin>
+    private var count = 0
+
+    @BeforeEach
+    fun start() {
+        fixture = EntryFixture()
+        runners = (1..RUNNERS).map { fixture.runner("i-$it", "engine", setOf("warm")) }
+        runners.forEach { it.deadlyBlock = DEADLY }
+        fixture.start()
+    }
+
+    @AfterEach
+    fun stop() = fixture.close()
+
+    private val crashes get() = runners.sumOf { it.crashes.get() }
+
+    /** Sends a request that no other equals, with [blocks] and a last one of its own. */
+    private fun call(vararg blocks: String): HttpResponse<String> {
+        val id = count++
+        val prompt = (blocks.toList() + "own$id").joinToString(",") { "$it:10" }
+        return fixture.caller.call("/draft/x", "key-1", "warm", prompt, """{"n": $id}""")
+    }
+
+    @Nested
+    inner class DeadlyBlock {
+        @Test
+        fun `different requests with a deadly block are refused after a few crashes`() {
+            val refused = (1..ROUNDS).count {
+                Thread.sleep(ROUND_MILLIS)
+                "crashes-upstreams" in call("first", DEADLY).body()
+            }
+            assertTrue(crashes <= MAX_CRASHES, "$crashes crashes in $ROUNDS requests")
+            assertTrue(refused >= ROUNDS / 2, "only $refused of $ROUNDS were refused")
+        }
+
+        @Test
+        fun `sound requests that share the other blocks are served`() {
+            val served = (1..ROUNDS).count {
+                Thread.sleep(ROUND_MILLIS)
+                call("first", "seldom$it", DEADLY)
+                call("first", "seldom$it").statusCode() == 200
+            }
+            assertTrue(crashes <= MAX_CRASHES, "$crashes crashes in $ROUNDS requests")
+            assertEquals(ROUNDS, served)
+        }
+
+        @Test
+        fun `the last block, which belongs to one request, is not blamed`() {
+            runners.forEach { it.deadlyBlock = null }
+            repeat(ROUNDS) { assertEquals(200, call("first").statusCode()) }
+            assertEquals(0, crashes)
+        }
+    }
+
+    private companion object {
+        const val RUNNERS = 5
+        const val ROUNDS = 16
+        const val ROUND_MILLIS = 400L
+        const val DEADLY = "dead10"
+
+        /** The users allow five crashes before the bound on further requests holds. */
+        const val MAX_CRASHES = 5
+    }
+}
