--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -87,6 +87,7 @@
     private val server: CallerServer = run {
         val directory = UpstreamDirectory(NoFeed, clock, events, "z") { UpstreamPolling.Detached }
         val scope = CoroutineScope(SupervisorJob() + vertx.orCreateContext.dispatcher())
+        val promptBlocks = SharedPromptBlocks(clock, events) {}
         val flow = RequestFlowDependencies(
             table = { RouteTable(config) },
             isConfigFresh = { failure?.let { throw it } ?: true },
@@ -94,6 +95,8 @@
             waits = ModelWaitQueue(directory, clock) {},
             rateLimiter = WorkspaceRateLimiter("vm", "boot", clock, { null }) { null },
             suspects = SharedSuspects(clock) {},
+            promptBlocks = promptBlocks,
+            crashes = CrashDetector(scope, clock, promptBlocks) { false },
             sender = UpstreamSender(vertx, WireHeaders, clock) {},
             translator = WireHeaders,
             retries = RetryBudgets(bounds, clock) { null },
--- a/entry/src/test/kotlin/cactusfold/entry/path/PlatformFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PlatformFixture.kt
@@ -20,6 +20,7 @@
     fun runner(id: String, service: String, models: Set<String> = emptySet()): RunnerStandin {
         val runner = RunnerStandin(vertx, id, models).apply { start() }
         operator.register(id, runner, service)
+        runner.onReturn = { operator.register(id, runner, service) }
         runners += runner
         return runner
     }
