Callers that leave during a connect leave no connection behind

A request that was cancelled while its upstream was being connected (the caller left, or the time was up) dropped the future of the connection; the pool assigned it later, and nobody gave it back. After 256 of these the upstream got no request from this process any more, and counted as down.

A connection that arrives after the cancellation is now reset.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -130,7 +130,7 @@
         private var firstPieceAtMillis: Long? = null
 
         suspend fun run(): SendEnd = try {
-            val open = client.request(options()).coAwait()
+            val open = connect()
             request = open
             open.authority(HostAndPort.authority(upstreamRequest.host, -1))
             exchange(open)
@@ -143,6 +143,20 @@
             if (!isComplete) request?.reset()
         }
 
+        private suspend fun connect(): HttpClientRequest {
+            val connecting = client.request(options())
+            try {
+                return connecting.coAwait()
+            } catch (e: CancellationException) {
+                // The pool assigns the connection all the same, and gets it back only from here.
+                connecting.onSuccess {
+                    it.exceptionHandler { }
+                    it.reset()
+                }
+                throw e
+            }
+        }
+
         private suspend fun exchange(open: HttpClientRequest): SendEnd {
             val startedAtMillis = clock.nowMillis()
             upstream.silence.sendStarted(this, startedAtMillis, onSilent)
