--- a/decisions/src/test/kotlin/cactusfold/decisions/suspect/PromptBlockRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/suspect/PromptBlockRandomisedTest.kt
@@ -1,6 +1,6 @@
 package cactusfold.decisions.suspect
 
-import cactusfold.decisions.Seeds
+import cactusfold.seeds.Seeds
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
