--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -40,7 +40,7 @@
             else -> ServingPhase.OPEN
         }
 
-    /** Whether connections are closed after their next response, while the process drains. */
+    /** Whether callers are told to close their connections after the next response. */
     public var isLeaving: Boolean = false
 
     /** The number of requests whose answers have not been sent completely. */
