An answer that its caller does not read is cut after the idle timeout

The timeout counts from the end of the answer; the connection is closed below Vert.x's handler, whose own close first waits for the unsent bytes.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
@@ -9,18 +9,23 @@
  * The open connections of callers. A connection is closed when it has had no request in progress
  * for the idle timeout; the timeout never ends a request that waits for its answer.
  *
- * @param idleTimeoutMillis the timeout in force.
+ * @param idleTimeoutMillis the timeout in force; also for the sending of a complete answer.
+ * @param cut closes a connection without sending what is left.
  */
 public class CallerConnections(
     private val clock: MonotonicClock,
     private val events: EventLog,
-    private val idleTimeoutMillis: () -> Long
+    private val idleTimeoutMillis: () -> Long,
+    private val cut: (HttpConnection) -> Unit
 ) {
     private val states = HashMap<HttpConnection, ConnectionState>()
 
     private class ConnectionState(var idleSinceMillis: Long) {
         var inProgress = 0
 
+        /** When an answer ended that has not been sent completely; null if there is none. */
+        var sendingSinceMillis: Long? = null
+
         /** Whether the connection was found idle by the last check. */
         var isExpiring = false
     }
@@ -41,9 +46,15 @@
         state.isExpiring = false
     }
 
+    /** Records that the answer to a request on [connection] is complete, but for its sending. */
+    public fun answerEnded(connection: HttpConnection) {
+        states[connection]?.sendingSinceMillis = clock.nowMillis()
+    }
+
     /** Records that the answer to a request on [connection] has been sent, or will not be. */
     public fun requestEnded(connection: HttpConnection) {
         val state = states[connection] ?: return
+        state.sendingSinceMillis = null
         state.inProgress--
         state.idleSinceMillis = clock.nowMillis()
     }
@@ -52,7 +63,23 @@
     public suspend fun watch() {
         while (true) {
             delay(CHECK_INTERVAL_MILLIS)
-            closeIdle()
+            checkAll()
+        }
+    }
+
+    private fun checkAll() {
+        closeIdle()
+        cutUnread()
+    }
+
+    /** Cuts answers that their callers do not read, since these occupy memory. */
+    internal fun cutUnread() {
+        val nowMillis = clock.nowMillis()
+        for ((connection, state) in states.toList()) {
+            val sendingMillis = nowMillis - (state.sendingSinceMillis ?: continue)
+            if (sendingMillis < idleTimeoutMillis()) continue
+            events.write("connection-unread", "sending_ms" to sendingMillis)
+            cut(connection)
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -4,9 +4,11 @@
 import cactusfold.ports.serving.CallerLimits
 import cactusfold.settings.schema.HostPort
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.net.impl.ConnectionBase
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -27,7 +29,7 @@
     events: EventLog
 ) {
     private val requestsJob = SupervisorJob(scope.coroutineContext[Job])
-    private val connections = CallerConnections(flow.clock, events, ::idleTimeoutMillis)
+    private val connections = CallerConnections(flow.clock, events, ::idleTimeoutMillis, ::cut)
     private val exchanges =
         ExchangeDependencies(flow, meters, events, ::idleTimeoutMillis) { phase }
     private var server: HttpServer? = null
@@ -95,6 +97,7 @@
         val job = Job(requestsJob)
         connections.requestStarted(request.connection())
         job.invokeOnCompletion {
+            connections.answerEnded(request.connection())
             reply.whenSent { connections.requestEnded(request.connection()) }
         }
         response.closeHandler { job.cancel(CancellationException("caller disconnected")) }
@@ -108,6 +111,11 @@
         }
     }
 
+    /** Closes [connection] below the handler that would first write what is left. */
+    private fun cut(connection: HttpConnection) {
+        (connection as ConnectionBase).channel().pipeline().firstContext().close()
+    }
+
     private fun idleTimeoutMillis(): Long {
         val limits = flow.table()?.config?.limits ?: return UNCONFIGURED_IDLE_TIMEOUT_MILLIS
         return (limits.idleTimeoutMillis * IDLE_TIMEOUT_FACTOR).toLong()
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerConnectionsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerConnectionsTest.kt
@@ -11,10 +11,13 @@
 
 class CallerConnectionsTest {
     private var nowMillis = 0L
+    private var isClosed = false
+    private var isCut = false
     private val clock = MonotonicClock { nowMillis }
     private val connections =
-        CallerConnections(clock, EventLog("vm", clock, linesPerSecond = 10)) { 1_000 }
-    private var isClosed = false
+        CallerConnections(clock, EventLog("vm", clock, linesPerSecond = 10), { 1_000 }) {
+            isCut = true
+        }
 
     private val connection = Proxy.newProxyInstance(
         javaClass.classLoader,
@@ -57,4 +60,16 @@
         assertFalse(isClosed)
         assertEquals(0, connections.inProgress)
     }
+
+    @Test
+    fun `an answer that is not read for the idle timeout is cut`() {
+        connections.requestStarted(connection)
+        nowMillis = 5_000
+        connections.answerEnded(connection)
+        connections.cutUnread()
+        assertFalse(isCut)
+        nowMillis = 6_000
+        connections.cutUnread()
+        assertTrue(isCut)
+    }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/path/UnansweredRequestTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/UnansweredRequestTest.kt
@@ -30,6 +30,21 @@
             }
         }
 
+        // Guards against a caller that never reads and holds its answer in memory.
+        @Test
+        fun `an answer that its caller does not read is cut after the idle timeout`() {
+            EntryFixture().use { fixture ->
+                fixture.operator.limits = JsonObject().put("idle-timeout-ms", 500)
+                val desk = fixture.runner("i-1", "desk")
+                desk.answerBytes = 3_500_000
+                fixture.start()
+                CallerConnection(fixture.callers, receiveBufferBytes = 4_096).use {
+                    it.send("/book/x")
+                    assertIs<CallEnd.Cut>(it.receive(lateMillis = 3_000))
+                }
+            }
+        }
+
         @Test
         fun `an idle connection is closed by the timeout of the configuration in force`() {
             EntryFixture().use { fixture ->
