--- a/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
@@ -5,7 +5,6 @@
 import cactusfold.platform.WireHeaders
 import cactusfold.platform.standin.RunnerStandin
 import cactusfold.ports.serving.UpstreamEntry
-import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.core.buffer.Buffer
@@ -41,7 +40,7 @@
             "r", "s", "127.0.0.1", port, "z", 4, false, 1, null,
             persistentMapOf(), persistentSetOf(), persistentSetOf()
         )
-        val headers = MultiMap.caseInsensitiveMultiMap().add("Cactusfold-Request-Id", "a")
+        val headers = RunnerStandin.requestHeaders("a")
         val body = Buffer.buffer("{}")
         val request = UpstreamRequest("a", HttpMethod.POST, "/x", "h", headers, body, false)
         return sender.send(Upstream(entry), request, null) {}
--- a/entry/src/test/kotlin/cactusfold/entry/path/UnansweredRequestTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/UnansweredRequestTest.kt
@@ -100,7 +100,7 @@
                 second.behavior = RunnerBehavior.FAILS
                 repeat(6) {
                     val answer = fixture.caller.call("/draft/x", model = "warm")
-                    val seals = answer.headers().allValues("Cactusfold-Response-Seal").size
+                    val seals = fixture.caller.sealCount(answer)
                     // 502 where the runner that breaks off was the second.
                     assertTrue(answer.statusCode() to seals in setOf(500 to 1, 502 to 0))
                 }
