--- a/decisions/src/test/kotlin/cactusfold/decisions/suspect/PromptBlockModel.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/suspect/PromptBlockModel.kt
@@ -5,13 +5,13 @@
 
 /** What a run of [PromptBlockModel] produced, in virtual time. */
 class PromptBlockRun {
-    /** When runners were crashed by requests with a deadly block. */
+    /** When runners were crashed by requests with a poison block. */
     val crashesAtMillis = mutableListOf<Long>()
 
-    /** When requests with a deadly block began at a runner. */
-    val deadlyStartsAtMillis = mutableListOf<Long>()
+    /** When requests with a poison block began at a runner. */
+    val poisonStartsAtMillis = mutableListOf<Long>()
 
-    /** Requests without a deadly block: when they came, and whether they were sent. */
+    /** Requests without a poison block: when they came, and whether they were sent. */
     val sound = mutableListOf<Pair<Long, Boolean>>()
 }
 
@@ -19,12 +19,12 @@
  * Processes that share crashes and completions with a delay, in front of runners that crash and
  * return, in virtual time.
  *
- * @param deadlyShare share of the requests with the deadly block, from [DEADLY_FROM_MILLIS] on.
+ * @param poisonShare share of the requests with the poison block, from [POISON_FROM_MILLIS] on.
  * @param outagesAtMillis when two thirds of the runners fail at once, for no fault of a prompt.
  */
 class PromptBlockModel(
     private val random: Random,
-    private val deadlyShare: Double,
+    private val poisonShare: Double,
     private val outagesAtMillis: List<Long> = emptyList(),
     private val durationMillis: Long = 40_000
 ) {
@@ -102,25 +102,25 @@
 
     private fun arrive() {
         after(random.nextLong(1, 2_000L / requestsPerSecond)) { arrive() }
-        val isDeadly = nowMillis >= DEADLY_FROM_MILLIS && random.nextDouble() < deadlyShare
+        val isPoison = nowMillis >= POISON_FROM_MILLIS && random.nextDouble() < poisonShare
         val shared = listOf("first${random.nextInt(2)}", "second${random.nextInt(40)}")
-        val blocks = if (isDeadly) shared + DEADLY else shared
+        val blocks = if (isPoison) shared + POISON else shared
         send(Request(blocks, processes.random(random)))
     }
 
     private fun send(request: Request) {
         val isRefused = tracker.judge(request.process.state, request.blocks, nowMillis) != null
-        val isDeadly = DEADLY in request.blocks
-        if (!isDeadly && request.attempts == 0) result.sound += nowMillis to !isRefused
+        val isPoison = POISON in request.blocks
+        if (!isPoison && request.attempts == 0) result.sound += nowMillis to !isRefused
         if (isRefused || request.attempts == 2) return
         val runner = runners.filter { it.isUp }.randomOrNull(random) ?: return
         request.attempts++
         request.writesSinceMillis = null
         runner.running += request
-        if (isDeadly) result.deadlyStartsAtMillis += nowMillis
+        if (isPoison) result.poisonStartsAtMillis += nowMillis
         after(random.nextLong(50, 800)) {
             if (request !in runner.running) return@after
-            if (isDeadly) {
+            if (isPoison) {
                 result.crashesAtMillis += nowMillis
                 crash(runner)
             } else {
@@ -157,7 +157,7 @@
     }
 
     companion object {
-        const val DEADLY = "deadly"
-        const val DEADLY_FROM_MILLIS = 4_000L
+        const val POISON = "poison"
+        const val POISON_FROM_MILLIS = 4_000L
     }
 }
--- a/decisions/src/test/kotlin/cactusfold/decisions/suspect/PromptBlockRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/suspect/PromptBlockRandomisedTest.kt
@@ -6,18 +6,18 @@
 
 class PromptBlockRandomisedTest {
     @Test
-    fun `after the fifth crash few deadly requests reach runners and others are served`() {
+    fun `after the fifth crash few poison requests reach runners and others are served`() {
         Seeds.each { random ->
             val outages = List(random.nextInt(3)) { random.nextLong(4_000, 15_000) }
             val run = PromptBlockModel(random, random.nextDouble(0.01, 0.2), outages).run()
             val crashes = run.crashesAtMillis
             val fifthAtMillis = crashes.getOrNull(4) ?: crashes.lastOrNull() ?: return@each
-            val late = run.deadlyStartsAtMillis.count { it > fifthAtMillis + CONTACT_MILLIS }
+            val late = run.poisonStartsAtMillis.count { it > fifthAtMillis + CONTACT_MILLIS }
             assertTrue(late <= 3, "$late began later, ${crashes.size} crashes: $crashes")
             val (after, before) = run.sound.partition {
                 it.first > fifthAtMillis + 2 * CONTACT_MILLIS
             }
-            val usual = before.filter { it.first < PromptBlockModel.DEADLY_FROM_MILLIS }
+            val usual = before.filter { it.first < PromptBlockModel.POISON_FROM_MILLIS }
             assertTrue(share(after) >= share(usual) / 2, "served after: ${share(after)}")
         }
     }
@@ -26,7 +26,7 @@
     fun `crashes of many runners at once make no block refused`() {
         Seeds.each { random ->
             val outages = List(3) { 6_000L + it * random.nextLong(500, 9_000) }
-            val run = PromptBlockModel(random, deadlyShare = 0.0, outages).run()
+            val run = PromptBlockModel(random, poisonShare = 0.0, outages).run()
             val refused = run.sound.filter { (atMillis, isSent) ->
                 !isSent && outages.none { atMillis in it..it + SHARED_MILLIS + 1_000 }
             }
--- a/decisions/src/test/kotlin/cactusfold/decisions/suspect/PromptBlockTrackerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/suspect/PromptBlockTrackerTest.kt
@@ -58,7 +58,7 @@
         }
 
         @Test
-        fun `two deadly blocks are both blamed`() {
+        fun `two poison blocks are both blamed`() {
             crash("r1", 0, "a", "bad")
             crash("r2", 1_000, "b", "worse")
             crash("r3", 2_000, "c", "bad")
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
@@ -63,15 +63,11 @@
     public suspend fun watch() {
         while (true) {
             delay(CHECK_INTERVAL_MILLIS)
-            checkAll()
+            closeIdle()
+            cutUnread()
         }
     }
 
-    private fun checkAll() {
-        closeIdle()
-        cutUnread()
-    }
-
     /** Cuts answers that their callers do not read, since these occupy memory. */
     internal fun cutUnread() {
         val nowMillis = clock.nowMillis()
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -10,17 +10,6 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 
-/** What a server does with requests, from its start to its end. */
-public enum class ServingPhase {
-    OPEN,
-
-    /** New requests are refused because they might not finish before the process stops. */
-    REFUSING,
-
-    /** The requests that are still in progress are ended, each with an answer. */
-    ENDING
-}
-
 /**
  * Collaborators of [CallerExchange] that are shared by all requests of a server.
  *
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -89,9 +89,7 @@
     private fun accept(request: HttpServerRequest) {
         val arrivedAtMillis = flow.clock.nowMillis()
         val response = request.response()
-        val reply = CallerReply(response, flow.translator, flow.clock) {
-            isLeaving || isEnding
-        }
+        val reply = CallerReply(response, flow.translator, flow.clock) { isLeaving || isEnding }
         val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis)
         if (isEnding) return exchange.refuse()
         val job = Job(requestsJob)
@@ -124,6 +122,7 @@
     private companion object {
         const val ACCEPT_BACKLOG_CONNECTIONS = 1_024
 
+        /** Interval of checks whether all answers have been sent. */
         const val CLOSE_CHECK_MILLIS = 10L
 
         /** Many times as long as the event loop takes to read what has arrived. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestSuspicion.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestSuspicion.kt
@@ -38,7 +38,7 @@
         /** A request that was in flight at two crashes is not sent a third time. */
         const val MAX_CRASHES = 2
 
-        /** A deadly prompt crashes the upstream when the answer begins; the rest is slack. */
+        /** A poison prompt crashes the upstream when the answer begins; the rest is slack. */
         const val MAX_WRITTEN_MILLIS = 500L
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/path/PoisonBlockTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PoisonBlockTest.kt
@@ -19,7 +19,7 @@
     fun start() {
         fixture = EntryFixture()
         runners = (1..RUNNERS).map { fixture.runner("i-$it", "engine", setOf("warm")) }
-        runners.forEach { it.deadlyBlock = DEADLY }
+        runners.forEach { it.poisonBlock = POISON }
         fixture.start()
     }
 
@@ -36,12 +36,12 @@
     }
 
     @Nested
-    inner class DeadlyBlock {
+    inner class PoisonBlock {
         @Test
-        fun `different requests with a deadly block are refused after a few crashes`() {
+        fun `different requests with a poison block are refused after a few crashes`() {
             val refused = (1..ROUNDS).count {
                 Thread.sleep(ROUND_MILLIS)
-                "crashes-upstreams" in call("first", DEADLY).body()
+                "crashes-upstreams" in call("first", POISON).body()
             }
             assertTrue(crashes <= MAX_CRASHES, "$crashes crashes in $ROUNDS requests")
             assertTrue(refused >= ROUNDS / 2, "only $refused of $ROUNDS were refused")
@@ -51,7 +51,7 @@
         fun `sound requests that share the other blocks are served`() {
             val served = (1..ROUNDS).count {
                 Thread.sleep(ROUND_MILLIS)
-                call("first", "seldom$it", DEADLY)
+                call("first", "seldom$it", POISON)
                 call("first", "seldom$it").statusCode() == 200
             }
             assertTrue(crashes <= MAX_CRASHES, "$crashes crashes in $ROUNDS requests")
@@ -60,7 +60,7 @@
 
         @Test
         fun `the last block, which belongs to one request, is not blamed`() {
-            runners.forEach { it.deadlyBlock = null }
+            runners.forEach { it.poisonBlock = null }
             repeat(ROUNDS) { assertEquals(200, call("first").statusCode()) }
             assertEquals(0, crashes)
         }
@@ -70,7 +70,7 @@
         const val RUNNERS = 5
         const val ROUNDS = 16
         const val ROUND_MILLIS = 400L
-        const val DEADLY = "dead10"
+        const val POISON = "dead10"
 
         /** The users allow five crashes before the bound on further requests holds. */
         const val MAX_CRASHES = 5
