Bodies of callers are limited by silence and by size while they arrive

Since the idle timer no longer runs during a request, a body had to arrive within the idle timeout as a whole, so a caller that sent slowly but steadily was refused with 408. And a body without a stated length was kept in memory until it ended, whatever its size.

Evidence: "a body that arrives slowly but steadily is received" failed before ("408 body-timed-out" instead of "400 no-request-id"), "a body without end is refused at the limit" too ("Read timed out": no answer).

Change: RequestBodyReader reads chunk by chunk, the way answers of upstreams are read; the timeout counts from the last chunk, and the limit holds while the body arrives. A caller that leaves meanwhile is recorded as having left (its test passed before too). ResponseChunkReader reads both directions now and is named BodyChunkReader.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/AnswerBodies.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/AnswerBodies.kt
@@ -1,6 +1,6 @@
 package cactusfold.entry.callers
 
-import cactusfold.node.http.ResponseChunkReader
+import cactusfold.node.http.BodyChunkReader
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientResponse
 
@@ -34,7 +34,7 @@
     /** Returns the body of [response]; null if it exceeds a limit. */
     public suspend fun read(response: HttpClientResponse): Buffer? {
         val body = Body()
-        val pieces = ResponseChunkReader(response)
+        val pieces = BodyChunkReader(response)
         reading += body
         try {
             while (true) {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -1,9 +1,7 @@
 package cactusfold.entry.callers
 
 import cactusfold.entry.process.EventLog
-import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerRequest
-import io.vertx.kotlin.coroutines.coAwait
 import kotlin.coroutines.cancellation.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.isActive
@@ -13,7 +11,7 @@
 /**
  * Collaborators of [CallerExchange] that are shared by all requests of a server.
  *
- * @property idleTimeoutMillis how long a caller may take to send the body of a request.
+ * @property idleTimeoutMillis how long a caller may pause while it sends the body of a request.
  */
 public class ExchangeDependencies(
     public val flow: RequestFlowDependencies,
@@ -49,6 +47,7 @@
                 throw e
             }
         } catch (e: Exception) {
+            if (reply.isClosed) return recordEnd("caller-left")
             failedOutcome(e)
         }
         finish(outcome)
@@ -68,7 +67,8 @@
     private suspend fun process(): RequestOutcome {
         val body = when (val received = receive()) {
             is ReceivedBody.Complete -> received.body
-            is ReceivedBody.Refused -> return RequestOutcome.Failed(received.answer)
+            ReceivedBody.TooLarge -> return RequestOutcome.Failed(BODY_TOO_LARGE)
+            ReceivedBody.Silent -> return RequestOutcome.Failed(BODY_TIMED_OUT)
         }
         if (dependencies.phase() != ServingPhase.OPEN) return RequestOutcome.Failed(STOPPING)
         val read = CallerRequest(
@@ -158,22 +158,10 @@
         )
     }
 
-    private sealed interface ReceivedBody {
-        class Complete(val body: Buffer) : ReceivedBody
-        class Refused(val answer: ErrorAnswer) : ReceivedBody
-    }
-
     private suspend fun receive(): ReceivedBody {
         val limits = dependencies.flow.table()?.config?.limits
         val maxBytes = limits?.bodyMaxBytes ?: DEFAULT_BODY_MAX_BYTES
-        val announced = request.getHeader("content-length")?.toLongOrNull() ?: 0
-        if (announced > maxBytes) return ReceivedBody.Refused(BODY_TOO_LARGE)
-        val body = withTimeoutOrNull(dependencies.idleTimeoutMillis()) { request.body().coAwait() }
-        return when {
-            body == null -> ReceivedBody.Refused(BODY_TIMED_OUT)
-            body.length() > maxBytes -> ReceivedBody.Refused(BODY_TOO_LARGE)
-            else -> ReceivedBody.Complete(body)
-        }
+        return RequestBodyReader(request).read(maxBytes, dependencies.idleTimeoutMillis())
     }
 
     private companion object {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -1,7 +1,7 @@
 package cactusfold.entry.callers
 
 import cactusfold.entry.upstream.Upstream
-import cactusfold.node.http.ResponseChunkReader
+import cactusfold.node.http.BodyChunkReader
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.HeaderTranslator
 import cactusfold.ports.serving.ResponseMetadata
@@ -194,7 +194,7 @@
             sink: StreamSink,
             startedAtMillis: Long
         ): SendEnd {
-            val pieces = ResponseChunkReader(response)
+            val pieces = BodyChunkReader(response)
             sink.begin(start)
             while (true) {
                 val piece = pieces.next() ?: break
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -26,6 +26,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
+import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.system.measureTimeMillis
@@ -55,9 +56,16 @@
     private val bounds =
         EntryBounds(8_000, 5_000, 500, 0.2, 10_000, 100.0, RateTolerance(8_000, 0.1, 100.0), 5_000)
     private val port = FreePorts.next()
+    private val registry = SimpleMeterRegistry()
     private var failure: Exception? = null
 
-    private fun route(prefix: String, patienceMillis: Long?) = ServingRoute(
+    private var idleTimeoutMillis = 15_000L
+
+    private fun route(
+        prefix: String,
+        patienceMillis: Long? = null,
+        allowsAnonymous: Boolean = false
+    ) = ServingRoute(
         name = prefix,
         host = "127.0.0.1",
         prefix = prefix,
@@ -68,20 +76,21 @@
         patienceMillis = patienceMillis,
         maxAttempts = 1,
         priority = 1,
-        allowsAnonymous = false
+        allowsAnonymous = allowsAnonymous
     )
 
-    private val config = ServingConfig(
+    private val config get() = ServingConfig(
         version = 1,
         routes = persistentListOf(
-            route("/x/", patienceMillis = null),
-            route("/stream/", patienceMillis = PATIENCE_MILLIS)
+            route("/x/"),
+            route("/stream/", patienceMillis = PATIENCE_MILLIS),
+            route("/open/", allowsAnonymous = true)
         ),
         services = persistentMapOf(),
         workspaces = persistentListOf(
             ServingWorkspace("w", persistentListOf("key-1"), null, false, 1, 10.0, 0.0)
         ),
-        limits = CallerLimits(16_384, 4_096, 3_000, 15_000)
+        limits = CallerLimits(16_384, BODY_MAX_BYTES, 3_000, idleTimeoutMillis)
     )
 
     private val server: CallerServer = run {
@@ -103,7 +112,7 @@
             clock = clock,
             events = events
         )
-        val meters = CallerMeters(SimpleMeterRegistry())
+        val meters = CallerMeters(registry)
         CallerServer(vertx, HostPort("127.0.0.1", port), scope, flow, meters, events)
     }
 
@@ -137,6 +146,62 @@
         }
     }
 
+    @Nested
+    inner class Bodies {
+        private val chunk = "400\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n"
+
+        /** Sends [chunks] of a body with pauses, and returns the status and reason of the answer. */
+        private fun send(chunks: List<String>, pauseMillis: Long): String =
+            Socket("127.0.0.1", port).use { socket ->
+                socket.soTimeout = 5_000
+                val head = "POST /open/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                socket.write(head + "Transfer-Encoding: chunked\r\n\r\n")
+                for (each in chunks) {
+                    socket.write(each)
+                    Thread.sleep(pauseMillis)
+                }
+                val input = socket.getInputStream().bufferedReader()
+                val status = input.readLine().split(' ')[1]
+                generateSequence { input.readLine() }.first { it.isEmpty() }
+                "$status ${input.readLine()}"
+            }
+
+        private fun Socket.write(text: String) = getOutputStream().write(text.toByteArray())
+
+        // Guards against a limit on the whole time in which a body arrives.
+        @Test
+        fun `a body that arrives slowly but steadily is received`() {
+            idleTimeoutMillis = 500
+            assertEquals("400 no-request-id", send(List(4) { chunk } + "0\r\n\r\n", 300))
+        }
+
+        @Test
+        fun `a body whose caller stops sending is refused`() {
+            idleTimeoutMillis = 500
+            assertEquals("408 body-timed-out", send(listOf(chunk), 0))
+        }
+
+        // Guards against a body without a stated length that is kept in memory until it ends.
+        @Test
+        fun `a body without end is refused at the limit`() {
+            assertEquals("413 body-too-large", send(List(8) { chunk }, 0))
+        }
+
+        // Guards against an error that is logged for each caller that leaves.
+        @Test
+        fun `a caller that leaves while it sends its body is recorded as having left`() {
+            Socket("127.0.0.1", port).use {
+                it.write("POST /open/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 9\r\n\r\nx")
+                EntryFixture.eventually("not running") { server.running == 1 }
+            }
+            EntryFixture.eventually("still running") { server.running == 0 }
+            assertEquals(listOf("caller-left"), outcomes())
+        }
+
+        private fun outcomes() = registry.find("cactusfold.requests").timers()
+            .mapNotNull { it.id.getTag("outcome") }
+    }
+
     @Nested
     inner class WithoutCoordinator {
         // Guards against a wait for a coordinator that outlasts the caller of a stream.
@@ -177,7 +242,10 @@
     }
 
     private companion object {
+        const val BODY_MAX_BYTES = 4_096
+
         /** The least time after which callers abandon a stream. */
         const val PATIENCE_MILLIS = 2_000L
+        const val CHUNK_BYTES = 1_024
     }
 }
--- a/node/src/test/kotlin/cactusfold/node/http/BodyChunkReaderTest.kt
+++ b/node/src/test/kotlin/cactusfold/node/http/BodyChunkReaderTest.kt
@@ -12,7 +12,7 @@
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Test
 
-class ResponseChunkReaderTest {
+class BodyChunkReaderTest {
     private val handlers = HashMap<String, Handler<Any?>>()
 
     /** Keeps the handlers, so that a test decides when each event arrives. */
@@ -25,8 +25,8 @@
         proxy
     } as HttpClientResponse
 
-    private fun reading(read: suspend (ResponseChunkReader) -> Unit): Unit = runBlocking {
-        withTimeout(TIMEOUT_MILLIS) { read(ResponseChunkReader(response)) }
+    private fun reading(read: suspend (BodyChunkReader) -> Unit): Unit = runBlocking {
+        withTimeout(TIMEOUT_MILLIS) { read(BodyChunkReader(response)) }
     }
 
     @Test
--- a/router/src/main/kotlin/cactusfold/router/forward/UpstreamClient.kt
+++ b/router/src/main/kotlin/cactusfold/router/forward/UpstreamClient.kt
@@ -1,6 +1,6 @@
 package cactusfold.router.forward
 
-import cactusfold.node.http.ResponseChunkReader
+import cactusfold.node.http.BodyChunkReader
 import cactusfold.router.RouterSettings
 import cactusfold.router.lane.Target
 import io.vertx.core.Vertx
@@ -148,7 +148,7 @@
             firstByteMillis: Long
         ): AttemptResult {
             val tail = StreamTail()
-            val chunks = ResponseChunkReader(response)
+            val chunks = BodyChunkReader(response)
             while (true) {
                 val chunk = chunks.next() ?: break
                 if (!hasStreamed) {
