Unread answers are tracked by request, and their ends name it

The time since an answer was complete belonged to the connection, so the end of another request on it (pipelined) hid an answer that its caller does not read: "an unread answer is cut although another request of its connection has ended" failed before ("Expected value to be true"). It belongs to the request now.

An answer that was cut so, or that was not sent when a stop closed the connections, left no line with the request's id; answer-unread and answer-unsent name it. A connection of an unexpected type is closed in the usual way, where a failed cast would have ended the checks for good.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
@@ -20,18 +20,25 @@
 ) {
     private val states = HashMap<HttpConnection, ConnectionState>()
 
-    private class ConnectionState(var idleSinceMillis: Long) {
-        var inProgress = 0
+    /** A request until its answer has been sent; [id] is null if the caller stated none. */
+    public class OpenRequest internal constructor(internal val id: String?) {
+        /** When its answer was complete but for the sending; null before that. */
+        internal var answeredAtMillis: Long? = null
+    }
 
-        /** When an answer ended that has not been sent completely; null if there is none. */
-        var sendingSinceMillis: Long? = null
+    private class ConnectionState(var idleSinceMillis: Long) {
+        val requests = mutableSetOf<OpenRequest>()
 
         /** Whether the connection was found idle by the last check. */
         var isExpiring = false
     }
 
     /** Number of requests whose answers have not been sent completely. */
-    public val inProgress: Int get() = states.values.sumOf { it.inProgress }
+    public val inProgress: Int get() = states.values.sumOf { it.requests.size }
+
+    /** Ids of the requests whose answers have not been sent completely. */
+    public val openIds: List<String> get() = states.values.flatMap { it.requests }
+        .mapNotNull { it.id }
 
     /** Registers [connection] until it is closed. */
     public fun opened(connection: HttpConnection) {
@@ -39,23 +46,25 @@
         connection.closeHandler { states -= connection }
     }
 
-    /** Records that a request has begun on [connection]. */
-    public fun requestStarted(connection: HttpConnection) {
-        val state = states[connection] ?: return
-        state.inProgress++
-        state.isExpiring = false
+    /** Records that the request with [id] has begun on [connection]. */
+    public fun requestStarted(connection: HttpConnection, id: String?): OpenRequest {
+        val request = OpenRequest(id)
+        states[connection]?.let {
+            it.requests += request
+            it.isExpiring = false
+        }
+        return request
     }
 
-    /** Records that the answer to a request on [connection] is complete, but for its sending. */
-    public fun answerEnded(connection: HttpConnection) {
-        states[connection]?.sendingSinceMillis = clock.nowMillis()
+    /** Records that the answer to [request] is complete, but for its sending. */
+    public fun answerEnded(request: OpenRequest) {
+        request.answeredAtMillis = clock.nowMillis()
     }
 
-    /** Records that the answer to a request on [connection] has been sent, or will not be. */
-    public fun requestEnded(connection: HttpConnection) {
+    /** Records that the answer to [request] on [connection] has been sent, or will not be. */
+    public fun requestEnded(connection: HttpConnection, request: OpenRequest) {
         val state = states[connection] ?: return
-        state.sendingSinceMillis = null
-        state.inProgress--
+        state.requests -= request
         state.idleSinceMillis = clock.nowMillis()
     }
 
@@ -72,9 +81,11 @@
     internal fun cutUnread() {
         val nowMillis = clock.nowMillis()
         for ((connection, state) in states.toList()) {
-            val sendingMillis = nowMillis - (state.sendingSinceMillis ?: continue)
-            if (sendingMillis < idleTimeoutMillis()) continue
-            events.write("connection-unread", "sending_ms" to sendingMillis)
+            val unread = state.requests.filter { request ->
+                request.answeredAtMillis?.let { nowMillis - it >= idleTimeoutMillis() } ?: false
+            }
+            if (unread.isEmpty()) continue
+            unread.forEach { events.write("answer-unread", "request" to it.id) }
             cut(connection)
         }
     }
@@ -87,7 +98,7 @@
         val nowMillis = clock.nowMillis()
         for ((connection, state) in states.toList()) {
             val idleMillis = nowMillis - state.idleSinceMillis
-            val isExpired = state.inProgress == 0 && idleMillis >= idleTimeoutMillis()
+            val isExpired = state.requests.isEmpty() && idleMillis >= idleTimeoutMillis()
             if (isExpired && state.isExpiring) {
                 events.write("connection-idle", "idle_ms" to idleMillis)
                 connection.close()
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -34,6 +34,9 @@
     private val facts = dependencies.flow.translator.call(request.headers())
     private var flow: RequestFlow? = null
 
+    /** The id that the caller gave to the request; null if it gave none. */
+    public val id: String? get() = facts.id
+
     /** Runs the exchange to its end; cancelled when the caller leaves or the server ends it. */
     public suspend fun run() {
         val outcome = try {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -81,9 +81,9 @@
             // Reads and refuses requests that have arrived meanwhile.
             delay(LAST_READ_MILLIS)
         }
-        val unsent = running
+        connections.openIds.forEach { exchanges.events.write("answer-unsent", "request" to it) }
         withTimeoutOrNull(LAST_READ_MILLIS) { server?.close()?.coAwait() }
-        exchanges.events.write("callers-closed", "unsent" to unsent)
+        exchanges.events.write("callers-closed")
     }
 
     private fun accept(request: HttpServerRequest) {
@@ -93,10 +93,10 @@
         val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis)
         if (isEnding) return exchange.refuse()
         val job = Job(requestsJob)
-        connections.requestStarted(request.connection())
+        val open = connections.requestStarted(request.connection(), exchange.id)
         job.invokeOnCompletion {
-            connections.answerEnded(request.connection())
-            reply.whenSent { connections.requestEnded(request.connection()) }
+            connections.answerEnded(open)
+            reply.whenSent { connections.requestEnded(request.connection(), open) }
         }
         response.closeHandler { job.cancel(CancellationException("caller disconnected")) }
         response.exceptionHandler { job.cancel(CancellationException("caller disconnected")) }
@@ -111,7 +111,10 @@
 
     /** Closes [connection] below the handler that would first write what is left. */
     private fun cut(connection: HttpConnection) {
-        (connection as ConnectionBase).channel().pipeline().firstContext().close()
+        when (connection) {
+            is ConnectionBase -> connection.channel().pipeline().firstContext().close()
+            else -> connection.close()
+        }
     }
 
     private fun idleTimeoutMillis(): Long {
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerConnectionsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerConnectionsTest.kt
@@ -53,9 +53,9 @@
     @Test
     fun `a request that is read between two checks keeps its connection`() {
         checkAt(1_200)
-        connections.requestStarted(connection)
+        val request = connections.requestStarted(connection, "a")
         checkAt(5_000)
-        connections.requestEnded(connection)
+        connections.requestEnded(connection, request)
         checkAt(5_500)
         assertFalse(isClosed)
         assertEquals(0, connections.inProgress)
@@ -63,13 +63,26 @@
 
     @Test
     fun `an answer that is not read for the idle timeout is cut`() {
-        connections.requestStarted(connection)
+        val request = connections.requestStarted(connection, "a")
         nowMillis = 5_000
-        connections.answerEnded(connection)
+        connections.answerEnded(request)
         connections.cutUnread()
         assertFalse(isCut)
         nowMillis = 6_000
         connections.cutUnread()
         assertTrue(isCut)
     }
+
+    // Guards against the end of one request that hides an answer which is not read.
+    @Test
+    fun `an unread answer is cut although another request of its connection has ended`() {
+        val unread = connections.requestStarted(connection, "a")
+        val ended = connections.requestStarted(connection, "b")
+        connections.answerEnded(unread)
+        connections.requestEnded(connection, ended)
+        nowMillis = 5_000
+        connections.cutUnread()
+        assertTrue(isCut)
+        assertEquals(listOf("a"), connections.openIds)
+    }
 }
