A request whose error answer cannot be written is cut, not left open

If writing an answer threw, an error answer was tried, and if that threw too the exception left the coroutine: no answer, no request-ended line, and the connection stayed open until the idle timeout.

"a request that cannot be answered is cut at once" failed before with "Cut(afterMillis=19158, reason=closed before the answer)". The exchange now cuts the connection as the last resort, and logs each failure.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -44,14 +44,14 @@
         } catch (e: CancellationException) {
             // Something else than this exchange may have been cancelled, such as a channel.
             if (currentCoroutineContext().isActive) {
-                failedOutcome(e)
+                failed(e)
             } else {
                 endCancelled()
                 throw e
             }
         } catch (e: Exception) {
             if (reply.isClosed) return recordEnd("caller-left")
-            failedOutcome(e)
+            failed(e)
         }
         finish(outcome)
     }
@@ -110,26 +110,34 @@
         else -> RequestOutcome.Failed(STOPPING)
     }
 
-    private fun failedOutcome(cause: Exception): RequestOutcome {
+    private fun failed(cause: Exception): RequestOutcome {
         log.error("request {} failed", facts.id, cause)
-        return when {
-            reply.hasBegun -> RequestOutcome.Aborted(INTERNAL_ERROR)
-            flow?.isUncertain == true -> RequestOutcome.Failed(
-                ErrorAnswer.MayHaveRun(INTERNAL_ERROR)
-            )
-            else -> RequestOutcome.Failed(ErrorAnswer.NotRun(INTERNAL_ERROR, null))
-        }
+        return failedOutcome()
+    }
+
+    private fun failedOutcome(): RequestOutcome = when {
+        reply.hasBegun -> RequestOutcome.Aborted(INTERNAL_ERROR)
+        flow?.isUncertain == true -> RequestOutcome.Failed(ErrorAnswer.MayHaveRun(INTERNAL_ERROR))
+        else -> RequestOutcome.Failed(ErrorAnswer.NotRun(INTERNAL_ERROR, null))
     }
 
+    /** Sends [outcome]; if that fails an error answer, and if that fails too, cuts the connection. */
     private fun finish(outcome: RequestOutcome) {
-        val sent = try {
-            outcome.also(::send)
-        } catch (e: Exception) {
-            failedOutcome(e).also(::send)
-        }
+        val sent = sequence {
+            yield(outcome)
+            yield(failedOutcome())
+        }.firstOrNull(::trySend) ?: RequestOutcome.Aborted(INTERNAL_ERROR).also { reply.abort() }
         recordEnd(labelOf(sent))
     }
 
+    private fun trySend(outcome: RequestOutcome): Boolean = try {
+        send(outcome)
+        true
+    } catch (e: Exception) {
+        log.error("the answer to request {} cannot be sent", facts.id, e)
+        false
+    }
+
     private fun send(outcome: RequestOutcome): Unit = when (outcome) {
         is RequestOutcome.Answered -> outcome.answer?.let(reply::relayAnswer) ?: reply.endStream()
         is RequestOutcome.Failed -> reply.sendError(facts.id, outcome.answer)
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -15,6 +15,7 @@
 import cactusfold.platform.standin.CallEnd
 import cactusfold.platform.standin.CallerConnection
 import cactusfold.ports.serving.CallerLimits
+import cactusfold.ports.serving.HeaderTranslator
 import cactusfold.ports.serving.Repeatability
 import cactusfold.ports.serving.ServingConfig
 import cactusfold.ports.serving.ServingRoute
@@ -24,6 +25,7 @@
 import cactusfold.ports.table.FeedResult
 import cactusfold.settings.schema.HostPort
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
 import java.net.Socket
@@ -31,6 +33,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.system.measureTimeMillis
 import kotlin.test.assertEquals
+import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
@@ -58,6 +61,14 @@
     private val port = FreePorts.next()
     private val registry = SimpleMeterRegistry()
     private var failure: Exception? = null
+    private var failsToRefuse = false
+
+    private val translator = object : HeaderTranslator by WireHeaders {
+        override fun refusal(id: String?, retryAfterMillis: Long?): MultiMap {
+            check(!failsToRefuse) { "broken" }
+            return WireHeaders.refusal(id, retryAfterMillis)
+        }
+    }
 
     private var idleTimeoutMillis = 15_000L
 
@@ -107,7 +118,7 @@
             promptBlocks = promptBlocks,
             crashes = CrashDetector(scope, clock, promptBlocks) { false },
             sender = UpstreamSender(vertx, WireHeaders, clock) {},
-            translator = WireHeaders,
+            translator = translator,
             retries = RetryBudgets(bounds, clock) { null },
             clock = clock,
             events = events
@@ -146,6 +157,18 @@
         }
     }
 
+    @Nested
+    inner class FailedAnswers {
+        // Guards against an answer that cannot be written and leaves its caller waiting.
+        @Test
+        fun `a request that cannot be answered is cut at once`() {
+            failsToRefuse = true
+            val end = assertIs<CallEnd.Cut>(CallerConnection(port).use { it.call("/nowhere/1") })
+            assertTrue(end.afterMillis < 2_000, "$end")
+            assertEquals(0, server.running)
+        }
+    }
+
     @Nested
     inner class Bodies {
         private val chunk = "400\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n"
