A process with little time to stop does not wait longer than that

The wait for the load balancer was 2.4 s whatever the time to stop, so a process with 2 s was killed before it ended the remaining requests: "a process with little time to stop ends within it" failed before ("stopped after 2469 ms"). New requests are now accepted for 2.4 s or until the end of the drain, whichever is first.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -264,8 +264,9 @@
         events.write("process-stopping", "running" to callers.running, "lag_ms" to lagMillis)
         callers.isLeaving = true
         scope.launch { lease.release() }
-        callers.refuseFrom(beganMillis + BALANCER_REMOVAL_MILLIS)
-        delay(beganMillis + BALANCER_REMOVAL_MILLIS - clock.nowMillis())
+        val refusesFromMillis = beganMillis + ShutdownBudget.acceptMillis(bounds.stopMillis)
+        callers.refuseFrom(refusesFromMillis)
+        delay(refusesFromMillis - clock.nowMillis())
         val drainMillis = ShutdownBudget.drainMillis(bounds.stopMillis)
         while (callers.running > 0 && clock.nowMillis() - beganMillis < drainMillis) {
             delay(DRAIN_CHECK_INTERVAL_MILLIS)
@@ -367,12 +368,6 @@
         const val LEASE_RENEW_INTERVAL_MILLIS = 700L
         const val LEASE_MARGIN_MILLIS = 250L
 
-        /**
-         * The load balancer checks every second and removes a process after two failures. Requests
-         * that are sent later than 3 s after the signal have to end in time by contract.
-         */
-        const val BALANCER_REMOVAL_MILLIS = 2_400L
-
         const val DRAIN_CHECK_INTERVAL_MILLIS = 20L
         const val CONFIG_CHECK_INTERVAL_MILLIS = 10L
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -63,8 +63,11 @@
         eventually("not ready") { readyStatus() == 200 && entry.isMemberCountKnown }
     }
 
-    /** Stops the entry process as SIGTERM does. */
-    fun stop(): Unit = runBlocking(entryVertx.orCreateContext.dispatcher()) { entry.stop() }
+    /** Stops the entry process as a SIGTERM does that was sent [signaledAgoMillis] before. */
+    fun stop(signaledAgoMillis: Long = 0): Unit =
+        runBlocking(entryVertx.orCreateContext.dispatcher()) {
+            entry.stop(MonotonicClock.SYSTEM.nowMillis() - signaledAgoMillis)
+        }
 
     fun readyStatus(): Int = caller.readyStatus(ready)
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/PlannedStopTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PlannedStopTest.kt
@@ -31,6 +31,44 @@
         }
     }
 
+    // Guards against a fixed wait for the load balancer that is longer than the time to stop.
+    @Test
+    fun `a process with little time to stop ends within it`() {
+        EntryFixture(stopMillis = 2_000).use { fixture ->
+            fixture.start()
+            val tookMillis = measureTimeMillis { fixture.stop() }
+            assertTrue(tookMillis < 2_000, "stopped after $tookMillis ms")
+        }
+    }
+
+    // Guards against requests that are accepted so late that the end of the drain cuts them.
+    @Test
+    fun `a request that arrives after the load balancer has removed the process is refused`() =
+        assertRefused(signaledAgoMillis = 0, afterMillis = 2_600)
+
+    // Guards against a stop that counts from when a busy process gets to the signal.
+    @Test
+    fun `the time of a stop counts from the signal`() =
+        assertRefused(signaledAgoMillis = 1_500, afterMillis = 1_200)
+
+    /** Checks a request [afterMillis] after a stop that was signaled [signaledAgoMillis] before. */
+    private fun assertRefused(signaledAgoMillis: Long, afterMillis: Long) {
+        EntryFixture(stopMillis = 8_000).use { fixture ->
+            val desk = fixture.runner("i-1", "desk")
+            fixture.start()
+            val connection = CallerConnection(fixture.callers)
+            desk.answerDelayMillis = 3_300
+            val running = callAsync { fixture.caller.call("/book/x") }
+            EntryFixture.eventually("not sent") { desk.ran.size == 1 }
+            val stop = CompletableFuture.runAsync { fixture.stop(signaledAgoMillis) }
+            Thread.sleep(afterMillis)
+            val refused = CallEnd.Answered(503, "stopping\n", closes = true)
+            assertEquals(refused, connection.use { it.call("/look/x") })
+            assertEquals(200, running.get().statusCode())
+            stop.get()
+        }
+    }
+
     // Guards against a repeated SIGTERM that ends a process while it still drains.
     @Test
     fun `a repeated stop does not end the process before requests in progress are answered`() {
