A caller that reads its answer slowly but steadily gets all of it

The limit on unread answers counted from the end of the answer, so a sound caller on a slow line was cut after the idle timeout.

"an answer that its caller reads slowly but steadily is sent completely" failed before ("Cut(afterMillis=3381, reason=closed within the body)", an idle timeout of 500 ms). The time now counts from the last byte that the caller took; Netty's output buffer tells how many are left. A caller that reads nothing is still cut (its test is kept).

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
@@ -9,26 +9,29 @@
  * The open connections of callers. A connection is closed when it has had no request in progress
  * for the idle timeout; the timeout never ends a request that waits for its answer.
  *
- * @param idleTimeoutMillis the timeout in force; also for the sending of a complete answer.
- * @param cut closes a connection without sending what is left.
+ * @param idleTimeoutMillis the timeout in force; also for a caller that stops to read its answer.
  */
 public class CallerConnections(
     private val clock: MonotonicClock,
     private val events: EventLog,
-    private val idleTimeoutMillis: () -> Long,
-    private val cut: (HttpConnection) -> Unit
+    private val output: ConnectionOutput,
+    private val idleTimeoutMillis: () -> Long
 ) {
     private val states = HashMap<HttpConnection, ConnectionState>()
 
     /** A request until its answer has been sent; [id] is null if the caller stated none. */
     public class OpenRequest internal constructor(internal val id: String?) {
-        /** When its answer was complete but for the sending; null before that. */
-        internal var answeredAtMillis: Long? = null
+        /** Whether its answer is complete but for the sending. */
+        internal var isAnswered = false
     }
 
     private class ConnectionState(var idleSinceMillis: Long) {
         val requests = mutableSetOf<OpenRequest>()
 
+        /** Bytes that were unsent at the last check, and since when none of them has been sent. */
+        var unsentBytes = 0L
+        var unreadSinceMillis = idleSinceMillis
+
         /** Whether the connection was found idle by the last check. */
         var isExpiring = false
     }
@@ -58,7 +61,7 @@
 
     /** Records that the answer to [request] is complete, but for its sending. */
     public fun answerEnded(request: OpenRequest) {
-        request.answeredAtMillis = clock.nowMillis()
+        request.isAnswered = true
     }
 
     /** Records that the answer to [request] on [connection] has been sent, or will not be. */
@@ -77,16 +80,19 @@
         }
     }
 
-    /** Cuts answers that their callers do not read, since these occupy memory. */
+    /** Cuts answers of which their callers read nothing, since these occupy memory. */
     internal fun cutUnread() {
         val nowMillis = clock.nowMillis()
         for ((connection, state) in states.toList()) {
-            val unread = state.requests.filter { request ->
-                request.answeredAtMillis?.let { nowMillis - it >= idleTimeoutMillis() } ?: false
+            val unsentBytes = output.unsentBytes(connection)
+            val unread = state.requests.filter { it.isAnswered }
+            if (unread.isEmpty() || unsentBytes != state.unsentBytes) {
+                state.unsentBytes = unsentBytes
+                state.unreadSinceMillis = nowMillis
+            } else if (nowMillis - state.unreadSinceMillis >= idleTimeoutMillis()) {
+                unread.forEach { events.write("answer-unread", "request" to it.id) }
+                output.cut(connection)
             }
-            if (unread.isEmpty()) continue
-            unread.forEach { events.write("answer-unread", "request" to it.id) }
-            cut(connection)
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -4,11 +4,9 @@
 import cactusfold.ports.serving.CallerLimits
 import cactusfold.settings.schema.HostPort
 import io.vertx.core.Vertx
-import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
-import io.vertx.core.net.impl.ConnectionBase
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -29,7 +27,8 @@
     events: EventLog
 ) {
     private val requestsJob = SupervisorJob(scope.coroutineContext[Job])
-    private val connections = CallerConnections(flow.clock, events, ::idleTimeoutMillis, ::cut)
+    private val connections =
+        CallerConnections(flow.clock, events, VertxConnectionOutput, ::idleTimeoutMillis)
     private val exchanges =
         ExchangeDependencies(flow, meters, events, ::idleTimeoutMillis) { phase }
     private var server: HttpServer? = null
@@ -109,14 +108,6 @@
         }
     }
 
-    /** Closes [connection] below the handler that would first write what is left. */
-    private fun cut(connection: HttpConnection) {
-        when (connection) {
-            is ConnectionBase -> connection.channel().pipeline().firstContext().close()
-            else -> connection.close()
-        }
-    }
-
     private fun idleTimeoutMillis(): Long {
         val limits = flow.table()?.config?.limits ?: return UNCONFIGURED_IDLE_TIMEOUT_MILLIS
         return (limits.idleTimeoutMillis * IDLE_TIMEOUT_FACTOR).toLong()
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/ConnectionOutput.kt
@@ -0,0 +1,12 @@
+package cactusfold.entry.callers
+
+import io.vertx.core.http.HttpConnection
+
+/** What has been written to callers' connections and is not sent yet. */
+public interface ConnectionOutput {
+    /** Returns the bytes that wait for the caller of [connection] to read. */
+    public fun unsentBytes(connection: HttpConnection): Long
+
+    /** Closes [connection] without sending what is left. */
+    public fun cut(connection: HttpConnection)
+}
--- a/entry/src/test/kotlin/cactusfold/entry/path/UnansweredRequestTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/UnansweredRequestTest.kt
@@ -45,6 +45,22 @@
             }
         }
 
+        // Guards against a limit on the whole time in which an answer is read.
+        @Test
+        fun `an answer that its caller reads slowly but steadily is sent completely`() {
+            EntryFixture().use { fixture ->
+                fixture.operator.limits = JsonObject().put("idle-timeout-ms", 500)
+                val desk = fixture.runner("i-1", "desk")
+                desk.answerBytes = 3_500_000
+                fixture.start()
+                CallerConnection(fixture.callers, receiveBufferBytes = 4_096).use {
+                    it.send("/book/x", timeoutMillis = 20_000)
+                    val end = it.receive(readPauseMillis = 4)
+                    assertEquals(3_500_000, assertIs<CallEnd.Answered>(end, "$end").body.length)
+                }
+            }
+        }
+
         @Test
         fun `an idle connection is closed by the timeout of the configuration in force`() {
             EntryFixture().use { fixture ->
