Limits that upstreams state are decoded, logged and counted

Each VM now remembers the limit of each start of an upstream and logs when it is named, changed or ended. An answer to a request that was sent before the limit was learned does not end or raise it. Values that are not decimal numbers of zero or more are counted and ignored. Nothing is sent or refused differently yet.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -28,7 +28,9 @@
 import cactusfold.entry.residency.LoadCoordinator
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.residency.OrderDependencies
+import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.entry.upstream.UpstreamLimits
 import cactusfold.entry.upstream.UpstreamPolling
 import cactusfold.entry.upstream.UpstreamsRevision
 import cactusfold.node.peer.PeerClients
@@ -40,6 +42,7 @@
 import cactusfold.ports.http.HttpTarget
 import cactusfold.ports.http.PlatformHttp
 import cactusfold.ports.serving.OrderAuthority
+import cactusfold.ports.serving.ResponseMetadata
 import cactusfold.ports.serving.ServingConfig
 import cactusfold.protocol.entry.FleetNotice
 import cactusfold.protocol.entry.Holdings
@@ -117,6 +120,7 @@
         LEASE_RENEW_INTERVAL_MILLIS,
         CoordinatorPace.takeoverDelayMillis(settings.cores)
     ) { coordinatorClient.isConnected }
+    private val limits = UpstreamLimits(clock, events, metrics)
     private val peers = PeerClients(eventLoops)
     private val waits = ModelWaitQueue(directory, clock) { coordinatorClient.wake() }
     private val suspects = SharedSuspects(clock) { coordinatorClient.wake() }
@@ -178,9 +182,7 @@
             suspects = suspects,
             promptBlocks = promptBlocks,
             crashes = CrashDetector(scope, clock, promptBlocks, UpstreamProbe(vertx)::isRefused),
-            sender = UpstreamSender(vertx, WireHeaders, clock) {
-                directory.recordLeaving(it.entry.id, it.entry.startedAtEpochMillis)
-            },
+            sender = UpstreamSender(vertx, WireHeaders, clock, ::handleAnswer),
             translator = WireHeaders,
             retries = RetryBudgets(bounds, clock) { coordinatorClient.memberCount },
             clock = clock,
@@ -351,6 +353,12 @@
         rateLimiter.heard()
     }
 
+    private fun handleAnswer(upstream: Upstream, facts: ResponseMetadata, sentAtMillis: Long) {
+        val start = upstream.start
+        if (facts.isLeaving) directory.recordLeaving(start.id, start.startedAtEpochMillis)
+        limits.answered(start, facts.limit, sentAtMillis)
+    }
+
     private fun applyHoldings(holdings: Holdings) {
         val models = holdings.modelsList.associate { it.model to it.adaptersList.toImmutableSet() }
         directory.find(holdings.runner)?.holds(models.toImmutableMap(), clock.nowMillis())
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -89,13 +89,14 @@
 /**
  * Sends requests to upstreams over pooled HTTP/1.1 connections, without pipelining.
  *
- * @param onLeaving called when an answer of an upstream says that it is shutting down.
+ * @param onAnswer called with each answer of an upstream to the request that was sent to it, and
+ *   when that was sent.
  */
 public class UpstreamSender(
     vertx: Vertx,
     private val translator: HeaderTranslator,
     private val clock: MonotonicClock,
-    private val onLeaving: (Upstream) -> Unit
+    private val onAnswer: (Upstream, ResponseMetadata, sentAtMillis: Long) -> Unit
 ) {
     private val bodies = AnswerBodies()
     private val client: HttpClientAgent = vertx.createHttpClient(
@@ -167,7 +168,7 @@
             if (facts.id != null && facts.id != upstreamRequest.id) {
                 return SendEnd.Broken("the answer belongs to request ${facts.id}")
             }
-            if (facts.isLeaving) onLeaving(upstream)
+            onAnswer(upstream, facts, startedAtMillis)
             facts.pauseMillis?.let { upstream.recordPause(it, clock.nowMillis()) }
             if (facts.wasNotExecuted) return notRun(response, start)
             val isSuccess = start.status in SUCCESS
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.upstream
 
+import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.decisions.routing.ReplicaView
 import cactusfold.ports.serving.ReportedLoad
 import cactusfold.ports.serving.UpstreamEntry
@@ -45,6 +46,9 @@
     /** Whether new requests may be sent to the upstream. */
     public val isUsable: Boolean get() = !entry.isDraining && !isLeaving
 
+    /** Identifies this start of the upstream. */
+    public val start: UpstreamStart get() = UpstreamStart(entry.id, entry.startedAtEpochMillis)
+
     /** Identifies this start of the upstream to other processes, once it leaves. */
     public val departure: Departure
         get() = Departure.newBuilder().setUpstream(entry.id)
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -117,7 +117,7 @@
             suspects = SharedSuspects(clock) {},
             promptBlocks = promptBlocks,
             crashes = CrashDetector(scope, clock, promptBlocks) { false },
-            sender = UpstreamSender(vertx, WireHeaders, clock) {},
+            sender = UpstreamSender(vertx, WireHeaders, clock) { _, _, _ -> },
             translator = translator,
             retries = RetryBudgets(bounds, clock) { null },
             clock = clock,
--- a/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
@@ -25,7 +25,7 @@
     private val upstreamVertx = Vertx.vertx()
     private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1))
     private val runner = RunnerStandin(upstreamVertx, "r", emptySet()).apply { start() }
-    private val sender = UpstreamSender(vertx, WireHeaders, MonotonicClock.SYSTEM) {}
+    private val sender = UpstreamSender(vertx, WireHeaders, MonotonicClock.SYSTEM) { _, _, _ -> }
 
     @AfterEach
     fun close() {
--- a/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
@@ -58,6 +58,7 @@
  * @property isLeaving whether the upstream is shutting down and takes no new requests soon.
  * @property pauseMillis how long the upstream asks to be sent no further requests; null if it does
  *   not ask.
+ * @property limit the rate that the upstream accepts from all VMs together.
  */
 public data class ResponseMetadata(
     public val id: String?,
@@ -65,7 +66,8 @@
     public val wasNotExecuted: Boolean,
     public val load: ReportedLoad?,
     public val isLeaving: Boolean = false,
-    public val pauseMillis: Long? = null
+    public val pauseMillis: Long? = null,
+    public val limit: StatedLimit = StatedLimit.None
 )
 
 /**
