The fleet shares the limit that an upstream states

Callers saw nothing of it, but an upstream that limited its requests got many times as many: each VM sent at its usual rate, since no VM read the limit, and none alone could have kept a limit of one request a second.

Cause: a bound for all VMs together that each VM keeps on what it alone has seen. The coordinator now holds a token bucket for each limited upstream, by the mechanism that shares the workspaces' rates (FleetTokenBuckets, MemberTokens). The first VM that learns a limit reports it, the coordinator announces it, and members report all they know to a new coordinator, which starts with an empty bucket. A token is taken before each send; without one the request moves on to another upstream, or is refused at once with the time that the limits of all candidates and earlier refusals make true. A token is checked again right before the request is written, and one that was not used is kept for the next request. Without a coordinator the members take turns if their shares are below one request.

--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketMachine.kt
@@ -26,7 +26,7 @@
 )
 
 /**
- * The token bucket of one workspace, kept by the process that holds the lease of its shard.
+ * The token bucket of one rate limit, kept by the process that holds the lease for it.
  *
  * Granted tokens occupy the capacity of the bucket until they are reported as spent or returned or
  * have expired, and the reserve of a router out of contact is set aside. The tokens that all
@@ -36,6 +36,8 @@
  * @property levelTokens tokens available for grants.
  * @property refillFromMillis when refilling begins.
  * @property toleratedTokens tokens that may still be taken beyond the level.
+ * @property promisedTokens tokens that refused requests were told to come back for and that have
+ *   not been refilled since.
  * @property contacts the routers in contact or with outstanding tokens, by name.
  */
 public data class BucketState(
@@ -45,6 +47,7 @@
     public val refillFromMillis: Long,
     public val registry: RouterRegistry,
     public val toleratedTokens: Double = 0.0,
+    public val promisedTokens: Double = 0.0,
     public val contacts: PersistentMap<String, RouterContact> = persistentMapOf()
 )
 
@@ -82,7 +85,7 @@
 /** The response to a request, with the state that follows. */
 public data class BucketStep(public val state: BucketState, public val answer: GrantResponse)
 
-/** Grants tokens from the bucket of a workspace to routers. */
+/** Grants tokens of a bucket to routers. */
 public class BucketMachine(private val settings: TokenGrantSettings) {
 
     /**
@@ -181,6 +184,29 @@
         return refill(state.copy(contacts = state.contacts.put(router, renewed)), nowMillis)
     }
 
+    /** Records that a request was told to come back when [tokens] more have been refilled. */
+    public fun promise(state: BucketState, tokens: Double): BucketState {
+        val maxTokens = state.limit.rateTokensPerSecond * MAX_PROMISED_SECONDS
+        return state.copy(promisedTokens = minOf(state.promisedTokens + tokens, maxTokens))
+    }
+
+    /** Removes [tokens] that were used without being asked for, as far as there are any. */
+    public fun charge(state: BucketState, tokens: Double, nowMillis: Long): BucketState {
+        val current = refill(state, nowMillis)
+        return current.copy(levelTokens = (current.levelTokens - tokens).coerceAtLeast(0.0))
+    }
+
+    /**
+     * Returns the time until [tokens] are available in all of [states] together, after those that
+     * were promised.
+     */
+    public fun waitMillis(states: List<BucketState>, tokens: Double): Long {
+        val perSecond = states.sumOf(::refillTokensPerSecond)
+            .coerceAtLeast(MIN_REFILL_TOKENS_PER_SECOND)
+        val missing = tokens + states.sumOf { it.promisedTokens - it.levelTokens }
+        return (missing / perSecond * MILLIS_PER_SECOND).toLong().coerceAtLeast(1)
+    }
+
     private fun grant(
         state: BucketState,
         contact: RouterContact,
@@ -243,7 +269,10 @@
         if (nowMillis <= from) return expired
         val seconds = (nowMillis - from) / MILLIS_PER_SECOND
         val gained = seconds * refillTokensPerSecond(expired)
-        val next = expired.copy(refilledAtMillis = nowMillis)
+        val next = expired.copy(
+            refilledAtMillis = nowMillis,
+            promisedTokens = (expired.promisedTokens - gained).coerceAtLeast(0.0)
+        )
         return next.copy(levelTokens = clip(next.copy(levelTokens = next.levelTokens + gained)))
     }
 
@@ -281,17 +310,15 @@
     private fun capacityTokens(state: BucketState): Double {
         val reserved = state.limit.burstTokens * reservedSlots(state) / settings.routerSlots
         val outstanding = state.contacts.values.sumOf { it.outstandingTokens }
-        return (state.limit.burstTokens - reserved - outstanding).coerceAtLeast(0.0)
+        return (state.limit.burstTokens - reserved - outstanding)
+            .coerceAtLeast(minOf(state.limit.unitTokens, state.limit.burstTokens))
     }
 
     private fun clip(state: BucketState): Double =
         state.levelTokens.coerceAtMost(capacityTokens(state))
 
-    private fun waitMillis(state: BucketState, tokens: Long): Long {
-        val perSecond = refillTokensPerSecond(state).coerceAtLeast(MIN_REFILL_TOKENS_PER_SECOND)
-        val seconds = (tokens - state.levelTokens) / perSecond
-        return (seconds * MILLIS_PER_SECOND).toLong().coerceAtLeast(1)
-    }
+    private fun waitMillis(state: BucketState, tokens: Long): Long =
+        waitMillis(listOf(state), tokens.toDouble())
 
     private fun checkInvariants(state: BucketState) {
         val outstanding = state.contacts.values.sumOf { it.outstandingTokens }
@@ -307,6 +334,9 @@
         /** A grant prefetches at most the tokens that remain beyond the need, divided by this. */
         const val PREFETCH_DIVISOR = 4
 
+        /** Callers do not come back later than this. */
+        const val MAX_PROMISED_SECONDS = 30
+
         /** Avoids a division by zero when all slots are reserved. */
         const val MIN_REFILL_TOKENS_PER_SECOND = 0.001
 
--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/RateModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/RateModel.kt
@@ -1,12 +1,36 @@
 package cactusfold.decisions.rate
 
 /**
- * The rate limit of one workspace, which applies to all VMs together.
+ * A rate limit, of a workspace or an upstream, which applies to all VMs together.
  *
  * @property rateTokensPerSecond tokens added to the bucket per second.
  * @property burstTokens capacity of the bucket.
+ * @property unitTokens tokens of one spend, which cannot be divided: the bucket can always fill up
+ *   to this, and routers whose share of the burst is less take turns in using their reserves. Zero
+ *   if any number of tokens may be spent.
  */
-public data class RateLimit(public val rateTokensPerSecond: Double, public val burstTokens: Double)
+public data class RateLimit(
+    public val rateTokensPerSecond: Double,
+    public val burstTokens: Double,
+    public val unitTokens: Double = 0.0
+) {
+    public companion object {
+        /**
+         * Returns the limit of an upstream that accepts [requestsPerSecond] from all VMs together.
+         * Each request takes one token. A second's worth of requests and one more may arrive at
+         * once, so that callers who come in bursts can use the whole rate.
+         *
+         * Even an upstream that wants no requests gets one every 10 s, since only an answer can
+         * state that its limit has risen or ended.
+         */
+        public fun ofRequests(requestsPerSecond: Double): RateLimit {
+            val rate = requestsPerSecond.coerceAtLeast(MIN_REQUESTS_PER_SECOND)
+            return RateLimit(rate, rate + 1, unitTokens = 1.0)
+        }
+
+        private const val MIN_REQUESTS_PER_SECOND = 0.1
+    }
+}
 
 /**
  * Settings shared by the holder of a bucket, which grants tokens, and the routers that spend them.
--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/TokenGrantSpender.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/TokenGrantSpender.kt
@@ -1,7 +1,7 @@
 package cactusfold.decisions.rate
 
 /**
- * The tokens of one workspace at one router.
+ * The tokens of one rate limit at one router.
  *
  * The reserve is the router's fixed share of the rate, which it may spend while it cannot reach the
  * holder of the bucket.
@@ -39,8 +39,15 @@
 /** The outcome of an attempt to spend tokens, with the state that follows. */
 public data class SpendStep(public val state: TokenGrantState, public val outcome: SpendOutcome)
 
-/** Spends the tokens granted by the holder, and the reserve while the holder is unreachable. */
-public class TokenGrantSpender(private val settings: TokenGrantSettings) {
+/**
+ * Spends the tokens granted by the holder, and the reserve while the holder is unreachable.
+ *
+ * @property position of the router among all routers, from zero.
+ */
+public class TokenGrantSpender(
+    private val settings: TokenGrantSettings,
+    private val position: Int = 0
+) {
 
     /** Returns the initial state of a router registered at [registeredAtMillis]: no tokens. */
     public fun start(limit: RateLimit, registeredAtMillis: Long): TokenGrantState {
@@ -126,12 +133,36 @@
     private fun refillReserve(state: TokenGrantState, nowMillis: Long): TokenGrantState {
         if (nowMillis <= state.reserveAtMillis) return state
         val share = 1.0 / settings.routerSlots
+        if (state.limit.burstTokens * share < state.limit.unitTokens) {
+            return refillInTurn(state, nowMillis)
+        }
         val seconds = (nowMillis - state.reserveAtMillis) / MILLIS_PER_SECOND
         val gained = seconds * state.limit.rateTokensPerSecond * share
         val level = (state.reserveTokens + gained).coerceAtMost(state.limit.burstTokens * share)
         return state.copy(reserveTokens = level, reserveAtMillis = nowMillis)
     }
 
+    /**
+     * Refills a reserve that is less than the tokens of one spend: the routers take turns, and each
+     * may spend these tokens once in its turn. Routers that lost the holder at the same time have
+     * the same turns, so together they keep the rate.
+     */
+    private fun refillInTurn(state: TokenGrantState, nowMillis: Long): TokenGrantState {
+        val turnMillis =
+            state.limit.unitTokens / state.limit.rateTokensPerSecond * MILLIS_PER_SECOND
+        val turn = ((nowMillis - state.reserveFromMillis) / turnMillis).toLong()
+        val isOwn = turn % settings.routerSlots == position.toLong()
+        val beganAtMillis = state.reserveFromMillis + turn * turnMillis
+        return when {
+            !isOwn -> state.copy(reserveTokens = 0.0)
+            state.reserveAtMillis > beganAtMillis -> state
+            else -> state.copy(
+                reserveTokens = state.limit.unitTokens,
+                reserveAtMillis = nowMillis
+            )
+        }
+    }
+
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
     }
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.decisions.holding.CoordinatorLeaseMachine
 import cactusfold.decisions.holding.CoordinatorLeaseSettings
+import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.entry.callers.CallerMeters
 import cactusfold.entry.callers.CallerServer
 import cactusfold.entry.callers.CrashDetector
@@ -22,7 +23,10 @@
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.process.ShutdownBudget
 import cactusfold.entry.process.StatusServer
+import cactusfold.entry.rate.FleetLimits
 import cactusfold.entry.rate.FleetTokenBuckets
+import cactusfold.entry.rate.GrantMember
+import cactusfold.entry.rate.UpstreamRateLimiter
 import cactusfold.entry.rate.WorkspaceRateLimiter
 import cactusfold.entry.residency.FleetDemand
 import cactusfold.entry.residency.LoadCoordinator
@@ -120,13 +124,21 @@
         LEASE_RENEW_INTERVAL_MILLIS,
         CoordinatorPace.takeoverDelayMillis(settings.cores)
     ) { coordinatorClient.isConnected }
-    private val limits = UpstreamLimits(clock, events, metrics)
+    private val meters = CallerMeters(metrics)
+    private val limits = UpstreamLimits(
+        clock,
+        events,
+        metrics,
+        { directory.find(it.id)?.start == it },
+        ::applyLimit
+    ) { coordinatorClient.wake() }
     private val peers = PeerClients(eventLoops)
     private val waits = ModelWaitQueue(directory, clock) { coordinatorClient.wake() }
     private val suspects = SharedSuspects(clock) { coordinatorClient.wake() }
     private val promptBlocks = SharedPromptBlocks(clock, events) { coordinatorClient.wake() }
     private val demand = FleetDemand()
-    private val rates = FleetTokenBuckets(clock, bounds.rateTolerance) { table }
+    private val rates =
+        FleetTokenBuckets(clock, bounds.rateTolerance, FleetLimits({ table }, limits))
     private val loads = LoadCoordinator(
         scope,
         directory,
@@ -144,6 +156,7 @@
                 loads,
                 demand,
                 rates,
+                limits,
                 config,
                 promptBlocks,
                 clock,
@@ -154,11 +167,13 @@
         )
     private val coordinatorClient: CoordinatorClient =
         CoordinatorClient(
+            settings.vm,
             lease,
             peers,
             clock,
             events,
             ::buildReport,
+            limits::markUnsent,
             ::handleNotice,
             config::confirmed
         ).also {
@@ -168,6 +183,12 @@
         WorkspaceRateLimiter(settings.vm, incarnation, clock, { coordinatorClient.memberCount }) {
             coordinatorClient.requestTokens(it)
         }
+    private val sendLimiter = UpstreamRateLimiter(
+        GrantMember(settings.vm, incarnation),
+        clock,
+        limits,
+        { coordinatorClient.place }
+    ) { coordinatorClient.requestSend(it) }
     private val peerServer = PeerServer(peerAddress, eventLoops, listOf(coordinator))
     private val callers = CallerServer(
         vertx,
@@ -179,6 +200,7 @@
             directory = directory,
             waits = waits,
             rateLimiter = rateLimiter,
+            sendLimiter = sendLimiter,
             suspects = suspects,
             promptBlocks = promptBlocks,
             crashes = CrashDetector(scope, clock, promptBlocks, UpstreamProbe(vertx)::isRefused),
@@ -186,9 +208,9 @@
             translator = WireHeaders,
             retries = RetryBudgets(bounds, clock) { coordinatorClient.memberCount },
             clock = clock,
-            events = events
+            events = events,
+            meters = meters
         ),
-        CallerMeters(metrics),
         events
     )
     private val status = StatusServer(vertx, metrics, ::unreadyReason)
@@ -224,6 +246,7 @@
             val registration = MemberRegistration(store, memberRow).register()
             coordinatorClient.registered(registration)
             rateLimiter.registered(registration.wasRegistered)
+            sendLimiter.registered(registration.wasRegistered)
         }
         status.start(settings.ready, HostPort(settings.address, settings.metricsPort))
         while (config.current == null) delay(CONFIG_CHECK_INTERVAL_MILLIS)
@@ -303,6 +326,11 @@
         coordinator.wakeMembers()
     }
 
+    private fun applyLimit(upstream: UpstreamStart) {
+        coordinator.announceLimit(upstream)
+        if (limits.find(upstream) == null) meters.forgetLimited(upstream.id)
+    }
+
     private fun upstreamPolling(): UpstreamPolling = when {
         lease.isCoordinator -> UpstreamPolling.Coordinator
         coordinatorClient.isConnected && config.isConfirmedRecently(clock.nowMillis()) ->
@@ -335,6 +363,7 @@
             .addAllCompletedBlocks(promptBlocks.takeUnsentCompletions())
             .addAllUnreachable(directory.down())
             .addAllDepartures(directory.leaving.map { it.departure })
+            .addAllLimits(limits.takeUnsent())
     }
 
     private fun handleNotice(notice: FleetNotice) {
@@ -350,7 +379,9 @@
         notice.suspectsList.forEach(suspects::reported)
         notice.promptCrashesList.forEach(promptBlocks::reported)
         notice.completedBlocksList.forEach(promptBlocks::reported)
+        notice.limitsList.forEach { limits.heard(it, "coordinator") }
         rateLimiter.heard()
+        sendLimiter.heard()
     }
 
     private fun handleAnswer(upstream: Upstream, facts: ResponseMetadata, sentAtMillis: Long) {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
@@ -21,11 +21,24 @@
     public fun recordFirstPiece(millis: Long): Unit =
         firstPieces.record(millis, TimeUnit.MILLISECONDS)
 
+    /** Counts a request that was not sent to [upstream] for its limit, and [end]ed otherwise. */
+    public fun recordLimited(upstream: String, end: String): Unit =
+        registry.counter(LIMITED, "upstream", upstream, "end", end).increment()
+
+    /** Counts a request that was permitted to be sent to [upstream] within its limit. */
+    public fun recordPermitted(upstream: String): Unit = recordLimited(upstream, "granted")
+
+    /** Removes the counters of [upstream], whose limit has ended. */
+    public fun forgetLimited(upstream: String) {
+        registry.find(LIMITED).tag("upstream", upstream).counters().forEach(registry::remove)
+    }
+
     private fun timer(name: String): Timer.Builder =
         Timer.builder(name).serviceLevelObjectives(*BUCKETS)
 
     private companion object {
         const val REQUESTS = "cactusfold.requests"
+        const val LIMITED = "cactusfold.sends.limited"
         const val FIRST_PIECES = "cactusfold.stream.first.piece"
 
         /** Upper bounds of the histogram buckets, placed around the usual latency targets. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.entry.config.RouteTable
 import cactusfold.entry.process.EventLog
+import cactusfold.entry.rate.UpstreamRateLimiter
 import cactusfold.entry.rate.WorkspaceRateLimiter
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.upstream.UpstreamDirectory
@@ -31,6 +32,7 @@
     public val directory: UpstreamDirectory,
     public val waits: ModelWaitQueue,
     public val rateLimiter: WorkspaceRateLimiter,
+    public val sendLimiter: UpstreamRateLimiter,
     public val suspects: SharedSuspects,
     public val promptBlocks: SharedPromptBlocks,
     public val crashes: CrashDetector,
@@ -38,7 +40,8 @@
     public val translator: HeaderTranslator,
     public val retries: RetryBudgets,
     public val clock: MonotonicClock,
-    public val events: EventLog
+    public val events: EventLog,
+    public val meters: CallerMeters
 )
 
 /** How the processing of a request ended. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -23,14 +23,13 @@
     private val address: HostPort,
     private val scope: CoroutineScope,
     private val flow: RequestFlowDependencies,
-    meters: CallerMeters,
     events: EventLog
 ) {
     private val requestsJob = SupervisorJob(scope.coroutineContext[Job])
     private val connections =
         CallerConnections(flow.clock, events, VertxConnectionOutput, ::idleTimeoutMillis)
     private val exchanges =
-        ExchangeDependencies(flow, meters, events, ::idleTimeoutMillis) { phase }
+        ExchangeDependencies(flow, flow.meters, events, ::idleTimeoutMillis) { phase }
     private var server: HttpServer? = null
     private var refusesFromMillis = Long.MAX_VALUE
     private var isEnding = false
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.selects.select
 
 /**
@@ -48,7 +47,7 @@
         model?.let(dependencies.waits::arrived)
         val suspicion = RequestSuspicion(dependencies, request, admitted.workspace)
         var last: SendEnd? = null
-        var fullSinceMillis: Long? = null
+        val selection = UpstreamSelection(dependencies, request, route.targetMillis)
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
             val candidates = dependencies.directory.serving(service, model, adapter)
@@ -64,25 +63,23 @@
                 }
                 continue
             }
-            val upstream = dependencies.directory.choose(candidates, request.facts.promptPrefixId)
-            if (upstream == null) {
-                val nowMillis = dependencies.clock.nowMillis()
-                val sinceMillis = fullSinceMillis ?: nowMillis.also { fullSinceMillis = it }
-                val maxWaitMillis = route.targetMillis / TARGET_SHARE_DIVISOR
-                val pauseMillis = dependencies.directory.pauseMillis(candidates) ?: 0
-                if (nowMillis - sinceMillis + pauseMillis > maxWaitMillis && pauseMillis > 0) {
-                    return stopRetrying(last, "upstreams-paused", pauseMillis)
-                }
-                if (nowMillis - sinceMillis > maxWaitMillis) return stopRetrying(last, "all-full")
-                delay(FULL_RECHECK_MILLIS)
-                continue
+            val selected = when (val selection = selection.select(candidates)) {
+                is Selection.Selected -> selection
+                Selection.Again -> continue
+                is Selection.Refused ->
+                    return stopRetrying(last, selection.code, selection.retryAfterMillis)
             }
+            val upstream = selected.upstream
             if (sends > 0 && !hasReservedRetry && !dependencies.retries.tryAcquireRetry(service)) {
+                selected.permit?.let(dependencies.sendLimiter::giveBack)
                 return stopRetrying(last, "retry-budget")
             }
             hasReservedRetry = false
-            admission.recheck(admitted)?.let { return failOrAbort(it) }
-            val end = sendTo(upstream, route, admitted.workspace, deadlineAtMillis) {
+            admission.recheck(admitted)?.let {
+                selected.permit?.let(dependencies.sendLimiter::giveBack)
+                return failOrAbort(it)
+            }
+            val end = sendTo(selected, route, admitted.workspace, deadlineAtMillis) {
                 mayAbandon(upstream, route, service)
             }
             last = end
@@ -94,7 +91,7 @@
                     suspicion.recordBroken(upstream, end)
                     if (!mayRetry(route)) return stopRetrying(end, UPSTREAM_FAILED)
                 }
-                is SendEnd.NotRun ->
+                is SendEnd.NotRun, SendEnd.Unsent ->
                     if (sends >= MAX_SENDS) return stopRetrying(end, UPSTREAMS_REFUSED)
             }
         }
@@ -127,12 +124,13 @@
     }
 
     private suspend fun sendTo(
-        upstream: Upstream,
+        selected: Selection.Selected,
         route: ServingRoute,
         workspace: ServingWorkspace?,
         deadlineAtMillis: Long,
         mayAbandon: () -> Boolean
     ): SendEnd {
+        val (upstream, permit) = selected
         val facts = request.facts
         val upstreamRequest = UpstreamRequest(
             id = facts.id,
@@ -151,7 +149,8 @@
                 )
             ),
             body = request.body,
-            isStream = route.isStream
+            isStream = route.isStream,
+            mayWrite = { permit == null || dependencies.sendLimiter.isValid(permit) }
         )
         sends++
         dependencies.events.write(
@@ -170,6 +169,7 @@
         try {
             val end = sendOrAbandon(upstream, upstreamRequest, mayAbandon)
             recordResult(upstream, end, wasUncertain)
+            if (end.isUnwritten && permit != null) dependencies.sendLimiter.giveBack(permit)
             return end
         } finally {
             upstream.requestEnded(use)
@@ -206,7 +206,12 @@
         val nowMillis = dependencies.clock.nowMillis()
         val facts = request.facts
         val hasOther = dependencies.directory.serving(service, facts.model, facts.adapter)
-            .any { it !== upstream && !it.isSilent(nowMillis) && it.isAvailable(nowMillis) }
+            .any {
+                it !== upstream &&
+                    !it.isSilent(nowMillis) &&
+                    it.isAvailable(nowMillis) &&
+                    dependencies.sendLimiter.limitOf(it) == null
+            }
         if (!hasOther || !dependencies.retries.tryAcquireRetry(service)) return false
         hasReservedRetry = true
         return true
@@ -231,6 +236,7 @@
                     else -> upstream.recordFull(nowMillis)
                 }
             }
+            SendEnd.Unsent -> mayHaveRun = wasUncertain
             is SendEnd.Broken -> {
                 runs++
                 upstream.recordFailure(nowMillis)
@@ -264,11 +270,11 @@
     private fun stopRetrying(
         last: SendEnd?,
         reason: String,
-        retryAfterMillis: Long = GIVEN_UP_RETRY_AFTER_MILLIS
+        retryAfterMillis: Long? = null
     ): RequestOutcome = when {
         reply.hasBegun -> RequestOutcome.Aborted(reason)
         last is SendEnd.Whole -> RequestOutcome.Answered(last)
-        else -> refuse(reason, retryAfterMillis)
+        else -> refuse(reason, retryAfterMillis ?: GIVEN_UP_RETRY_AFTER_MILLIS)
     }
 
     /** Passes on [answer], unless a stream has begun, which only further events can complete. */
@@ -326,15 +332,9 @@
         /** Number of sends after which a request that no upstream executed is refused. */
         const val MAX_SENDS = 4
 
-        /** A request waits for a free upstream for at most the latency target divided by this. */
-        const val TARGET_SHARE_DIVISOR = 2
-
         /** Subtracted from the wait for a model: the engine's prefill precedes the first piece. */
         const val FIRST_PIECE_RESERVE_MILLIS = 150L
 
-        /** Interval at which a request that waits for a free upstream checks for one. */
-        const val FULL_RECHECK_MILLIS = 10L
-
         /** Retry delay for a request that was given up without having run at an upstream. */
         const val GIVEN_UP_RETRY_AFTER_MILLIS = 200L
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -21,7 +21,11 @@
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 
-/** A request in the form in which it is sent to an upstream. */
+/**
+ * A request in the form in which it is sent to an upstream.
+ *
+ * @property mayWrite evaluated right before the request is written; nothing is sent if it is false.
+ */
 public class UpstreamRequest(
     public val id: String?,
     public val method: HttpMethod,
@@ -29,7 +33,8 @@
     public val host: String,
     public val headers: MultiMap,
     public val body: Buffer,
-    public val isStream: Boolean
+    public val isStream: Boolean,
+    public val mayWrite: () -> Boolean = { true }
 )
 
 private val SUCCESS = 200..299
@@ -46,8 +51,18 @@
     /** Whether this is a complete and successful answer. */
     public val isSuccess: Boolean get() = false
 
+    /** Whether nothing of the request was written to the upstream. */
+    public val isUnwritten: Boolean get() = false
+
     /** The upstream did not execute the request and will not; [status] is null if not connected. */
-    public data class NotRun(public val reason: String, public val status: Int? = null) : SendEnd
+    public data class NotRun(public val reason: String, public val status: Int? = null) : SendEnd {
+        override val isUnwritten: Boolean get() = status == null
+    }
+
+    /** The request was not written, because it was no longer permitted. */
+    public data object Unsent : SendEnd {
+        override val isUnwritten: Boolean get() = true
+    }
 
     /**
      * No complete answer arrived; the upstream may have executed the request.
@@ -159,6 +174,7 @@
         }
 
         private suspend fun exchange(open: HttpClientRequest): SendEnd {
+            if (!upstreamRequest.mayWrite()) return SendEnd.Unsent
             val startedAtMillis = clock.nowMillis()
             upstream.silence.sendStarted(this, startedAtMillis, onSilent)
             val response = open.send(upstreamRequest.body).map { it.pause() }.coAwait()
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.decisions.holding.AnnouncedRenewal
 import cactusfold.entry.process.EventLog
+import cactusfold.entry.rate.FleetPlace
 import cactusfold.node.peer.PeerClients
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.TokenGrant
@@ -9,6 +10,8 @@
 import cactusfold.protocol.entry.CoordinatorGrpcKt.CoordinatorCoroutineStub
 import cactusfold.protocol.entry.FleetNotice
 import cactusfold.protocol.entry.MemberReport
+import cactusfold.protocol.entry.SendGrant
+import cactusfold.protocol.entry.SendRequest
 import io.grpc.StatusException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
@@ -19,11 +22,13 @@
 
 /** Client of the coordinator, which may run in this process. */
 public class CoordinatorClient(
+    private val vm: String,
     private val lease: CoordinatorLeaseManager,
     private val peers: PeerClients,
     private val clock: MonotonicClock,
     private val events: EventLog,
     private val buildReport: () -> MemberReport.Builder,
+    private val onAttach: () -> Unit,
     private val onNotice: (FleetNotice) -> Unit,
     private val onConfigConfirmed: (version: Long, atMillis: Long) -> Unit
 ) {
@@ -39,6 +44,11 @@
     public var memberCount: Int? = null
         private set
 
+    /** This process's place among the members, as far as it is known. */
+    public val place: FleetPlace get() = FleetPlace(memberCount, position)
+
+    private var position: Int? = null
+
     /** Records the number of members as of this process's [registration]. */
     public fun registered(registration: Registration) {
         memberCount = memberCount ?: registration.memberCount
@@ -72,17 +82,31 @@
         val target = lease.coordinator ?: return null
         // A coordinator that is late with notices still grants tokens.
         if (!isConnected && patience.isExhausted(clock.nowMillis())) return null
-        return withTimeoutOrNull(TOKEN_REQUEST_TIMEOUT_MILLIS) {
-            try {
-                CoordinatorCoroutineStub(peers.channel(target.address)).takeTokens(request)
-            } catch (e: StatusException) {
-                events.write(
-                    "tokens-not-asked",
-                    "coordinator" to target.vm,
-                    "reason" to e.status.toString()
-                )
-                null
-            }
+        return ask(target, TOKEN_REQUEST_TIMEOUT_MILLIS) { it.takeTokens(request) }
+    }
+
+    /** Requests a send; returns null if there is no coordinator or it does not answer soon. */
+    public suspend fun requestSend(request: SendRequest): SendGrant? {
+        if (lease.isCoordinator) return localCoordinator?.grant(request)
+        val target = lease.coordinator ?: return null
+        if (!isConnected) return null
+        return ask(target, SEND_REQUEST_TIMEOUT_MILLIS) { it.takeSend(request) }
+    }
+
+    private suspend fun <A> ask(
+        target: CoordinatorAddress,
+        timeoutMillis: Long,
+        call: suspend (CoordinatorCoroutineStub) -> A
+    ): A? = withTimeoutOrNull(timeoutMillis) {
+        try {
+            call(CoordinatorCoroutineStub(peers.channel(target.address)))
+        } catch (e: StatusException) {
+            events.write(
+                "tokens-not-asked",
+                "coordinator" to target.vm,
+                "reason" to e.status.toString()
+            )
+            null
         }
     }
 
@@ -90,6 +114,7 @@
         localCoordinator?.let {
             it.report(buildReport().build())
             memberCount = it.memberCount
+            position = it.positionOf(vm)
         }
         withTimeoutOrNull(REPORT_INTERVAL_MILLIS) { wake.receive() }
     }
@@ -122,6 +147,7 @@
         !patience.isExhausted(clock.nowMillis())
 
     private fun reports() = flow {
+        onAttach()
         while (true) {
             emit(nextReport())
             withTimeoutOrNull(REPORT_INTERVAL_MILLIS) { wake.receive() }
@@ -158,6 +184,7 @@
             )
         }
         memberCount = notice.memberCount.takeIf { it > 0 }
+        position = notice.memberPosition.takeIf { notice.hasMemberPosition() }
         confirmConfig(notice)
         onNotice(notice)
     }
@@ -172,5 +199,8 @@
         const val CONNECT_TIMEOUT_MILLIS = 600L
         const val RETRY_DELAY_MILLIS = 150L
         const val TOKEN_REQUEST_TIMEOUT_MILLIS = 700L
+
+        /** A request can move on to another upstream, so it does not wait as long. */
+        const val SEND_REQUEST_TIMEOUT_MILLIS = 300L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -1,13 +1,17 @@
 package cactusfold.entry.fleet
 
+import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.entry.callers.SharedPromptBlocks
 import cactusfold.entry.config.ConfigWatcher
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.rate.FleetTokenBuckets
+import cactusfold.entry.rate.SendGrants
 import cactusfold.entry.residency.FleetDemand
 import cactusfold.entry.residency.LoadCoordinator
 import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.entry.upstream.UpstreamLimits
+import cactusfold.entry.upstream.UpstreamLimits.Companion.start
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.table.ChangeFeed
 import cactusfold.ports.table.FeedResult
@@ -23,6 +27,9 @@
 import cactusfold.protocol.entry.Holdings
 import cactusfold.protocol.entry.MemberReport
 import cactusfold.protocol.entry.PromptCrash
+import cactusfold.protocol.entry.SendGrant
+import cactusfold.protocol.entry.SendRequest
+import cactusfold.protocol.entry.UpstreamLimit
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.CoroutineContext
 import kotlinx.coroutines.channels.Channel
@@ -39,6 +46,7 @@
     public val loads: LoadCoordinator,
     public val demand: FleetDemand,
     public val rates: FleetTokenBuckets,
+    public val limits: UpstreamLimits,
     public val config: ConfigWatcher,
     public val promptBlocks: SharedPromptBlocks,
     public val clock: MonotonicClock,
@@ -61,10 +69,12 @@
         val departures = mutableListOf<Departure>()
         val crashes = LinkedHashMap<String, PromptCrash>()
         val completedBlocks = LinkedHashMap<String, CompletedBlock>()
+        val limits = LinkedHashMap<UpstreamStart, UpstreamLimit>()
         val wake = Channel<Unit>(Channel.CONFLATED)
         var reportSequence = 0L
     }
 
+    private val sends = SendGrants(dependencies.rates, dependencies.limits)
     private val sessions = mutableSetOf<Session>()
     private val holdingsByRunner = LinkedHashMap<String, Holdings>()
     private val announcedDepartures = RecentDepartures()
@@ -82,6 +92,11 @@
     public var memberCount: Int? = null
         private set
 
+    private var positions: Map<String, Int> = emptyMap()
+
+    /** Returns the position of [vm] among the registered members, from zero, or null. */
+    public fun positionOf(vm: String): Int? = positions[vm]
+
     init {
         dependencies.loads.onHoldingsChanged = ::sendHoldings
         dependencies.loads.onForecasts = ::sendForecasts
@@ -96,6 +111,7 @@
         forwardSuspects(report)
         forwardPromptBlocks(report)
         report.departuresList.forEach(::announceDeparture)
+        report.limitsList.forEach { dependencies.limits.heard(it, report.vm) }
         if (report.demandsList.any { it.waiting > 0 }) planWake.trySend(Unit)
     }
 
@@ -131,6 +147,7 @@
                     }
                     position = result.position
                     memberCount = members.size.coerceAtLeast(1)
+                    positions = members.sorted().withIndex().associate { (i, vm) -> vm to i }
                     dependencies.rates.registered(members.toSet(), sentAtMillis)
                 }
                 FeedResult.HistoryGone -> position = null
@@ -186,6 +203,23 @@
     public fun grant(request: TokenRequest): TokenGrant? =
         if (dependencies.lease.isCoordinator) dependencies.rates.ask(request) else null
 
+    override suspend fun takeSend(request: SendRequest): SendGrant = grant(request)
+        ?: SendGrant.newBuilder().setOutcome(SendGrant.Outcome.NOT_HOLDER).build()
+
+    /** Returns the grant for [request], or null if this process is not the coordinator. */
+    public fun grant(request: SendRequest): SendGrant? =
+        if (dependencies.lease.isCoordinator) sends.ask(request) else null
+
+    /** Applies the changed limit of [upstream] and announces it to the members. */
+    public fun announceLimit(upstream: UpstreamStart) {
+        dependencies.rates.configured()
+        val message = dependencies.limits.message(upstream) ?: return
+        sessions.forEach {
+            it.limits[upstream] = message
+            it.wake.trySend(Unit)
+        }
+    }
+
     private fun join(session: Session) {
         session.pending.putAll(holdingsByRunner)
         session.departures += announcedDepartures.all(dependencies.clock.nowMillis())
@@ -193,6 +227,7 @@
         dependencies.promptBlocks.knownCrashes().associateByTo(session.crashes) { it.id }
         dependencies.promptBlocks.knownCompletions()
             .associateByTo(session.completedBlocks) { it.block }
+        dependencies.limits.messages().associateByTo(session.limits) { it.start }
         sessions += session
         dependencies.events.write("member-attached", "member" to session.vm)
     }
@@ -217,12 +252,14 @@
             .addAllDepartures(session.departures)
             .addAllPromptCrashes(session.crashes.values)
             .addAllCompletedBlocks(session.completedBlocks.values)
+            .addAllLimits(session.limits.values)
             .setFence(dependencies.lease.fence)
             .setMemberCount(memberCount ?: 0)
             .setReportSequence(session.reportSequence)
             .setUpstreamsRevision(dependencies.directory.revision)
             .also(::addRenewal)
             .also(::addConfirmation)
+            .also { notice -> positionOf(session.vm)?.let(notice::setMemberPosition) }
             .build()
         session.pending.clear()
         session.forecasts.clear()
@@ -230,6 +267,7 @@
         session.departures.clear()
         session.crashes.clear()
         session.completedBlocks.clear()
+        session.limits.clear()
         return notice
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/rate/FleetTokenBuckets.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/FleetTokenBuckets.kt
@@ -6,7 +6,6 @@
 import cactusfold.decisions.rate.RateLimit
 import cactusfold.decisions.rate.RouterRegistry
 import cactusfold.decisions.rate.TokenGrantSettings
-import cactusfold.entry.config.RouteTable
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.TokenGrant
 import cactusfold.protocol.TokenRequest
@@ -41,23 +40,23 @@
 )
 
 /**
- * The fleet-wide token buckets of all workspaces, held by the coordinator. The routers of
+ * The token buckets of all rates that the fleet shares, held by the coordinator. The routers of
  * [BucketMachine] are the entry processes here.
  */
 public class FleetTokenBuckets(
     private val clock: MonotonicClock,
     private val tolerance: RateTolerance,
-    private val table: () -> RouteTable?
+    private val limits: FleetLimits
 ) {
-    private val buckets = HashMap<String, BucketState>()
+    private val buckets = HashMap<RateSubject, BucketState>()
     private var settings = sharedGrantSettings
     private var machine = BucketMachine(settings)
     private var registry = RouterRegistry(emptySet(), Long.MIN_VALUE / 2)
     private var isFirstCoordinator = false
 
     /**
-     * Discards all buckets when this process becomes coordinator. They start full only for the
-     * first [fence] ever, as no earlier coordinator can have granted tokens then.
+     * Discards all buckets when this process becomes coordinator. Those of workspaces start full
+     * only for the first [fence] ever, as no earlier coordinator can have granted tokens then.
      */
     public fun start(fence: Long) {
         buckets.clear()
@@ -66,7 +65,7 @@
 
     /** Sets the entry processes that were registered when the table was read at [readAtMillis]. */
     public fun registered(members: Set<String>, readAtMillis: Long) {
-        val slots = maxOf(MIN_ROUTER_SLOTS, members.size)
+        val slots = maxOf(MemberTokens.MIN_ROUTER_SLOTS, members.size)
         registry = RouterRegistry(members, readAtMillis)
         if (slots != settings.routerSlots) {
             settings = settings.copy(routerSlots = slots)
@@ -77,36 +76,29 @@
 
     /** Records contact with [member], which does not spend its reserves while in contact. */
     public fun heard(member: String, incarnation: String) {
-        table()?.config?.workspaces?.forEach { workspace ->
-            if (workspace.ratePerSecond == null) return@forEach
-            val bucket = bucketOf(workspace.name) ?: return@forEach
-            buckets[workspace.name] = machine.heard(bucket, member, incarnation, clock.nowMillis())
+        for (subject in limits.subjects()) {
+            val bucket = bucketOf(subject) ?: continue
+            buckets[subject] = machine.heard(bucket, member, incarnation, clock.nowMillis())
         }
     }
 
-    /** Applies the rates of a new configuration. */
+    /** Applies changed rates, and discards the buckets of those that have ended. */
     public fun configured() {
-        buckets.keys.retainAll { limitOf(it) != null }
-        buckets.replaceAll { name, bucket ->
-            machine.reconfigure(bucket, limitOf(name)!!, clock.nowMillis())
+        buckets.keys.retainAll { limits.find(it) != null }
+        buckets.replaceAll { subject, bucket ->
+            machine.reconfigure(bucket, limits.find(subject)!!, clock.nowMillis())
         }
     }
 
     /** Returns the grant, or the time to wait, for [request]. */
     public fun ask(request: TokenRequest): TokenGrant {
-        val bucket = bucketOf(request.workspace)
+        val subject = RateSubject.Workspace(request.workspace)
+        val member = GrantMember(request.router, request.routerIncarnation)
+        val answer = take(subject, member, request.neededTokens)
             ?: return TokenGrant.newBuilder().setOutcome(TokenGrant.Outcome.NOT_HOLDER).build()
-        val step = machine.take(
-            bucket,
-            request.router,
-            request.routerIncarnation,
-            request.neededTokens,
-            clock.nowMillis()
-        )
-        buckets[request.workspace] = step.state
         val grant = TokenGrant.newBuilder().setValidMillis(settings.grantValidMillis)
             .setContactMillis(settings.contactMillis)
-        return when (val answer = step.answer) {
+        return when (answer) {
             is GrantResponse.Granted ->
                 grant.setOutcome(TokenGrant.Outcome.GRANTED).setGrantedTokens(answer.tokens).build()
             is GrantResponse.Wait -> grant.setOutcome(TokenGrant.Outcome.WAIT)
@@ -114,30 +106,56 @@
         }
     }
 
-    private fun bucketOf(workspace: String): BucketState? {
-        val limit = limitOf(workspace) ?: return null
-        return buckets.getOrPut(workspace) {
-            if (isFirstCoordinator) {
-                machine.startFull(limit, registry, clock.nowMillis())
-            } else {
-                val tolerated = tolerance.of(limit) * TOLERANCE_SHARE
-                machine.startEmpty(limit, registry, tolerated, clock.nowMillis())
+    /** Takes [tokens] of [subject] for [member]; returns null if it has no limit. */
+    internal fun take(subject: RateSubject, member: GrantMember, tokens: Long): GrantResponse? {
+        val bucket = bucketOf(subject) ?: return null
+        val step = machine.take(bucket, member.vm, member.boot, tokens, clock.nowMillis())
+        buckets[subject] = step.state
+        return step.answer
+    }
+
+    /** Removes a token of [subject] that was used without being asked for. */
+    internal fun charge(subject: RateSubject) {
+        val bucket = bucketOf(subject) ?: return
+        buckets[subject] = machine.charge(bucket, 1.0, clock.nowMillis())
+    }
+
+    /**
+     * Returns the time after which one token of any of [subjects] is available for one more
+     * request. If the request [isNew], later ones are told to come back after it.
+     */
+    internal fun waitMillis(subjects: List<RateSubject>, isNew: Boolean): Long {
+        val waiting = subjects.mapNotNull { subject -> bucketOf(subject)?.let { subject to it } }
+        val states = waiting.map { it.second }
+        val waitMillis = machine.waitMillis(states, 1.0)
+        if (isNew) {
+            val perSecond = states.sumOf { it.limit.rateTokensPerSecond }
+            for ((subject, state) in waiting) {
+                val share = state.limit.rateTokensPerSecond / perSecond
+                buckets[subject] = machine.promise(state, share)
             }
         }
+        return waitMillis
     }
 
-    private fun limitOf(name: String): RateLimit? {
-        val workspace = table()?.config?.workspaces?.find { it.name == name } ?: return null
-        val rate = workspace.ratePerSecond ?: return null
-        return RateLimit(rate, workspace.burst)
+    private fun bucketOf(subject: RateSubject): BucketState? {
+        val limit = limits.find(subject) ?: return null
+        return buckets.getOrPut(subject) { newBucket(subject, limit) }
+    }
+
+    private fun newBucket(subject: RateSubject, limit: RateLimit): BucketState = when (subject) {
+        is RateSubject.Workspace -> if (isFirstCoordinator) {
+            machine.startFull(limit, registry, clock.nowMillis())
+        } else {
+            val tolerated = tolerance.of(limit) * TOLERANCE_SHARE
+            machine.startEmpty(limit, registry, tolerated, clock.nowMillis())
+        }
+        is RateSubject.Upstream -> machine.startEmpty(limit, registry, 0.0, clock.nowMillis())
     }
 
     private companion object {
         const val FIRST_FENCE = 1L
 
-        /** Minimum number of shares of a rate; the same as in [WorkspaceRateLimiter]. */
-        const val MIN_ROUTER_SLOTS = 4
-
         /**
          * Share of the tolerance that a new coordinator may grant, as the coordinator may change
          * twice in one window.
@@ -145,3 +163,6 @@
         const val TOLERANCE_SHARE = 0.4
     }
 }
+
+/** A member that asks for tokens; [boot] identifies the run of its process. */
+public data class GrantMember(public val vm: String, public val boot: String)
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/UpstreamRateLimiter.kt
@@ -0,0 +1,106 @@
+package cactusfold.entry.rate
+
+import cactusfold.decisions.rate.RateLimit
+import cactusfold.decisions.rate.UpstreamStart
+import cactusfold.entry.upstream.Upstream
+import cactusfold.entry.upstream.UpstreamLimits
+import cactusfold.node.time.MonotonicClock
+import cactusfold.protocol.entry.SendGrant
+import cactusfold.protocol.entry.SendRequest
+
+/**
+ * Permission to send one request to an upstream that limits the requests of all VMs together.
+ *
+ * @property askedAtMillis when the token was asked for, from which its validity counts.
+ */
+public class SendPermit internal constructor(
+    internal val start: UpstreamStart,
+    internal val askedAtMillis: Long
+)
+
+/** Whether a request may be sent to an upstream that limits the requests of all VMs together. */
+public sealed interface SendDecision {
+    /** The request may be sent to [upstream] while [permit] is valid. */
+    public data class Permitted(public val upstream: Upstream, public val permit: SendPermit) :
+        SendDecision
+
+    /** No candidate accepts a request now; one will after [retryAfterMillis]. */
+    public data class Limited(public val retryAfterMillis: Long) : SendDecision
+
+    /** The coordinator could not be reached, and it is not this process's turn to send. */
+    public data object Undecided : SendDecision
+}
+
+/**
+ * Applies the limits of upstreams on the requests of all VMs together, at this process.
+ *
+ * A token is taken from the coordinator for each send. While the coordinator cannot be reached, the
+ * process spends its reserve. It never waits for tokens, so that the request can move on.
+ */
+public class UpstreamRateLimiter(
+    private val member: GrantMember,
+    private val clock: MonotonicClock,
+    private val limits: UpstreamLimits,
+    place: () -> FleetPlace,
+    private val ask: suspend (SendRequest) -> SendGrant?
+) {
+    private val held = MemberTokens(clock, place)
+
+    /** Records that this process is registered; [wasRegistered] if its VM was so before. */
+    public fun registered(wasRegistered: Boolean): Unit = held.registered(wasRegistered)
+
+    /** Records contact with the coordinator, which suspends the use of the reserves. */
+    public fun heard() {
+        held.heard()
+        held.retain { it is RateSubject.Upstream && limits.find(it.start) != null }
+    }
+
+    /** Returns the limit of [upstream], or null if it has none. */
+    public fun limitOf(upstream: Upstream): RateLimit? = limits.find(upstream.start)
+
+    /**
+     * Takes a token of one of [candidates], the preferred one first.
+     *
+     * @param isRepeated whether the request asked before and has waited since.
+     */
+    public suspend fun acquire(candidates: List<Upstream>, isRepeated: Boolean): SendDecision {
+        val askedAtMillis = clock.nowMillis()
+        candidates.find(::trySpend)?.let { return permitted(it, askedAtMillis) }
+        val request = SendRequest.newBuilder().setVm(member.vm).setBoot(member.boot)
+            .addAllCandidates(candidates.mapNotNull { limits.message(it.start) })
+            .setIsRepeated(isRepeated)
+            .build()
+        val grant = ask(request)
+        return when (grant?.outcome) {
+            SendGrant.Outcome.GRANTED -> {
+                val upstream = candidates.find { it.entry.id == grant.upstream }
+                    ?: return SendDecision.Undecided
+                held.heard(subjectOf(upstream))
+                permitted(upstream, askedAtMillis)
+            }
+            SendGrant.Outcome.WAIT -> {
+                candidates.forEach { held.heard(subjectOf(it)) }
+                SendDecision.Limited(grant.retryAfterMillis)
+            }
+            else -> SendDecision.Undecided
+        }
+    }
+
+    /** Whether a request may still be sent under [permit]; false after this process was suspended. */
+    public fun isValid(permit: SendPermit): Boolean =
+        clock.nowMillis() - permit.askedAtMillis < sharedGrantSettings.grantValidMillis
+
+    /** Takes back [permit], under which nothing was sent. */
+    public fun giveBack(permit: SendPermit): Unit =
+        held.keep(RateSubject.Upstream(permit.start), 1, permit.askedAtMillis)
+
+    private fun permitted(upstream: Upstream, askedAtMillis: Long) =
+        SendDecision.Permitted(upstream, SendPermit(upstream.start, askedAtMillis))
+
+    private fun trySpend(upstream: Upstream): Boolean {
+        val limit = limitOf(upstream) ?: return true
+        return held.trySpend(subjectOf(upstream), limit, 1)
+    }
+
+    private fun subjectOf(upstream: Upstream) = RateSubject.Upstream(upstream.start)
+}
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -43,6 +43,9 @@
     public var pausedUntilMillis: Long = Long.MIN_VALUE / 2
         private set
 
+    /** Until when the limit on requests of all VMs together was last known to be used up. */
+    private var limitedUntilMillis: Long = Long.MIN_VALUE / 2
+
     /** Whether new requests may be sent to the upstream. */
     public val isUsable: Boolean get() = !entry.isDraining && !isLeaving
 
@@ -142,9 +145,22 @@
         excludedUntilMillis = maxOf(excludedUntilMillis, nowMillis + backoffMillis)
     }
 
-    /** Whether a request may be sent now: a slot is free and the upstream is not backed off. */
-    public fun isAvailable(nowMillis: Long): Boolean =
-        nowMillis >= excludedUntilMillis && inFlight < entry.slots
+    /**
+     * Whether a request may be sent now: a slot is free and the upstream is not backed off. Whether
+     * its limit on requests was used up does not matter if [ignoresLimit].
+     */
+    public fun isAvailable(nowMillis: Long, ignoresLimit: Boolean = false): Boolean =
+        nowMillis >= excludedUntilMillis &&
+            inFlight < entry.slots &&
+            (ignoresLimit || nowMillis >= limitedUntilMillis)
+
+    /** Whether the upstream has asked to be sent nothing. */
+    public fun isPaused(nowMillis: Long): Boolean = nowMillis < pausedUntilMillis
+
+    /** Records that the limit on requests is used up for [waitMillis]. */
+    public fun recordLimited(waitMillis: Long, nowMillis: Long) {
+        limitedUntilMillis = nowMillis + waitMillis
+    }
 
     /** Excludes the upstream briefly because it refused a request for lack of capacity. */
     public fun recordFull(nowMillis: Long) {
@@ -166,7 +182,7 @@
         reportedWaiting = load?.waiting ?: 0,
         inFlight = inFlight,
         latencyMillis = maxOf(latencyMillis, silence.silentMillis(nowMillis).toDouble()),
-        excludedUntilMillis = excludedUntilMillis
+        excludedUntilMillis = maxOf(excludedUntilMillis, limitedUntilMillis)
     )
 
     private companion object {
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -5,10 +5,14 @@
 import cactusfold.entry.path.EntryFixture
 import cactusfold.entry.path.FreePorts
 import cactusfold.entry.process.EventLog
+import cactusfold.entry.rate.FleetPlace
+import cactusfold.entry.rate.GrantMember
 import cactusfold.entry.rate.RateTolerance
+import cactusfold.entry.rate.UpstreamRateLimiter
 import cactusfold.entry.rate.WorkspaceRateLimiter
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.entry.upstream.UpstreamLimits
 import cactusfold.entry.upstream.UpstreamPolling
 import cactusfold.node.time.MonotonicClock
 import cactusfold.platform.WireHeaders
@@ -114,6 +118,12 @@
             directory = directory,
             waits = ModelWaitQueue(directory, clock) {},
             rateLimiter = WorkspaceRateLimiter("vm", "boot", clock, { null }) { null },
+            sendLimiter = UpstreamRateLimiter(
+                GrantMember("vm", "boot"),
+                clock,
+                UpstreamLimits(clock, events, registry, { false }, {}, {}),
+                { FleetPlace(null) }
+            ) { null },
             suspects = SharedSuspects(clock) {},
             promptBlocks = promptBlocks,
             crashes = CrashDetector(scope, clock, promptBlocks) { false },
@@ -121,10 +131,10 @@
             translator = translator,
             retries = RetryBudgets(bounds, clock) { null },
             clock = clock,
-            events = events
+            events = events,
+            meters = CallerMeters(registry)
         )
-        val meters = CallerMeters(registry)
-        CallerServer(vertx, HostPort("127.0.0.1", port), scope, flow, meters, events)
+        CallerServer(vertx, HostPort("127.0.0.1", port), scope, flow, events)
     }
 
     init {
--- a/entry/src/test/kotlin/cactusfold/entry/soak/EntryJvm.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/EntryJvm.kt
@@ -8,8 +8,7 @@
 import java.util.concurrent.TimeUnit
 
 /** An entry process in a JVM of its own, with its settings and its output under `target/`. */
-class EntryJvm(name: String, val vm: String, storePort: Int, stopMillis: Long) :
-    AutoCloseable {
+class EntryJvm(name: String, val vm: String, storePort: Int, stopMillis: Long) : AutoCloseable {
     /** The port for callers. */
     val callersPort: Int = FreePorts.next()
     private val readyPort = FreePorts.next()
--- a/entry/src/test/kotlin/cactusfold/entry/soak/FleetLimitTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/FleetLimitTest.kt
@@ -49,8 +49,10 @@
             val refused = run.calls.filter { it.path == LOOK && it.status != OK }
             assertTrue(refused.isNotEmpty(), "no request was refused")
             val wrong = refused.filterNot {
-                it.status == UNAVAILABLE && it.retryAfterSeconds != null &&
-                    it.retryAfterSeconds > 0 && it.tookMillis < SOON_MILLIS
+                it.status == UNAVAILABLE &&
+                    it.retryAfterSeconds != null &&
+                    it.retryAfterSeconds > 0 &&
+                    it.tookMillis < SOON_MILLIS
             }
             assertEquals(emptyList(), wrong)
         }
