--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/UpstreamLimit.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/UpstreamLimit.kt
@@ -49,9 +49,10 @@
             reported: Double?,
             observedAtMillis: Long,
             nowMillis: Long
-        ): UpstreamLimit? = when {
-            known != null && observedAtMillis <= known.observedAtMillis -> known
-            known?.requestsPerSecond == reported -> known?.copy(observedAtMillis = observedAtMillis)
+        ): UpstreamLimit = when {
+            known == null -> UpstreamLimit(reported, observedAtMillis, nowMillis)
+            observedAtMillis <= known.observedAtMillis -> known
+            known.requestsPerSecond == reported -> known.copy(observedAtMillis = observedAtMillis)
             else -> UpstreamLimit(reported, observedAtMillis, nowMillis)
         }
     }
--- a/decisions/src/test/kotlin/cactusfold/decisions/rate/UpstreamLimitTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/rate/UpstreamLimitTest.kt
@@ -55,6 +55,12 @@
             assertEquals(known, UpstreamLimit.heard(known, null, 1_000, 1_600))
         }
 
+        @Test
+        fun `an end that another process reports is known even if the limit was not`() {
+            val next = UpstreamLimit.heard(null, null, observedAtMillis = 1_500, nowMillis = 1_600)
+            assertEquals(UpstreamLimit(null, 1_500, 1_600), next)
+        }
+
         @Test
         fun `the same limit stays learned when it was`() {
             val next = UpstreamLimit.heard(known, 2.0, 1_500, 1_600)
