Orders count towards a runner's limit, and plans see it as capacity

A model whose only runner states a limit below its arrivals was refused to its callers although another runner could load it. Such a model now gets a replica on a runner without a limit. Orders and reports of the coordinator take a token each, but never wait for one. The tests of the planner need its new input, so they could not be run on the older code.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -57,6 +57,8 @@
  * @property adapterOrders number of pending adapter orders.
  * @property inFlight in-flight requests by model.
  * @property lastUsedMillis when each model in memory was last used.
+ * @property requestsPerSecond requests that the runner accepts from all VMs together; null if it
+ *   states no limit.
  */
 public data class RunnerState(
     public val id: String,
@@ -70,7 +72,8 @@
     public val isBusy: Boolean,
     public val adapterOrders: Int,
     public val inFlight: ImmutableMap<String, Int>,
-    public val lastUsedMillis: ImmutableMap<String, Long>
+    public val lastUsedMillis: ImmutableMap<String, Long>,
+    public val requestsPerSecond: Double? = null
 ) {
     /** Returns the source from which the runner would load the weights of [model]. */
     public fun sourceOf(model: String): WeightSource = when (model) {
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -291,28 +291,44 @@
     }
 
     /**
-     * Adds a replica of a model whose runners are busy or out of adapter slots. It is loaded from
-     * the weight store only while less than half of the store's concurrent loads are in use, to
-     * leave capacity for models that no runner has.
+     * Adds a replica of a model whose runners limit their requests to fewer than arrive, or are busy
+     * or out of adapter slots. It is loaded from the weight store only while less than half of the
+     * store's concurrent loads are in use, to leave capacity for models that no runner has.
      */
     private fun addReplicas() {
-        val busiest = view.arrivalsPerSecond.keys
-            .filter { (replicas[it] ?: 0) > 0 && loadPerReplica(it) > BUSY_SLOT_SHARE }
+        val replicated = view.arrivalsPerSecond.keys.filter { (replicas[it] ?: 0) > 0 }
+        val mostLimited = replicated.filter { missedPerSecond(it) > 0 }
+            .maxByOrNull(::missedPerSecond)
+        val busiest = replicated.filter { loadPerReplica(it) > BUSY_SLOT_SHARE }
             .maxByOrNull(::loadPerReplica)
-        val model = busiest
+        val model = mostLimited
+            ?: busiest
             ?: needAdapterSlots.maxByOrNull { view.arrivalsPerSecond[it] ?: 0.0 }
             ?: return
         if (view.runners.any { it.loading == model }) return
         val demand = ModelDemand(model, null, 1, nowMillis, Long.MAX_VALUE)
         wanted += model
         val hasSpareStoreLoads = 2 * storeLoads < bounds.storeLoadsAtOnce
-        val candidate = view.runners.filter { model !in it.served }
+        val candidate = view.runners.filter { model !in it.served && it.requestsPerSecond == null }
             .mapNotNull { candidateOn(it, demand) }
             .filter { it.source != WeightSource.STORE || hasSpareStoreLoads }
             .minWithOrNull(compareBy({ it.costMillisPerSecond }, { it.loadMillis })) ?: return
         order(candidate)
     }
 
+    /**
+     * Returns by how much the arrivals for [model] exceed what its runners accept; zero unless all
+     * of them limit their requests. The models of a runner share its limit by their arrivals.
+     */
+    private fun missedPerSecond(model: String): Double {
+        val arrivals = view.arrivalsPerSecond[model] ?: return 0.0
+        val accepted = view.runners.filter { model in it.served }.sumOf { runner ->
+            val limit = runner.requestsPerSecond ?: return 0.0
+            limit * arrivals / runner.served.keys.sumOf { view.arrivalsPerSecond[it] ?: 0.0 }
+        }
+        return (arrivals - accepted).coerceAtLeast(0.0)
+    }
+
     private fun loadPerReplica(model: String): Double {
         val inFlight = inFlightByModel[model] ?: 0
         return inFlight / (replicas.getValue(model) * bounds.slots.toDouble())
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -229,4 +229,41 @@
             )
         }
     }
+
+    @Nested
+    inner class LimitedRunners {
+        /** Returns the loads of the model, and not those of models without any requests. */
+        private fun plan(vararg runners: RunnerState, perSecond: Double = 5.0) =
+            loads(planner.plan(view(runners.toList(), emptyList(), mapOf("c" to perSecond)), now))
+                .filter { it.model == "c" }
+
+        private fun limited(id: String) =
+            runner(id, held("c" to emptySet())).copy(requestsPerSecond = 1.0)
+
+        // Guards against callers that are refused although another runner could serve the model.
+        @Test
+        fun `a model gets a replica if its only runner accepts fewer requests than arrive`() {
+            val load = plan(limited("r1"), runner("r2", held(), disk = setOf("c"))).single()
+            assertEquals("r2" to "c", load.runner to load.model)
+        }
+
+        @Test
+        fun `a limit that is not reached adds no replica`() {
+            val other = runner("r2", held(), disk = setOf("c"))
+            assertEquals(emptyList(), plan(limited("r1"), other, perSecond = 0.5))
+        }
+
+        @Test
+        fun `a replica on a runner without a limit is enough`() {
+            val unlimited = runner("r2", held("c" to emptySet()))
+            val other = runner("r3", held(), disk = setOf("c"))
+            assertEquals(emptyList(), plan(limited("r1"), unlimited, other))
+        }
+
+        @Test
+        fun `a replica is not added on a runner that is limited too`() {
+            val other = runner("r2", held(), disk = setOf("c")).copy(requestsPerSecond = 1.0)
+            assertEquals(emptyList(), plan(limited("r1"), other))
+        }
+    }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -26,6 +26,7 @@
 import cactusfold.entry.rate.FleetLimits
 import cactusfold.entry.rate.FleetTokenBuckets
 import cactusfold.entry.rate.GrantMember
+import cactusfold.entry.rate.RateSubject
 import cactusfold.entry.rate.UpstreamRateLimiter
 import cactusfold.entry.rate.WorkspaceRateLimiter
 import cactusfold.entry.residency.FleetDemand
@@ -143,7 +144,14 @@
         scope,
         directory,
         demand,
-        OrderDependencies(orders, clock, events, { OrderAuthority(settings.vm, lease.fence) }) {
+        OrderDependencies(
+            orders,
+            { limits.find(it.start)?.rateTokensPerSecond },
+            { rates.charge(RateSubject.Upstream(it.start)) },
+            clock,
+            events,
+            { OrderAuthority(settings.vm, lease.fence) }
+        ) {
             lease.mayAct
         },
         bounds.loadWindowMillis
--- a/entry/src/main/kotlin/cactusfold/entry/rate/FleetTokenBuckets.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/FleetTokenBuckets.kt
@@ -114,8 +114,11 @@
         return step.answer
     }
 
-    /** Removes a token of [subject] that was used without being asked for. */
-    internal fun charge(subject: RateSubject) {
+    /**
+     * Removes a token of [subject] that was used without being asked for, such as by an order to a
+     * runner, which does not wait.
+     */
+    public fun charge(subject: RateSubject) {
         val bucket = bucketOf(subject) ?: return
         buckets[subject] = machine.charge(bucket, 1.0, clock.nowMillis())
     }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -108,7 +108,11 @@
         return ResidencyView(
             bounds = boundsOf(engine),
             runners = reachable.map {
-                it.state(inFlight[it.upstream.entry.id].orEmpty(), nowMillis)
+                it.state(
+                    inFlight[it.upstream.entry.id].orEmpty(),
+                    dependencies.requestsPerSecondOf(it.upstream),
+                    nowMillis
+                )
             },
             demands = demand.demands(nowMillis).filter { it.model in known }
                 .map { it.copy(refusedSinceLoad = refusals.count(it.model)) },
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
@@ -46,8 +46,12 @@
     /** Whether [sync] has to be called before orders can be sent. */
     val needsSync: Boolean get() = !isSynced && !isSyncing
 
-    /** Returns the planner's view of the runner. */
-    fun state(inFlight: Map<String, Int>, nowMillis: Long): RunnerState {
+    /** Returns the planner's view of the runner, which accepts [requestsPerSecond] if not null. */
+    fun state(
+        inFlight: Map<String, Int>,
+        requestsPerSecond: Double?,
+        nowMillis: Long
+    ): RunnerState {
         inFlight.keys.forEach { lastUsedMillis[it] = nowMillis }
         // The announced state may be as old as one announcement interval and one poll.
         ledger = ledger.said(upstream.adaptersByModel, nowMillis - ANNOUNCEMENT_LAG_MILLIS)
@@ -65,7 +69,8 @@
             isBusy = activeLoad != null || !isSynced || isBackingOff,
             adapterOrders = adapterOrders,
             inFlight = inFlight.toImmutableMap(),
-            lastUsedMillis = lastUsedMillis.toImmutableMap()
+            lastUsedMillis = lastUsedMillis.toImmutableMap(),
+            requestsPerSecond = requestsPerSecond
         )
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
@@ -15,11 +15,15 @@
 /**
  * Collaborators for sending orders to runners.
  *
+ * @property requestsPerSecondOf what a runner accepts from all VMs together; null for no limit.
+ * @property onRequest called before each order and each request for a report.
  * @property authority the VM and fencing token under which orders are sent.
  * @property mayOrder whether the lease allows orders now.
  */
 public class OrderDependencies(
     public val orders: RunnerApi,
+    public val requestsPerSecondOf: (Upstream) -> Double?,
+    public val onRequest: (Upstream) -> Unit,
     public val clock: MonotonicClock,
     public val events: EventLog,
     public val authority: () -> OrderAuthority,
@@ -71,6 +75,7 @@
         var isUnanswered = false
         while (dependencies.clock.nowMillis() < deadlineMillis && dependencies.mayOrder()) {
             val expected = acceptedOrderCount ?: return OrderResult.OUT_OF_SYNC
+            dependencies.onRequest(upstream)
             val reply = dependencies.orders
                 .order(
                     upstream.entry,
@@ -114,7 +119,10 @@
     }
 
     /** Returns the runner's report, or null if it does not answer. */
-    public suspend fun report(): RunnerReport? = dependencies.orders.report(upstream.entry)
+    public suspend fun report(): RunnerReport? {
+        dependencies.onRequest(upstream)
+        return dependencies.orders.report(upstream.entry)
+    }
 
     private fun acknowledged(accepted: Long): OrderResult {
         acceptedOrderCount = accepted
--- a/entry/src/test/kotlin/cactusfold/entry/residency/RunnerOrderClientTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/RunnerOrderClientTest.kt
@@ -65,7 +65,7 @@
     private val clock = { System.nanoTime() / 1_000_000 }
     private val client = RunnerOrderClient(
         Upstream(entry),
-        OrderDependencies(runner, clock, EventLog("vm", clock, 1_000), {
+        OrderDependencies(runner, { null }, {}, clock, EventLog("vm", clock, 1_000), {
             OrderAuthority("vm", 1)
         }) { mayOrder }
     )
