--- a/cli/src/main/kotlin/cactusfold/cli/logs/LineDescriptions.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/LineDescriptions.kt
@@ -7,6 +7,9 @@
             "${line.text("rate_per_s")} tokens per second (burst ${line.text("burst")}); the " +
             "request needs ${line.text("tokens")} and may be retried after " +
             "${line.text("retry_after_ms")} ms"
+        "send-limited" -> "upstream ${line.text("upstream")} accepts ${line.text("per_s")} " +
+            "requests per second from all VMs together, and its next is due after " +
+            "${line.text("retry_after_ms")} ms: the request ${line.text("end")}"
         "model-waited" -> waitDescription(line)
         "sent" -> "sent to upstream ${line.text("upstream")}, send ${line.text("send")}, with " +
             "${line.text("left_ms")} ms left; ${line.text("in_flight")} requests of this process " +
@@ -51,10 +54,19 @@
         return ofOutcome(outcome, own, related)
     }
 
+    private fun limits(own: List<LogLine>): String {
+        val limited = own.filter { it.event == "send-limited" && it.text("end") == "refused" }
+        return limited.distinctBy { it.text("upstream") }
+            .joinToString { "${it.text("upstream")} (${it.text("per_s")}/s)" }
+    }
+
     private fun ofOutcome(outcome: String, own: List<LogLine>, related: List<LogLine>): String {
         val ended = if (outcome.startsWith(CUT_PREFIX)) "stream aborted" else "refused"
         return when (outcome.removePrefix(CUT_PREFIX)) {
             "over-rate" -> "$ended: the workspace exceeded its token rate"
+            "upstreams-limited" ->
+                "$ended: each upstream that could serve it had used up the " +
+                    "limit that it states for all VMs: " + limits(own)
             "rate-unsure" ->
                 "$ended: the coordinator that grants tokens of the workspace's " +
                     "rate could not be reached" +
--- a/cli/src/test/kotlin/cactusfold/cli/logs/ExplainerTest.kt
+++ b/cli/src/test/kotlin/cactusfold/cli/logs/ExplainerTest.kt
@@ -46,6 +46,23 @@
             assertEquals("refused: the workspace exceeded its token rate", found.cause)
         }
 
+        @Test
+        fun `over the limit of upstreams - the cause names them with their limits`() {
+            val limited = listOf("i-1" to 1.0, "i-2" to 0.5).map { (upstream, perSecond) ->
+                logLine(
+                    "vm-1", 100, 100, "send-limited", "request" to "r1", "upstream" to upstream,
+                    "per_s" to perSecond, "end" to "refused", "retry_after_ms" to 700
+                )
+            }
+            val found = explain(*limited.toTypedArray(), ended(101, "upstreams-limited", 1))
+            assertContains(found.steps.first().text, "i-1 accepts 1.0 requests per second")
+            assertEquals(
+                "refused: each upstream that could serve it had used up the limit that it " +
+                    "states for all VMs: i-1 (1.0/s), i-2 (0.5/s)",
+                found.cause
+            )
+        }
+
         @Test
         fun `without a coordinator - the cause contains the reason of the loss`() {
             val found = explain(
--- a/entry/src/test/kotlin/cactusfold/entry/soak/PlannedWorkSoakTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/PlannedWorkSoakTest.kt
@@ -9,7 +9,7 @@
 
 /**
  * Random planned work on entry processes that serve callers: SIGTERM once or more often, SIGHUP and
- * changes of the configuration, which overlap. Runs each of the [Seeds] once for all tests.
+ * changes of the configuration, which overlap, with upstreams that limit their requests. Runs each of the [Seeds] once for all tests.
  */
 class PlannedWorkSoakTest {
     @Nested
@@ -37,6 +37,14 @@
         fun `the output contains no errors`() = check(Rule.CLEAN_OUTPUT)
     }
 
+    @Nested
+    inner class Upstreams {
+        // Guards against processes that exceed an upstream's limit while the coordinator changes.
+        @Test
+        fun `an upstream gets no more than the limit that it states for all VMs`() =
+            check(Rule.WITHIN_LIMIT)
+    }
+
     private companion object {
         const val DEFAULT_SEEDS = 16
         const val CONCURRENT_RUNS = 4
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
@@ -25,6 +25,9 @@
     }
 }
 
+/** A [limit] that a runner states in its answers from a time on; null if it states none. */
+data class LimitChange(val atMillis: Long, val runner: String, val limit: String?)
+
 /** Whether another entry process runs beside, and which of them coordinates. */
 enum class Beside { NONE, COORDINATES, FOLLOWS }
 
@@ -43,6 +46,23 @@
     /** Planned work, with its time in milliseconds after the first SIGTERM. */
     val work: List<Pair<Long, PlannedWork>> = draw().sortedBy { it.first }
 
+    /**
+     * Limits that runners state, with times as in [work]. They have draws of their own, so that the
+     * other work of a seed does not depend on them.
+     */
+    val limits: List<LimitChange> = drawLimits(Random(seed + LIMIT_SEEDS)).sortedBy { it.atMillis }
+
+    private fun drawLimits(random: Random): List<LimitChange> = buildList {
+        for (runner in listOf("d-1", "d-2", "i-1", "i-2")) {
+            if (random.nextInt(3) > 0) continue
+            add(LimitChange(-leadMillis, runner, LIMITS.random(random)))
+            repeat(random.nextInt(3)) {
+                val atMillis = random.nextLong(-leadMillis, stopMillis)
+                add(LimitChange(atMillis, runner, (LIMITS + null).random(random)))
+            }
+        }
+    }
+
     private fun draw(): List<Pair<Long, PlannedWork>> = buildList {
         add(0L to PlannedWork.Terminate)
         repeat(random.nextInt(3)) { add(random.nextLong(1, stopMillis) to PlannedWork.Terminate) }
@@ -63,5 +83,10 @@
 
     override fun toString(): String = "stopMillis=$stopMillis beside=$beside " +
         "loadMillis=$loadMillis callers=${callers.size} leadMillis=$leadMillis initial=$initial " +
-        "work=$work"
+        "work=$work limits=$limits"
+
+    private companion object {
+        const val LIMIT_SEEDS = 1_000_000
+        val LIMITS = listOf("0", "0.5", "1", "4", "20", "1, 30", "none")
+    }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakRun.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakRun.kt
@@ -24,6 +24,8 @@
     val calls: MutableCollection<SentCall> = ConcurrentLinkedQueue()
     val platform = PlatformFixture()
 
+    private lateinit var limits: LimitRules
+
     /** When the first SIGTERM was sent. */
     var terminatedAtNanos: Long = 0
         private set
@@ -34,8 +36,10 @@
 
     /** Runs and returns what broke a rule. */
     fun run(): SoakReport = platform.use {
-        listOf("i-1", "i-2", "i-3").forEach { platform.runner(it, "engine", setOf("warm")) }
-        listOf("d-1", "d-2", "d-3").forEach { platform.runner(it, "desk") }
+        val runners = listOf("i-1", "i-2", "i-3")
+            .associateWith { platform.runner(it, "engine", setOf("warm")) } +
+            listOf("d-1", "d-2", "d-3").associateWith { platform.runner(it, "desk") }
+        limits = LimitRules(runners)
         platform.runners.forEach {
             it.loadMillis = plan.loadMillis
             it.shapeOf = CallPlan::shapeOf
@@ -65,6 +69,7 @@
         val callers = plan.callers.map { random -> thread { callUntilGone(entry, random) } }
         terminatedAtNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(plan.leadMillis)
         val rules = ProcessRules(plan)
+        val limiting = thread { changeLimits() }
         for ((atMillis, work) in plan.work) {
             sleepUntil(terminatedAtNanos + TimeUnit.MILLISECONDS.toNanos(atMillis))
             if (atMillis > 0 && !entry.isAlive) break
@@ -78,6 +83,7 @@
         exitedAtNanos = entry.exitedAtNanos
         entry.close()
         callers.forEach(Thread::join)
+        limiting.join()
         rules.checkOutput(entry)
         if (beside != null) {
             rules.checkAlive(beside)
@@ -86,7 +92,15 @@
             rules.checkExit(beside, terminatedAtNanos)
             rules.checkOutput(beside)
         }
-        return RequestRules(this, entry.output()).report(rules.violations)
+        return RequestRules(this, entry.output()).report(rules.violations + limits.violations())
+    }
+
+    private fun changeLimits() {
+        val plannedAtNanos = terminatedAtNanos
+        for (change in plan.limits) {
+            sleepUntil(plannedAtNanos + TimeUnit.MILLISECONDS.toNanos(change.atMillis))
+            limits.apply(change)
+        }
     }
 
     private fun perform(work: PlannedWork, entry: EntryJvm) = when (work) {
