A grant of a workspace's tokens is not spent after a suspension

A grant is now valid for 1 s from the request, as those of upstreams are, and is asked for again. "a grant that arrives after it has expired is asked for again" failed before (asked once instead of twice).

--- a/entry/src/main/kotlin/cactusfold/entry/rate/FleetTokenBuckets.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/FleetTokenBuckets.kt
@@ -39,6 +39,10 @@
     registryFreshMillis = 8_000
 )
 
+/** Whether tokens asked for at [askedAtMillis] may be spent; not after a suspension. */
+internal fun isGrantValid(askedAtMillis: Long, nowMillis: Long): Boolean =
+    nowMillis - askedAtMillis < sharedGrantSettings.grantValidMillis
+
 /**
  * The token buckets of all rates that the fleet shares, held by the coordinator. The routers of
  * [BucketMachine] are the entry processes here.
--- a/entry/src/main/kotlin/cactusfold/entry/rate/UpstreamRateLimiter.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/UpstreamRateLimiter.kt
@@ -88,7 +88,7 @@
 
     /** Whether a request may still be sent under [permit]; false after this process was suspended. */
     public fun isValid(permit: SendPermit): Boolean =
-        clock.nowMillis() - permit.askedAtMillis < sharedGrantSettings.grantValidMillis
+        isGrantValid(permit.askedAtMillis, clock.nowMillis())
 
     /** Takes back [permit], under which nothing was sent. */
     public fun giveBack(permit: SendPermit): Unit =
--- a/entry/src/main/kotlin/cactusfold/entry/rate/WorkspaceRateLimiter.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/WorkspaceRateLimiter.kt
@@ -57,11 +57,12 @@
         var refusal: RateDecision = RateDecision.Unknown
         do {
             if (held.trySpend(subject, limit, tokens)) return RateDecision.Admitted
+            val askedAtMillis = clock.nowMillis()
             val grant = ask(requestOf(workspace.name, tokens))
             when (grant?.outcome) {
                 TokenGrant.Outcome.GRANTED -> {
                     held.heard(subject)
-                    return RateDecision.Admitted
+                    if (isGrantValid(askedAtMillis, clock.nowMillis())) return RateDecision.Admitted
                 }
                 TokenGrant.Outcome.WAIT -> {
                     held.heard(subject)
--- a/entry/src/test/kotlin/cactusfold/entry/rate/CoordinatorLostRateTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/rate/CoordinatorLostRateTest.kt
@@ -64,6 +64,18 @@
             assertTrue(clock.nowMillis() - startedAtMillis < TARGET_MILLIS)
         }
 
+        // Guards against a suspended process that spends tokens long after they were granted.
+        @Test
+        fun `a grant that arrives after it has expired is asked for again`() {
+            var nowMillis = 0L
+            val limiter = WorkspaceRateLimiter("vm1", "boot", { nowMillis }, { 142 }) {
+                if (asked++ == 0) nowMillis += EXPIRED_MILLIS
+                grant(TokenGrant.Outcome.GRANTED)
+            }
+            val decision = runBlocking { limiter.admit(workspace, 500, EXPIRED_MILLIS * 2) }
+            assertEquals(RateDecision.Admitted to 2, decision to asked)
+        }
+
         @Test
         fun `a registration that ends during a request for tokens does not disturb it`() {
             lateinit var limiter: WorkspaceRateLimiter
@@ -78,5 +90,6 @@
     private companion object {
         const val TARGET_MILLIS = 100L
         const val UNDECIDED_MILLIS = 600L
+        const val EXPIRED_MILLIS = 2_000L
     }
 }
