--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -322,7 +322,9 @@
      */
     private fun missedPerSecond(model: String): Double {
         val arrivals = view.arrivalsPerSecond[model] ?: return 0.0
-        val accepted = view.runners.filter { model in it.served }.sumOf { runner ->
+        // A model that this plan loads for the first time has a replica, but no runner yet.
+        val serving = view.runners.filter { model in it.served }.ifEmpty { return 0.0 }
+        val accepted = serving.sumOf { runner ->
             val limit = runner.requestsPerSecond ?: return 0.0
             limit * arrivals / runner.served.keys.sumOf { view.arrivalsPerSecond[it] ?: 0.0 }
         }
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyPlannerTest.kt
@@ -260,6 +260,14 @@
             assertEquals(emptyList(), plan(limited("r1"), unlimited, other))
         }
 
+        // Guards against two loads of a model that no runner has, since its first load is pending.
+        @Test
+        fun `a model that is loaded for the first time gets no second replica`() {
+            val runners = listOf("r1", "r2").map { runner(it, held(), disk = setOf("c")) }
+            val view = view(runners, listOf(demand("c")), mapOf("c" to 5.0))
+            assertEquals(1, loads(planner.plan(view, now)).count { it.model == "c" })
+        }
+
         @Test
         fun `a replica is not added on a runner that is limited too`() {
             val other = runner("r2", held(), disk = setOf("c")).copy(requestsPerSecond = 1.0)
