--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakReport.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakReport.kt
@@ -1,7 +1,15 @@
 package cactusfold.entry.soak
 
 /** What a run must keep. */
-enum class Rule { ANSWERED, TRUE_REFUSAL, COMPLETE, TIMELY_EXIT, SURVIVES_HANGUP, CLEAN_OUTPUT, WITHIN_LIMIT }
+enum class Rule {
+    ANSWERED,
+    TRUE_REFUSAL,
+    COMPLETE,
+    TIMELY_EXIT,
+    SURVIVES_HANGUP,
+    CLEAN_OUTPUT,
+    WITHIN_LIMIT
+}
 
 /** A broken rule; [kind] groups equal ones. */
 class Violation(val rule: Rule, val kind: String, val details: String)
