A turn without a coordinator is used once

A VM that spent its turn in the very millisecond in which it began got a second token in the same turn. "a member that knows its position sends once in each round of turns" failed before (4 requests instead of 2).

--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/TokenGrantSpender.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/TokenGrantSpender.kt
@@ -158,7 +158,8 @@
             state.reserveAtMillis > beganAtMillis -> state
             else -> state.copy(
                 reserveTokens = state.limit.unitTokens,
-                reserveAtMillis = nowMillis
+                // Later than the beginning of the turn, so that a turn is used once.
+                reserveAtMillis = maxOf(nowMillis, beganAtMillis.toLong() + 1)
             )
         }
     }
