A VM that does not know its position among the members has no turn

Such VMs, for instance all of a fleet that starts without a coordinator, took the turn of the first member, all at the same time: a limit of 1 a second could be exceeded by as many VMs as there are. "a member that does not know its position has no turn" failed before (2 requests instead of none).

--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/TokenGrantSpender.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/TokenGrantSpender.kt
@@ -42,11 +42,12 @@
 /**
  * Spends the tokens granted by the holder, and the reserve while the holder is unreachable.
  *
- * @property position of the router among all routers, from zero.
+ * @property position of the router among all routers, from zero; null if it is not known, and then
+ *   the router has no turn.
  */
 public class TokenGrantSpender(
     private val settings: TokenGrantSettings,
-    private val position: Int = 0
+    private val position: Int? = null
 ) {
 
     /** Returns the initial state of a router registered at [registeredAtMillis]: no tokens. */
@@ -151,7 +152,7 @@
         val turnMillis =
             state.limit.unitTokens / state.limit.rateTokensPerSecond * MILLIS_PER_SECOND
         val turn = ((nowMillis - state.reserveFromMillis) / turnMillis).toLong()
-        val isOwn = turn % settings.routerSlots == position.toLong()
+        val isOwn = (turn % settings.routerSlots).toInt() == position
         val beganAtMillis = state.reserveFromMillis + turn * turnMillis
         return when {
             !isOwn -> state.copy(reserveTokens = 0.0)
--- a/entry/src/main/kotlin/cactusfold/entry/rate/MemberTokens.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/MemberTokens.kt
@@ -27,7 +27,7 @@
 
     /** [REGISTRATION_DELAY_MILLIS] takes the place of the wait for a fresh registry. */
     private var settings = sharedGrantSettings.copy(registryFreshMillis = 0)
-    private var position = 0
+    private var position: Int? = null
     private var spender = TokenGrantSpender(settings)
     private var isRegistered = false
 
@@ -82,10 +82,9 @@
     private fun applyPlace(): Boolean {
         val current = place()
         val slots = current.memberCount?.coerceAtLeast(MIN_ROUTER_SLOTS) ?: return false
-        val nextPosition = current.position ?: 0
-        if (slots == settings.routerSlots && nextPosition == position) return true
+        if (slots == settings.routerSlots && current.position == position) return true
         settings = settings.copy(routerSlots = slots)
-        position = nextPosition
+        position = current.position
         spender = TokenGrantSpender(settings, position)
         return true
     }
--- a/entry/src/test/kotlin/cactusfold/entry/rate/MemberTokensTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/rate/MemberTokensTest.kt
@@ -25,4 +25,10 @@
     fun `a member that knows its position sends once in each round of turns`() {
         assertEquals(2, sendsWithoutContact(FleetPlace(14, 3), forMillis = 28_000))
     }
+
+    // Guards against members that all take the same turn, since none knows its own.
+    @Test
+    fun `a member that does not know its position has no turn`() {
+        assertEquals(0, sendsWithoutContact(FleetPlace(14, null), forMillis = 28_000))
+    }
 }
