A request does not wait for a token that comes after its deadline

A request with little time left waited for a token of a limited upstream until its deadline and then ended without a time to come back. It is refused at once now. "a request that cannot get a token in its time is refused at once" failed before (timed-out instead of upstreams-limited).

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -47,7 +47,8 @@
         model?.let(dependencies.waits::arrived)
         val suspicion = RequestSuspicion(dependencies, request, admitted.workspace)
         var last: SendEnd? = null
-        val selection = UpstreamSelection(dependencies, request, route.targetMillis)
+        val selection =
+            UpstreamSelection(dependencies, request, route.targetMillis, deadlineAtMillis)
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
             val candidates = dependencies.directory.serving(service, model, adapter)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
@@ -19,12 +19,14 @@
 
 /**
  * Selects upstreams for one request: the choice among those that are available, the limits on their
- * requests, and the wait if none accepts it. A request waits for up to half of its latency target.
+ * requests, and the wait if none accepts it. A request waits for up to half of its latency target,
+ * and not for a token that comes after its deadline.
  */
 internal class UpstreamSelection(
     private val dependencies: RequestFlowDependencies,
     private val request: CallerRequest,
-    targetMillis: Long
+    targetMillis: Long,
+    private val deadlineAtMillis: Long
 ) {
     private val maxWaitMillis = targetMillis / TARGET_SHARE_DIVISOR
     private var waitingSinceMillis: Long? = null
@@ -86,7 +88,7 @@
         val nowMillis = dependencies.clock.nowMillis()
         val end = when {
             canMoveOn -> Ending.MOVES_ON
-            waitedMillis(nowMillis) + waitMillis <= maxWaitMillis -> Ending.WAITS
+            mayWait(waitMillis, nowMillis) -> Ending.WAITS
             else -> Ending.REFUSED
         }
         limited.forEach {
@@ -104,6 +106,10 @@
         }
     }
 
+    private fun mayWait(waitMillis: Long, nowMillis: Long): Boolean =
+        waitedMillis(nowMillis) + waitMillis <= maxWaitMillis &&
+            nowMillis + waitMillis < deadlineAtMillis
+
     private suspend fun awaitFree(candidates: List<Upstream>): Selection {
         val waitedMillis = waitedMillis(dependencies.clock.nowMillis())
         val pauseMillis = dependencies.directory.pauseMillis(candidates) ?: 0
