The token of a caller that leaves before its request is written is kept

A token of a limited upstream was lost if its caller left, or the process stopped, while a connection was being opened: granted, and used by nobody. What a permit was used for is now recorded right before the request is written, and every other end of a send keeps the token for the next request. The tests cover the permits; the cancellation itself has no test, since a connection on loopback is opened too fast to leave meanwhile.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -72,12 +72,12 @@
             }
             val upstream = selected.upstream
             if (sends > 0 && !hasReservedRetry && !dependencies.retries.tryAcquireRetry(service)) {
-                selected.permit?.let(dependencies.sendLimiter::giveBack)
+                selected.permit?.let(dependencies.sendLimiter::release)
                 return stopRetrying(last, "retry-budget")
             }
             hasReservedRetry = false
             admission.recheck(admitted)?.let {
-                selected.permit?.let(dependencies.sendLimiter::giveBack)
+                selected.permit?.let(dependencies.sendLimiter::release)
                 return failOrAbort(it)
             }
             val end = sendTo(selected, route, admitted.workspace, deadlineAtMillis) {
@@ -151,7 +151,7 @@
             ),
             body = request.body,
             isStream = route.isStream,
-            mayWrite = { permit == null || dependencies.sendLimiter.isValid(permit) }
+            mayWrite = { permit == null || dependencies.sendLimiter.use(permit) }
         )
         sends++
         dependencies.events.write(
@@ -170,10 +170,10 @@
         try {
             val end = sendOrAbandon(upstream, upstreamRequest, mayAbandon)
             recordResult(upstream, end, wasUncertain)
-            if (end.isUnwritten && permit != null) dependencies.sendLimiter.giveBack(permit)
             return end
         } finally {
             upstream.requestEnded(use)
+            permit?.let(dependencies.sendLimiter::release)
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -51,18 +51,11 @@
     /** Whether this is a complete and successful answer. */
     public val isSuccess: Boolean get() = false
 
-    /** Whether nothing of the request was written to the upstream. */
-    public val isUnwritten: Boolean get() = false
-
     /** The upstream did not execute the request and will not; [status] is null if not connected. */
-    public data class NotRun(public val reason: String, public val status: Int? = null) : SendEnd {
-        override val isUnwritten: Boolean get() = status == null
-    }
+    public data class NotRun(public val reason: String, public val status: Int? = null) : SendEnd
 
     /** The request was not written, because it was no longer permitted. */
-    public data object Unsent : SendEnd {
-        override val isUnwritten: Boolean get() = true
-    }
+    public data object Unsent : SendEnd
 
     /**
      * No complete answer arrived; the upstream may have executed the request.
--- a/entry/src/main/kotlin/cactusfold/entry/rate/UpstreamRateLimiter.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/UpstreamRateLimiter.kt
@@ -16,7 +16,9 @@
 public class SendPermit internal constructor(
     internal val start: UpstreamStart,
     internal val askedAtMillis: Long
-)
+) {
+    internal var isUsed = false
+}
 
 /** Whether a request may be sent to an upstream that limits the requests of all VMs together. */
 public sealed interface SendDecision {
@@ -87,13 +89,20 @@
         }
     }
 
-    /** Whether a request may still be sent under [permit]; false after this process was suspended. */
-    public fun isValid(permit: SendPermit): Boolean =
-        isGrantValid(permit.askedAtMillis, clock.nowMillis())
+    /**
+     * Uses [permit] for the request that is about to be written. Returns false if it has expired,
+     * such as after a suspension of this process.
+     */
+    public fun use(permit: SendPermit): Boolean {
+        permit.isUsed = isGrantValid(permit.askedAtMillis, clock.nowMillis())
+        return permit.isUsed
+    }
 
-    /** Takes back [permit], under which nothing was sent. */
-    public fun giveBack(permit: SendPermit): Unit =
+    /** Keeps the token of [permit] for another request, unless it was used. */
+    public fun release(permit: SendPermit) {
+        if (permit.isUsed) return
         held.keep(RateSubject.Upstream(permit.start), 1, permit.askedAtMillis)
+    }
 
     private fun permitted(upstream: Upstream, askedAtMillis: Long) =
         SendDecision.Permitted(upstream, SendPermit(upstream.start, askedAtMillis))
