A kept token does not become valid for longer

A token that was granted and not used counted as asked for anew by the request that it served next, so it could be kept on and on; and keeping one counted as contact with the coordinator, which moves the turns of a member without contact. "a token that was kept does not live longer than its grant" failed before (it was used 1.1 s after it was asked for).

--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/TokenGrantSpender.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/TokenGrantSpender.kt
@@ -97,15 +97,24 @@
         tokens: Long,
         sentAtMillis: Long,
         nowMillis: Long
+    ): TokenGrantState = kept(contacted(state, nowMillis), tokens, sentAtMillis, nowMillis)
+
+    /**
+     * Adds [tokens] that were spent and then not used; they were granted in reply to a request sent
+     * at [sentAtMillis], or taken from the reserve then.
+     */
+    public fun kept(
+        state: TokenGrantState,
+        tokens: Long,
+        sentAtMillis: Long,
+        nowMillis: Long
     ): TokenGrantState {
         val current = expire(state, nowMillis)
         val until = sentAtMillis + settings.grantValidMillis
-        val validTokens = if (nowMillis < until) tokens else 0
-        val contacted = contacted(current, nowMillis)
-        if (validTokens == 0L) return contacted
+        if (nowMillis >= until || tokens == 0L) return current
         val hasEarlierGrant = current.unspentTokens > 0
-        return contacted.copy(
-            unspentTokens = current.unspentTokens + validTokens,
+        return current.copy(
+            unspentTokens = current.unspentTokens + tokens,
             grantExpiresAtMillis = if (hasEarlierGrant) {
                 minOf(current.grantExpiresAtMillis, until)
             } else {
--- a/entry/src/main/kotlin/cactusfold/entry/rate/MemberTokens.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/MemberTokens.kt
@@ -54,12 +54,17 @@
         states[subject] = spender.contacted(state, clock.nowMillis())
     }
 
-    /** Adds [tokens] of a grant that was asked for at [askedAtMillis], for later requests. */
+    /** Keeps [tokens] that were asked for at [askedAtMillis] and not used, for later requests. */
     fun keep(subject: RateSubject, tokens: Long, askedAtMillis: Long) {
         val state = states[subject] ?: return
-        states[subject] = spender.granted(state, tokens, askedAtMillis, clock.nowMillis())
+        states[subject] = spender.kept(state, tokens, askedAtMillis, clock.nowMillis())
     }
 
+    /** Returns when the kept tokens of [subject] were asked for; null if there are none. */
+    fun keptSinceMillis(subject: RateSubject): Long? = states[subject]
+        ?.takeIf { it.unspentTokens > 0 && clock.nowMillis() < it.grantExpiresAtMillis }
+        ?.let { it.grantExpiresAtMillis - settings.grantValidMillis }
+
     /** Spends [tokens] of [subject]; returns false if this process has too few. */
     fun trySpend(subject: RateSubject, limit: RateLimit, tokens: Long): Boolean {
         val mayUseReserve = isRegistered && applyPlace()
--- a/entry/src/main/kotlin/cactusfold/entry/rate/UpstreamRateLimiter.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/UpstreamRateLimiter.kt
@@ -67,8 +67,8 @@
      *   token; not if it asked before, or can move on to another upstream.
      */
     public suspend fun acquire(candidates: List<Upstream>, joinsQueue: Boolean): SendDecision {
+        candidates.firstNotNullOfOrNull(::trySpend)?.let { return it }
         val askedAtMillis = clock.nowMillis()
-        candidates.find(::trySpend)?.let { return permitted(it, askedAtMillis) }
         val request = SendRequest.newBuilder().setVm(member.vm).setBoot(member.boot)
             .addAllCandidates(candidates.mapNotNull { limits.message(it.start) })
             .setJoinsQueue(joinsQueue)
@@ -107,9 +107,13 @@
     private fun permitted(upstream: Upstream, askedAtMillis: Long) =
         SendDecision.Permitted(upstream, SendPermit(upstream.start, askedAtMillis))
 
-    private fun trySpend(upstream: Upstream): Boolean {
-        val limit = limitOf(upstream) ?: return true
-        return held.trySpend(subjectOf(upstream), limit, 1)
+    private fun trySpend(upstream: Upstream): SendDecision.Permitted? {
+        val subject = subjectOf(upstream)
+        // A kept token does not become valid for longer.
+        val askedAtMillis = held.keptSinceMillis(subject) ?: clock.nowMillis()
+        val limit = limitOf(upstream) ?: return permitted(upstream, askedAtMillis)
+        if (!held.trySpend(subject, limit, 1)) return null
+        return permitted(upstream, askedAtMillis)
     }
 
     private fun subjectOf(upstream: Upstream) = RateSubject.Upstream(upstream.start)
--- a/entry/src/test/kotlin/cactusfold/entry/rate/UpstreamRateLimiterTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/rate/UpstreamRateLimiterTest.kt
@@ -69,4 +69,13 @@
         permit()
         assertEquals(2, asked)
     }
+
+    @Test
+    fun `a token that was kept does not live longer than its grant`() {
+        limiter.release(permit())
+        nowMillis += 900
+        val kept = permit()
+        nowMillis += 200
+        assertFalse(limiter.use(kept))
+    }
 }
