A stream without an event is not complete

Callers got a 200 with an empty body, framed as complete, from a runner that closed its answer in order before the first event; after a resumption the stream ended as complete where the first runner had broken off. Only the bytes after the last event were checked, and there are none. A stream counts as complete only if its upstream sent an event in it and ends between events. Comments are no events; those before the first event are held back, so that a stream that has not begun may run anew. request-ended logs the number of events. A resumption after the very last event is cut for that reason: nothing shows that the event was the last.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -164,6 +164,7 @@
             "outcome" to outcome,
             "took_ms" to tookMillis,
             "first_ms" to firstPieceMillis,
+            "events" to reply.eventCount.takeIf { firstPieceMillis != null },
             "pause_ms" to reply.longestPauseMillis.takeIf { firstPieceMillis != null },
             "config" to dependencies.flow.table()?.config?.version
         )
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -27,6 +27,9 @@
     public var longestPauseMillis: Long = 0
         private set
 
+    /** Comments of a stream before its first event, by which no stream begins. */
+    private var leadingComments = Buffer.buffer()
+
     /** Status and headers of a stream of which no event has been sent yet. */
     private var pendingStart: AnswerStart? = null
 
@@ -39,11 +42,14 @@
     /** The id of the last complete event that was sent to the caller. */
     public val lastEventId: String? get() = splitter.lastEventId
 
-    override val isBetweenEvents: Boolean get() = splitter.partial.length() == 0
+    /** Number of complete events that were sent to the caller. */
+    public var eventCount: Int = 0
+        private set
 
     override fun begin(start: AnswerStart) {
         // A stream that is resumed at another upstream keeps the status and headers of the first.
         splitter = SseEventSplitter(splitter.lastEventId)
+        leadingComments = Buffer.buffer()
         pendingStart = start.takeUnless { hasBegun }
     }
 
@@ -55,15 +61,31 @@
         response.setChunked(true)
     }
 
-    override suspend fun write(piece: Buffer): Boolean {
+    override suspend fun write(piece: Buffer): StreamCheck {
+        val countBefore = splitter.eventCount
         val complete = splitter.add(piece)
-        if (complete.length() > 0) {
-            recordPiece(clock.nowMillis())
-            commitStart()
-            response.write(complete)
-            if (response.writeQueueFull()) awaitDrain()
+        if (splitter.eventCount == 0) {
+            leadingComments.appendBuffer(complete)
+        } else if (complete.length() > 0) {
+            eventCount += splitter.eventCount - countBefore
+            send(leadingComments.appendBuffer(complete))
+            leadingComments = Buffer.buffer()
         }
-        return splitter.partial.length() <= MAX_EVENT_BYTES
+        val heldBytes = splitter.partial.length() + leadingComments.length()
+        return if (heldBytes > MAX_EVENT_BYTES) TOO_LONG else StreamCheck.Sound
+    }
+
+    private suspend fun send(events: Buffer) {
+        recordPiece(clock.nowMillis())
+        commitStart()
+        response.write(events)
+        if (response.writeQueueFull()) awaitDrain()
+    }
+
+    override fun checkEnd(): StreamCheck = when {
+        splitter.partial.length() > 0 -> INSIDE_EVENT
+        splitter.eventCount == 0 -> WITHOUT_EVENT
+        else -> StreamCheck.Sound
     }
 
     private fun recordPiece(nowMillis: Long) {
@@ -120,6 +142,10 @@
     }
 
     private companion object {
+        val TOO_LONG = StreamCheck.Unsound("an event is too long")
+        val INSIDE_EVENT = StreamCheck.Unsound("the stream ended inside an event")
+        val WITHOUT_EVENT = StreamCheck.Unsound("the stream ended without an event")
+
         /** An event holds some tokens; an event without end would take all memory. */
         const val MAX_EVENT_BYTES = 64 * 1024
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/SseEventSplitter.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/SseEventSplitter.kt
@@ -3,8 +3,8 @@
 import io.vertx.core.buffer.Buffer
 
 /**
- * Splits a stream of server-sent events at event boundaries and tracks the id of the last complete
- * event returned.
+ * Splits a stream of server-sent events at event boundaries; counts the complete events returned,
+ * and tracks the id of the last one. Comments are no events.
  */
 public class SseEventSplitter(lastEventId: String? = null) {
     private var rest: Buffer = Buffer.buffer()
@@ -13,6 +13,10 @@
     public var lastEventId: String? = lastEventId
         private set
 
+    /** Number of complete events. */
+    public var eventCount: Int = 0
+        private set
+
     /** Bytes of an event that is not complete yet. */
     public val partial: Buffer get() = rest
 
@@ -27,6 +31,7 @@
         val whole = all.slice(0, end)
         rest = all.getBuffer(end, all.length())
         idIn(whole)?.let { lastEventId = it }
+        countEvents(whole)
         return whole
     }
 
@@ -46,10 +51,23 @@
         .lastOrNull()
         ?.removePrefix(ID_FIELD)?.trim()
 
+    private fun countEvents(blocks: Buffer) {
+        var hasField = false
+        for (line in blocks.toString().lineSequence()) {
+            if (line.isNotEmpty()) {
+                hasField = hasField || !line.startsWith(COMMENT)
+            } else if (hasField) {
+                eventCount++
+                hasField = false
+            }
+        }
+    }
+
     private companion object {
         const val NEWLINE = '\n'.code.toByte()
         const val RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val COMMENT = ':'
         val EMPTY: Buffer = Buffer.buffer()
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -84,14 +84,20 @@
     /** Receives the status and headers, before any piece; called once for each send. */
     public fun begin(start: AnswerStart)
 
-    /**
-     * Receives a piece of the body; suspends while the caller does not read (backpressure). Returns
-     * false if the stream is not one of events and has to be ended.
-     */
-    public suspend fun write(piece: Buffer): Boolean
+    /** Receives a piece of the body; suspends while the caller does not read (backpressure). */
+    public suspend fun write(piece: Buffer): StreamCheck
+
+    /** Checks whether the pieces received since [begin] may be all of the stream. */
+    public fun checkEnd(): StreamCheck
+}
+
+/** Whether a stream may be what its upstream meant to send. Its framing alone does not show that. */
+public sealed interface StreamCheck {
+    /** Nothing is wrong with the stream. */
+    public data object Sound : StreamCheck
 
-    /** Whether the pieces so far end with an event; a stream that ends elsewhere was broken off. */
-    public val isBetweenEvents: Boolean
+    /** The stream was broken off, or cannot be passed on, for this [reason]. */
+    public data class Unsound(public val reason: String) : StreamCheck
 }
 
 /**
@@ -214,11 +220,14 @@
                     firstPieceAtMillis = nowMillis
                     upstream.recordLatency(nowMillis - startedAtMillis)
                 }
-                if (!sink.write(piece)) return SendEnd.Broken("an event is too long")
+                val check = sink.write(piece)
+                if (check is StreamCheck.Unsound) return SendEnd.Broken(check.reason)
             }
             isComplete = true
-            if (!sink.isBetweenEvents) return SendEnd.Broken("the stream ended inside an event")
-            return SendEnd.Streamed
+            return when (val check = sink.checkEnd()) {
+                is StreamCheck.Unsound -> SendEnd.Broken(check.reason)
+                StreamCheck.Sound -> SendEnd.Streamed
+            }
         }
 
         private fun failure(cause: Exception): SendEnd {
--- a/entry/src/test/kotlin/cactusfold/entry/callers/EndlessAnswersTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/EndlessAnswersTest.kt
@@ -10,6 +10,7 @@
 import java.lang.reflect.Proxy
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertIs
 import kotlin.test.assertNull
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
@@ -92,7 +93,8 @@
             val headers = MultiMap.caseInsensitiveMultiMap()
             reply.begin(AnswerStart(200, headers, WireHeaders.answer(200, headers)))
             val complete = "id: 1\ndata: a\n\n"
-            assertFalse(reply.write(Buffer.buffer(complete + "x".repeat(70_000))))
+            val check = reply.write(Buffer.buffer(complete + "x".repeat(70_000)))
+            assertIs<StreamCheck.Unsound>(check)
             assertEquals(complete, written.toString())
             assertEquals("1", reply.lastEventId)
         }
