An answer of another content type does not continue a stream

Where the runner that was to resume a stream answered with a 2xx that is no event stream, its body was joined to the events of the first runner, with a proper end. The content type was not looked at. Such an answer now counts as broken once a part of the stream was sent, also by an earlier request of the caller. If nothing was sent it is relayed unchanged, as its upstream framed it; before, it got 502 unless it happened to end with an empty line.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -34,6 +34,10 @@
     private val facts = dependencies.flow.translator.call(request.headers())
     private var flow: RequestFlow? = null
 
+    init {
+        reply.resumesAfter = facts.lastEventId
+    }
+
     /** The id that the caller gave to the request; null if it gave none. */
     public val id: String? get() = facts.id
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -16,6 +16,10 @@
     private val closesConnection: () -> Boolean
 ) : StreamSink {
     private var splitter = SseEventSplitter()
+
+    /** The last event that the caller got by an earlier request; null if it resumes no stream. */
+    public var resumesAfter: String? = null
+
     private var lastPieceAtMillis = 0L
     private var sent: Future<Void>? = null
 
@@ -46,6 +50,8 @@
     public var eventCount: Int = 0
         private set
 
+    override val isContinued: Boolean get() = hasBegun || resumesAfter != null
+
     override fun begin(start: AnswerStart) {
         // A stream that is resumed at another upstream keeps the status and headers of the first.
         splitter = SseEventSplitter(splitter.lastEventId)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -81,6 +81,9 @@
 
 /** Receives a streamed answer. */
 public interface StreamSink {
+    /** Whether a part of the stream was sent before, which only further events can follow. */
+    public val isContinued: Boolean
+
     /** Receives the status and headers, before any piece; called once for each send. */
     public fun begin(start: AnswerStart)
 
@@ -190,7 +193,8 @@
             if (isSuccess && !facts.isSealed) return SendEnd.Broken("an answer without a seal")
             upstream.recordAnswer(facts.load)
             if (isSuccess && upstreamRequest.isStream && sink != null) {
-                return relay(response, start, sink, startedAtMillis)
+                if (facts.isEventStream) return relay(response, start, sink, startedAtMillis)
+                if (sink.isContinued) return SendEnd.Broken("the answer is no event stream")
             }
             upstream.recordLatency(clock.nowMillis() - startedAtMillis)
             val body = bodies.read(response) ?: return SendEnd.Broken("the answer is too long")
--- a/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
@@ -59,6 +59,7 @@
  * @property pauseMillis how long the upstream asks to be sent no further requests; null if it does
  *   not ask.
  * @property limit the rate that the upstream accepts from all VMs together.
+ * @property isEventStream whether the body is one of events; also if its type is not stated.
  */
 public data class ResponseMetadata(
     public val id: String?,
@@ -67,7 +68,8 @@
     public val load: ReportedLoad?,
     public val isLeaving: Boolean = false,
     public val pauseMillis: Long? = null,
-    public val limit: StatedLimit = StatedLimit.None
+    public val limit: StatedLimit = StatedLimit.None,
+    public val isEventStream: Boolean = true
 )
 
 /**
