A run that does not follow the events already sent does not continue a stream

A runner that ignores Last-Event-Id, or goes on at another event, had its events joined to those of the first one: callers got pieces twice or missed some, in a stream with a proper end. Only the id of the last event was kept, for the next runner. The first event of a run must now have a higher id than the last one that the caller has, also from an earlier request, and the next number where the stream numbers its events. SseEventSplitterTest cuts bodies at each byte and splits them at each byte, in LF, CRLF and mixed; it found nothing.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -35,7 +35,7 @@
     private var flow: RequestFlow? = null
 
     init {
-        reply.resumesAfter = facts.lastEventId
+        reply.resumesAfter(facts.lastEventId)
     }
 
     /** The id that the caller gave to the request; null if it gave none. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -17,9 +17,7 @@
 ) : StreamSink {
     private var splitter = SseEventSplitter()
 
-    /** The last event that the caller got by an earlier request; null if it resumes no stream. */
-    public var resumesAfter: String? = null
-
+    private var position = StreamPosition()
     private var lastPieceAtMillis = 0L
     private var sent: Future<Void>? = null
 
@@ -43,18 +41,23 @@
     /** Whether the caller has closed the connection. */
     public val isClosed: Boolean get() = response.closed()
 
-    /** The id of the last complete event that was sent to the caller. */
-    public val lastEventId: String? get() = splitter.lastEventId
+    /** The id of the last complete event that was sent to the caller; null if none had one. */
+    public val lastEventId: String? get() = position.lastEventId
 
     /** Number of complete events that were sent to the caller. */
     public var eventCount: Int = 0
         private set
 
-    override val isContinued: Boolean get() = hasBegun || resumesAfter != null
+    override val isContinued: Boolean get() = hasBegun || position.isResumed
+
+    /** Records that the caller resumes a stream after [lastEventId]; null if it does not. */
+    public fun resumesAfter(lastEventId: String?) {
+        position = StreamPosition(lastEventId)
+    }
 
     override fun begin(start: AnswerStart) {
         // A stream that is resumed at another upstream keeps the status and headers of the first.
-        splitter = SseEventSplitter(splitter.lastEventId)
+        splitter = SseEventSplitter()
         leadingComments = Buffer.buffer()
         pendingStart = start.takeUnless { hasBegun }
     }
@@ -73,6 +76,11 @@
         if (splitter.eventCount == 0) {
             leadingComments.appendBuffer(complete)
         } else if (complete.length() > 0) {
+            val isFirst = countBefore == 0
+            if (isFirst && !position.isContinuedBy(splitter.completedIds.firstOrNull())) {
+                return OUT_OF_ORDER
+            }
+            position.sent(splitter.completedIds)
             eventCount += splitter.eventCount - countBefore
             send(leadingComments.appendBuffer(complete))
             leadingComments = Buffer.buffer()
@@ -149,6 +157,7 @@
 
     private companion object {
         val TOO_LONG = StreamCheck.Unsound("an event is too long")
+        val OUT_OF_ORDER = StreamCheck.Unsound("the stream does not go on after its last event")
         val INSIDE_EVENT = StreamCheck.Unsound("the stream ended inside an event")
         val WITHOUT_EVENT = StreamCheck.Unsound("the stream ended without an event")
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/SseEventSplitter.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/SseEventSplitter.kt
@@ -3,14 +3,14 @@
 import io.vertx.core.buffer.Buffer
 
 /**
- * Splits a stream of server-sent events at event boundaries; counts the complete events returned,
- * and tracks the id of the last one. Comments are no events.
+ * Splits a stream of server-sent events at event boundaries, and counts the complete events
+ * returned. Comments are no events.
  */
-public class SseEventSplitter(lastEventId: String? = null) {
+public class SseEventSplitter {
     private var rest: Buffer = Buffer.buffer()
 
-    /** The id of the last complete event that carried one. */
-    public var lastEventId: String? = lastEventId
+    /** The ids of the events that the last piece completed. */
+    public var completedIds: List<String> = emptyList()
         private set
 
     /** Number of complete events. */
@@ -26,12 +26,15 @@
         val end = endOfLastEvent(all)
         if (end == 0) {
             rest = all
+            completedIds = emptyList()
             return EMPTY
         }
         val whole = all.slice(0, end)
         rest = all.getBuffer(end, all.length())
-        idIn(whole)?.let { lastEventId = it }
-        countEvents(whole)
+        val lines = whole.toString().lines()
+        completedIds = lines.filter { it.startsWith(ID_FIELD) }
+            .map { it.removePrefix(ID_FIELD).trim() }
+        countEvents(lines)
         return whole
     }
 
@@ -46,14 +49,9 @@
         return 0
     }
 
-    private fun idIn(events: Buffer): String? = events.toString().lineSequence()
-        .filter { it.startsWith(ID_FIELD) }
-        .lastOrNull()
-        ?.removePrefix(ID_FIELD)?.trim()
-
-    private fun countEvents(blocks: Buffer) {
+    private fun countEvents(lines: List<String>) {
         var hasField = false
-        for (line in blocks.toString().lineSequence()) {
+        for (line in lines) {
             if (line.isNotEmpty()) {
                 hasField = hasField || !line.startsWith(COMMENT)
             } else if (hasField) {
--- a/entry/src/test/kotlin/cactusfold/entry/callers/SseEventSplitterTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/SseEventSplitterTest.kt
@@ -2,7 +2,6 @@
 
 import io.vertx.core.buffer.Buffer
 import kotlin.test.assertEquals
-import kotlin.test.assertNull
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 
@@ -16,15 +15,15 @@
         @Test
         fun `complete events are returned at once`() {
             assertEquals("id: 1\ndata: a\n\n", add("id: 1\ndata: a\n\n"))
-            assertEquals("1", splitter.lastEventId)
+            assertEquals(listOf("1"), splitter.completedIds)
         }
 
         @Test
         fun `an event split between two pieces is returned once it is complete`() {
             assertEquals("id: 1\ndata: a\n\n", add("id: 1\ndata: a\n\nid: 2\nda"))
-            assertEquals("1", splitter.lastEventId)
+            assertEquals(listOf("1"), splitter.completedIds)
             assertEquals("id: 2\ndata: b\n\n", add("ta: b\n\n"))
-            assertEquals("2", splitter.lastEventId)
+            assertEquals(listOf("2"), splitter.completedIds)
         }
 
         @Test
@@ -36,7 +35,44 @@
         @Test
         fun `line breaks with carriage returns are recognized`() {
             assertEquals("id: 7\r\ndata: a\r\n\r\n", add("id: 7\r\ndata: a\r\n\r\n"))
-            assertEquals("7", splitter.lastEventId)
+            assertEquals(listOf("7"), splitter.completedIds)
+        }
+    }
+
+    @Nested
+    inner class AllCuts {
+        private val bodies = listOf("\n", "\r\n").flatMap { end ->
+            listOf(
+                "id: 1${end}data: a$end${end}id: 2${end}data: b${end}data: c$end$end",
+                "weight-version: 2${end}id: 1${end}data: a$end$end: comment$end${end}id: 2$end$end"
+            )
+        } + "id: 1\r\ndata: a\n\nid: 2\ndata: b\r\n\r\n"
+
+        /** The ends of all blocks of [body] that an empty line ends. */
+        private fun ends(body: String): List<Int> =
+            Regex("\n\r?\n").findAll(body).map { it.range.last + 1 }.toList()
+
+        private fun assertSplits(body: String, pieces: List<String>) {
+            val splitter = SseEventSplitter()
+            val returned = pieces.joinToString("") { splitter.add(Buffer.buffer(it)).toString() }
+            val cut = pieces.joinToString("")
+            val end = ends(body).lastOrNull { it <= cut.length } ?: 0
+            assertEquals(cut.take(end), returned, "$pieces")
+            assertEquals(cut.drop(end), splitter.partial.toString(), "$pieces")
+            val events = returned.split(Regex("\n\r?\n"))
+                .count { it.isNotEmpty() && !it.startsWith(":") }
+            assertEquals(events, splitter.eventCount, "$pieces")
+        }
+
+        @Test
+        fun `a body cut at any byte and split at any byte is returned up to its last event`() {
+            for (body in bodies) {
+                for (length in 0..body.length) {
+                    val cut = body.take(length)
+                    for (at in 0..length) assertSplits(body, listOf(cut.take(at), cut.drop(at)))
+                    assertSplits(body, cut.chunked(1))
+                }
+            }
         }
     }
 
@@ -45,7 +81,7 @@
         @Test
         fun `an incomplete event does not set the last event id`() {
             add("id: 3\ndata: a")
-            assertNull(splitter.lastEventId)
+            assertEquals(emptyList(), splitter.completedIds)
             assertEquals("id: 3\ndata: a", splitter.partial.toString())
         }
     }
