--- a/entry/src/test/kotlin/cactusfold/entry/callers/SharedPromptBlocksTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/SharedPromptBlocksTest.kt
@@ -112,7 +112,7 @@
         private val upstream = Upstream(
             UpstreamEntry(
                 "r1", "s", "127.0.0.1", 1, "z", 4, false, 1, null,
-                persistentMapOf(), persistentSetOf(), persistentSetOf()
+                persistentMapOf(), persistentSetOf(), persistentSetOf(), "v1"
             )
         )
 
--- a/entry/src/test/kotlin/cactusfold/entry/callers/SharedSuspectsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/SharedSuspectsTest.kt
@@ -16,7 +16,7 @@
     private fun upstream(id: String): Upstream = Upstream(
         UpstreamEntry(
             id, "s", "127.0.0.1", 1, "z", 4, false, 1, null,
-            persistentMapOf(), persistentSetOf(), persistentSetOf()
+            persistentMapOf(), persistentSetOf(), persistentSetOf(), "v1"
         )
     )
 
--- a/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
@@ -38,7 +38,7 @@
         val port = runner.row("s").getString("address").substringAfter(':').toInt()
         val entry = UpstreamEntry(
             "r", "s", "127.0.0.1", port, "z", 4, false, 1, null,
-            persistentMapOf(), persistentSetOf(), persistentSetOf()
+            persistentMapOf(), persistentSetOf(), persistentSetOf(), "v1"
         )
         val headers = RunnerStandin.requestHeaders("a")
         val body = Buffer.buffer("{}")
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -53,8 +53,12 @@
 
     val caller = CallerStandin(callers)
 
-    fun runner(id: String, service: String, models: Set<String> = emptySet()): RunnerStandin =
-        platform.runner(id, service, models)
+    fun runner(
+        id: String,
+        service: String,
+        models: Set<String> = emptySet(),
+        version: String = "v1"
+    ): RunnerStandin = platform.runner(id, service, models, version)
 
     fun start() {
         operator.configure(version = 1, keys = listOf("key-1"))
--- a/entry/src/test/kotlin/cactusfold/entry/path/PlatformFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PlatformFixture.kt
@@ -16,9 +16,17 @@
     /** The runners that were started, in that order. */
     val runners: MutableList<RunnerStandin> = CopyOnWriteArrayList()
 
-    /** Starts a runner and registers it as an upstream of [service]. */
-    fun runner(id: String, service: String, models: Set<String> = emptySet()): RunnerStandin {
-        val runner = RunnerStandin(vertx, id, models).apply { start() }
+    /** Starts a runner of [version] and registers it as an upstream of [service]. */
+    fun runner(
+        id: String,
+        service: String,
+        models: Set<String> = emptySet(),
+        version: String = "v1"
+    ): RunnerStandin {
+        val runner = RunnerStandin(vertx, id, models).apply {
+            softwareVersion = version
+            start()
+        }
         operator.register(id, runner, service)
         runner.onReturn = { operator.register(id, runner, service) }
         runners += runner
--- a/entry/src/test/kotlin/cactusfold/entry/rate/UpstreamRateLimiterTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/rate/UpstreamRateLimiterTest.kt
@@ -25,7 +25,7 @@
     private val upstream = Upstream(
         UpstreamEntry(
             "i-1", "s", "127.0.0.1", 1, "z", 4, false, 1, null,
-            persistentMapOf(), persistentSetOf(), persistentSetOf()
+            persistentMapOf(), persistentSetOf(), persistentSetOf(), "v1"
         )
     )
     private val limiter =
--- a/entry/src/test/kotlin/cactusfold/entry/residency/RunnerOrderClientTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/RunnerOrderClientTest.kt
@@ -21,7 +21,7 @@
 class RunnerOrderClientTest {
     private val entry = UpstreamEntry(
         "r1", "s", "127.0.0.1", 1, "z", 4, false, 1, null,
-        persistentMapOf(), persistentSetOf(), persistentSetOf()
+        persistentMapOf(), persistentSetOf(), persistentSetOf(), "v1"
     )
 
     /** Runner that counts accepted orders; queued [replies] take precedence over its own. */
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
@@ -12,7 +12,7 @@
 class UpstreamTest {
     private val entry = UpstreamEntry(
         "r1", "s", "127.0.0.1", 1, "z", 4, false, 1, null,
-        persistentMapOf("m" to persistentSetOf("a")), persistentSetOf(), persistentSetOf()
+        persistentMapOf("m" to persistentSetOf("a")), persistentSetOf(), persistentSetOf(), "v1"
     )
     private val upstream = Upstream(entry)
 
--- a/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
@@ -16,6 +16,8 @@
  * @property sharedBlocks ids of all blocks of the prompt that other requests may share: all but the
  *   last, which belongs to the request or its session.
  * @property lastEventId last event that the caller received of a stream that it resumes.
+ * @property resumedId id of the request that brought the first event of a stream that the caller
+ *   resumes.
  */
 public data class RequestMetadata(
     public val id: String?,
@@ -27,7 +29,8 @@
     public val outputTokens: Long?,
     public val promptPrefixId: String?,
     public val sharedBlocks: ImmutableList<String>,
-    public val lastEventId: String?
+    public val lastEventId: String?,
+    public val resumedId: String? = null
 )
 
 /**
--- a/ports/src/main/kotlin/cactusfold/ports/serving/UpstreamEntry.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/UpstreamEntry.kt
@@ -14,6 +14,7 @@
  * @property adaptersByModel models loaded in accelerator memory, each with its loaded adapters.
  * @property modelsInHostMemory models whose weights can be loaded from host memory.
  * @property modelsOnDisk models whose weights can be loaded from the upstream's disk.
+ * @property softwareVersion the version of the upstream's software, not of any weights.
  */
 public data class UpstreamEntry(
     public val id: String,
@@ -27,7 +28,8 @@
     public val timeToShutdownMillis: Long?,
     public val adaptersByModel: ImmutableMap<String, ImmutableSet<String>>,
     public val modelsInHostMemory: ImmutableSet<String>,
-    public val modelsOnDisk: ImmutableSet<String>
+    public val modelsOnDisk: ImmutableSet<String>,
+    public val softwareVersion: String
 )
 
 /**
