--- /dev/null
+++ b/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
@@ -0,0 +1,145 @@
+package cactusfold.entry.path
+
+import cactusfold.platform.standin.AnswerEnd
+import cactusfold.platform.standin.AnswerFraming
+import cactusfold.platform.standin.CallEnd
+import cactusfold.platform.standin.CallerConnection
+import cactusfold.platform.standin.RawAnswer
+import cactusfold.platform.standin.RunnerStandin
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+
+/** Streams of a service whose runners have two software versions. */
+class StreamVersionTest {
+    private lateinit var fixture: EntryFixture
+    private lateinit var old: RunnerStandin
+    private val brokenOff =
+        RawAnswer(AnswerFraming.CONNECTION_CLOSE, AnswerEnd.RESET, endDelayMillis = 5)
+
+    @BeforeEach
+    fun start() {
+        fixture = EntryFixture()
+        old = fixture.runner("i-1", "engine", setOf("warm")).apply { eventText = "v1" }
+        fixture.start()
+    }
+
+    @AfterEach
+    fun stop() = fixture.close()
+
+    private fun join(id: String, version: String): RunnerStandin =
+        fixture.runner(id, "engine", setOf("warm"), version).apply { eventText = version }
+
+    private fun events(version: String, numbers: IntRange): String =
+        numbers.joinToString("") { "id: $it\ndata: $version $it\n\n" }
+
+    private fun call(resumes: Pair<String?, Int>? = null): Pair<String, CallEnd> =
+        CallerConnection(fixture.callers).use {
+            val id = it.send("/draft/x", "warm", resumes = resumes)
+            id to it.receive()
+        }
+
+    /** Begins a stream at version `v1`, which breaks off after the third event, and returns its id. */
+    private fun beginStream(): String {
+        old.rawAnswer = brokenOff
+        val (id, end) = call()
+        assertEquals(events("v1", 1..3), assertIs<CallEnd.Cut>(end, "$end").body)
+        return id
+    }
+
+    private fun assertNewStreamsBeginAt(version: String) = EntryFixture.eventually(version) {
+        val end = call().second
+        end is CallEnd.Answered && end.body == events(version, 1..RunnerStandin.EVENTS)
+    }
+
+    @Nested
+    inner class WithinOneAnswer {
+        // Guards against events of two software versions in one answer.
+        @Test
+        fun `a stream does not go on at another version`() {
+            join("i-2", "v2")
+            assertNewStreamsBeginAt("v2")
+            old.rawAnswer = brokenOff
+            EntryFixture.eventually("v1 was not chosen") {
+                when (val end = call().second) {
+                    is CallEnd.Cut -> end.body == events("v1", 1..3)
+                    is CallEnd.Answered -> {
+                        assertEquals(events("v2", 1..RunnerStandin.EVENTS), end.body)
+                        false
+                    }
+                }
+            }
+        }
+
+        @Test
+        fun `a stream goes on at another runner of its version`() {
+            join("i-2", "v2")
+            join("i-3", "v1")
+            old.rawAnswer = brokenOff
+            repeat(CALLS) {
+                val end = assertIs<CallEnd.Answered>(call().second)
+                val whole = listOf("v1", "v2").map { events(it, 1..RunnerStandin.EVENTS) }
+                assertTrue(end.body in whole, end.body)
+            }
+            assertTrue(old.ran.isNotEmpty())
+        }
+    }
+
+    @Nested
+    inner class TakenUp {
+        private fun retire() {
+            fixture.store.remove("servers", "i-1")
+            assertNewStreamsBeginAt("v2")
+        }
+
+        // Guards against a stream that a caller takes up after its version is gone.
+        @Test
+        fun `a stream is refused when its version is gone`() {
+            val id = beginStream()
+            join("i-2", "v2")
+            retire()
+            val end = assertIs<CallEnd.Answered>(call(id to 3).second)
+            assertEquals(503, end.status)
+        }
+
+        @Test
+        fun `a stream goes on at its version while another one serves`() {
+            val id = beginStream()
+            join("i-2", "v2")
+            old.rawAnswer = null
+            assertNewStreamsBeginAt("v2")
+            repeat(CALLS) {
+                val end = assertIs<CallEnd.Answered>(call(id to 3).second)
+                assertEquals(events("v1", 4..RunnerStandin.EVENTS), end.body)
+            }
+        }
+
+        // Guards against a guess where nothing is known of the stream.
+        @Test
+        fun `a stream of unknown version is refused while two versions serve`() {
+            join("i-2", "v2")
+            assertNewStreamsBeginAt("v2")
+            for (id in listOf("unknown", null)) {
+                val end = assertIs<CallEnd.Answered>(call(id to 3).second)
+                assertEquals(503, end.status)
+            }
+        }
+
+        @Test
+        fun `a stream of unknown version goes on where only one version has served for long`() {
+            EntryFixture.eventually("still refused") {
+                val end = call("unknown" to 3).second
+                end is CallEnd.Answered && end.body == events("v1", 4..RunnerStandin.EVENTS)
+            }
+        }
+    }
+
+    private companion object {
+        /** Enough for each of the runners to be chosen. */
+        const val CALLS = 8
+    }
+}
