--- a/entry/src/test/kotlin/cactusfold/entry/callers/EndlessAnswersTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/EndlessAnswersTest.kt
@@ -2,8 +2,8 @@
 
 import cactusfold.node.time.MonotonicClock
 import cactusfold.platform.WireHeaders
-import io.vertx.core.Handler
 import io.vertx.core.Future
+import io.vertx.core.Handler
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientResponse
--- a/entry/src/test/kotlin/cactusfold/entry/callers/StreamPositionTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/StreamPositionTest.kt
@@ -26,13 +26,19 @@
         fun `numbered events go on with the next number`() {
             val position = new.after("1", "2")
             assertEquals("2", position.lastEventId)
-            assertEquals(listOf(false, true, false), listOf("2", "3", "4").map(position::isContinuedBy))
+            assertEquals(
+                listOf(false, true, false),
+                listOf("2", "3", "4").map(position::isContinuedBy)
+            )
         }
 
         @Test
         fun `ids that count something else only have to increase`() {
             val position = new.after("3", "6", "8")
-            assertEquals(listOf(false, true, true), listOf("8", "9", "11").map(position::isContinuedBy))
+            assertEquals(
+                listOf(false, true, true),
+                listOf("8", "9", "11").map(position::isContinuedBy)
+            )
         }
 
         @Test
--- a/entry/src/test/kotlin/cactusfold/entry/path/StreamEndTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/StreamEndTest.kt
@@ -6,10 +6,8 @@
 import cactusfold.platform.standin.CallerConnection
 import cactusfold.platform.standin.RawAnswer
 import cactusfold.platform.standin.RunnerStandin
-import java.io.IOException
 import kotlin.concurrent.thread
 import kotlin.test.assertEquals
-import kotlin.test.assertFailsWith
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import org.junit.jupiter.api.AfterEach
@@ -159,10 +157,9 @@
 
         // Guards against a missing event where one run follows another.
         @Test
-        fun `a stream of numbered events is not continued after a gap`() =
-            assertIsNotContinued(
-                RawAnswer(CLOSE, AnswerEnd.WHOLE, firstEvent = RunnerStandin.EVENTS / 2 + 2)
-            )
+        fun `a stream of numbered events is not continued after a gap`() = assertIsNotContinued(
+            RawAnswer(CLOSE, AnswerEnd.WHOLE, firstEvent = RunnerStandin.EVENTS / 2 + 2)
+        )
     }
 
     @Nested
