A stream goes on only at the software version at which it began

Callers got streams whose first part was written by one version of a runner's software and whose rest by another. Within one answer the version was not looked at; by a caller's next request it was not known, since only the VM of the first request had seen which upstream answered, and another VM decided as if there were no version. The first event of a stream binds it to service and version. Each process knows its own streams and reports them to the coordinator, which stores them in batches and answers other processes. A version is recorded in the store before the first stream begins there; while only one has served for longer than callers can return, streams need no reports, and one of which nothing is known goes on at that version. Without a coordinator the store is read. What stays unknown is refused as not run.

--- /dev/null
+++ b/decisions/src/main/kotlin/cactusfold/decisions/streams/StreamLedger.kt
@@ -0,0 +1,39 @@
+package cactusfold.decisions.streams
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/** The origin of a stream, which is known until no caller can return to the stream. */
+public data class KnownStream(public val origin: StreamOrigin, public val expiresAtMillis: Long)
+
+/** The streams whose origin is known, by the id of the request that brought their first event. */
+public data class StreamLedger(
+    private val streams: PersistentMap<String, KnownStream> = persistentMapOf()
+) {
+    /** Number of streams. */
+    public val size: Int get() = streams.size
+
+    /** The ids of all streams. */
+    public val ids: Set<String> get() = streams.keys
+
+    /** Returns the stream that began with request [id], or null. */
+    public fun find(id: String): KnownStream? = streams[id]
+
+    /** Adds [stream]; the origin of one that is known already never changes. */
+    public fun with(id: String, stream: KnownStream): StreamLedger {
+        val known = streams[id] ?: return StreamLedger(streams.put(id, stream))
+        if (known.expiresAtMillis >= stream.expiresAtMillis) return this
+        return StreamLedger(streams.put(id, known.copy(expiresAtMillis = stream.expiresAtMillis)))
+    }
+
+    /** Removes the streams to which no caller can return any more. */
+    public fun withoutExpired(nowMillis: Long): StreamLedger {
+        val expired = streams.filterValues { it.expiresAtMillis <= nowMillis }.keys
+        if (expired.isEmpty()) return this
+        return StreamLedger(streams.mutate { it -= expired })
+    }
+
+    private fun PersistentMap<String, KnownStream>.mutate(
+        change: (MutableMap<String, KnownStream>) -> Unit
+    ): PersistentMap<String, KnownStream> = builder().also(change).build()
+}
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -33,6 +33,13 @@
 import cactusfold.entry.residency.LoadCoordinator
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.residency.OrderDependencies
+import cactusfold.entry.streams.FleetStreams
+import cactusfold.entry.streams.OwnStreams
+import cactusfold.entry.streams.RecordedVersions
+import cactusfold.entry.streams.ResumableServices
+import cactusfold.entry.streams.StreamBindings
+import cactusfold.entry.streams.StreamLookup
+import cactusfold.entry.streams.StreamTables
 import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamLimits
@@ -156,7 +163,19 @@
         },
         bounds.loadWindowMillis
     ) { table }
-    private val coordinator =
+    private val streamTables = StreamTables(store, store, events)
+    private val recordedVersions = RecordedVersions(events)
+    private val ownStreams = OwnStreams(clock, recordedVersions) { coordinatorClient.wake() }
+    private val fleetStreams: FleetStreams = FleetStreams(
+        streamTables,
+        lease,
+        directory,
+        clock,
+        events,
+        ::resumableServices,
+        ownStreams::markUnsent
+    ) { coordinator.announceVersions(it) }
+    private val coordinator: FleetCoordinator =
         FleetCoordinator(
             CoordinatorDependencies(
                 lease,
@@ -167,6 +186,7 @@
                 limits,
                 config,
                 promptBlocks,
+                fleetStreams,
                 clock,
                 events
             ),
@@ -181,7 +201,7 @@
             clock,
             events,
             ::buildReport,
-            limits::markUnsent,
+            ::reportAll,
             ::handleNotice,
             config::confirmed
         ).also {
@@ -217,7 +237,17 @@
             retries = RetryBudgets(bounds, clock) { coordinatorClient.memberCount },
             clock = clock,
             events = events,
-            meters = meters
+            meters = meters,
+            streams = StreamBindings(
+                recordedVersions,
+                ownStreams,
+                StreamLookup(
+                    ownStreams,
+                    streamTables::read,
+                    clock,
+                    { resumableServices().keptMillis }
+                ) { coordinatorClient.findStream(it) }
+            ) { resumableServices().keptMillis }
         ),
         events
     )
@@ -249,6 +279,8 @@
         keepRunning("silent upstreams") { directory.watchSilence() }
         keepRunning("lease") { lease.run() }
         keepRunning("coordinator") { coordinator.run() }
+        keepRunning("streams") { fleetStreams.run() }
+        scope.launch { recordedVersions.readFrom(streamTables) }
         keepRunning("link") { coordinatorClient.run() }
         scope.launch {
             val registration = MemberRegistration(store, memberRow).register()
@@ -267,6 +299,7 @@
         metrics.gauge("cactusfold.requests.running", callers) { it.running.toDouble() }
         metrics.gauge("cactusfold.requests.waiting.for.model", waits) { it.count.toDouble() }
         metrics.gauge("cactusfold.coordinator", lease) { if (it.isCoordinator) 1.0 else 0.0 }
+        metrics.gauge("cactusfold.streams.known", fleetStreams) { it.count.toDouble() }
         metrics.gauge("cactusfold.log.lines.dropped", events) { it.droppedLines.toDouble() }
         metrics.gauge("cactusfold.config.age.millis", config) {
             it.ageMillis(clock.nowMillis())?.toDouble() ?: Double.NaN
@@ -334,6 +367,15 @@
         coordinator.wakeMembers()
     }
 
+    private fun resumableServices(): ResumableServices =
+        table?.resumableServices ?: ResumableServices.NONE
+
+    /** Has all that another coordinator has to know reported again. */
+    private fun reportAll() {
+        limits.markUnsent()
+        ownStreams.markUnsent()
+    }
+
     private fun applyLimit(upstream: UpstreamStart) {
         coordinator.announceLimit(upstream)
         if (limits.find(upstream) == null) meters.forgetLimited(upstream.id)
@@ -372,6 +414,7 @@
             .addAllUnreachable(directory.down())
             .addAllDepartures(directory.leaving.map { it.departure })
             .addAllLimits(limits.takeUnsent())
+            .addAllStreams(ownStreams.takeUnsent())
     }
 
     private fun handleNotice(notice: FleetNotice) {
@@ -388,6 +431,8 @@
         notice.promptCrashesList.forEach(promptBlocks::reported)
         notice.completedBlocksList.forEach(promptBlocks::reported)
         notice.limitsList.forEach { limits.heard(it, "coordinator") }
+        notice.versionsList.forEach(recordedVersions::heard)
+        if (notice.versionsList.any { it.needsReports }) coordinatorClient.wake()
         rateLimiter.heard()
         sendLimiter.heard()
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
@@ -33,12 +33,17 @@
         registry.find(LIMITED).tag("upstream", upstream).counters().forEach(registry::remove)
     }
 
+    /** Counts a stream that a caller resumed: from where its version was known, or the refusal. */
+    public fun recordResumption(outcome: String): Unit =
+        registry.counter(RESUMPTIONS, "outcome", outcome).increment()
+
     private fun timer(name: String): Timer.Builder =
         Timer.builder(name).serviceLevelObjectives(*BUCKETS)
 
     private companion object {
         const val REQUESTS = "cactusfold.requests"
         const val LIMITED = "cactusfold.sends.limited"
+        const val RESUMPTIONS = "cactusfold.streams.resumed"
         const val FIRST_PIECES = "cactusfold.stream.first.piece"
 
         /** Upper bounds of the histogram buckets, placed around the usual latency targets. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -50,6 +50,9 @@
     /** The id of the last complete event that was sent to the caller; null if none had one. */
     public val lastEventId: String? get() = position.lastEventId
 
+    /** Called right before the first event of this answer is sent to the caller. */
+    public var beforeFirstEvent: () -> Unit = {}
+
     /** Number of complete events that were sent to the caller. */
     public var eventCount: Int = 0
         private set
@@ -91,6 +94,7 @@
             if (isFirst && !position.isContinuedBy(splitter.completedIds.firstOrNull())) {
                 return OUT_OF_ORDER
             }
+            if (eventCount == 0) beforeFirstEvent()
             position.sent(splitter.completedIds)
             eventCount += splitter.eventCount - countBefore
             send(leadingComments.appendBuffer(complete))
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
@@ -5,6 +5,7 @@
 import cactusfold.entry.rate.UpstreamRateLimiter
 import cactusfold.entry.rate.WorkspaceRateLimiter
 import cactusfold.entry.residency.ModelWaitQueue
+import cactusfold.entry.streams.StreamBindings
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.HeaderTranslator
@@ -41,7 +42,8 @@
     public val retries: RetryBudgets,
     public val clock: MonotonicClock,
     public val events: EventLog,
-    public val meters: CallerMeters
+    public val meters: CallerMeters,
+    public val streams: StreamBindings
 )
 
 /** How the processing of a request ended. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -40,7 +40,9 @@
     private suspend fun send(admitted: AdmissionDecision.Admitted): RequestOutcome {
         val route = admitted.route
         val deadlineAtMillis = admitted.deadlineAtMillis
-        val service = selectService(route)
+        val placement = StreamPlacement(dependencies, request, route, selectService(route))
+        placement.locate(deadlineAtMillis)?.let { return failOrAbort(it) }
+        val service = placement.service
         val model = request.facts.model
         val adapter = request.facts.adapter
         dependencies.retries.recordRequest(service)
@@ -49,9 +51,14 @@
         var last: SendEnd? = null
         val selection =
             UpstreamSelection(dependencies, request, route.targetMillis, deadlineAtMillis)
+        val versions = VersionWait(dependencies, route.targetMillis, deadlineAtMillis)
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
-            val candidates = dependencies.directory.serving(service, model, adapter)
+            val candidates = placement.candidates()
+            if (candidates.isEmpty() && (placement.isBound || placement.hasOthers())) {
+                versions.await(placement)?.let { return failOrAbort(it) }
+                continue
+            }
             if (candidates.isEmpty() && model != null) {
                 val targetAtMillis = request.arrivedAtMillis + route.targetMillis
                 val patienceEndsMillis = route.patienceMillis?.let { request.arrivedAtMillis + it }
@@ -80,8 +87,9 @@
                 selected.permit?.let(dependencies.sendLimiter::release)
                 return failOrAbort(it)
             }
+            reply.beforeFirstEvent = { placement.began(upstream) }
             val end = sendTo(selected, route, admitted.workspace, deadlineAtMillis) {
-                mayAbandon(upstream, route, service)
+                mayAbandon(upstream, route, placement)
             }
             last = end
             if (end.isSuccess) suspicion.recordCompleted()
@@ -90,7 +98,9 @@
                 is SendEnd.Whole -> if (!isRetryableError(end, route)) return relay(end)
                 is SendEnd.Broken -> {
                     suspicion.recordBroken(upstream, end)
-                    if (!mayRetry(route)) return stopRetrying(end, UPSTREAM_FAILED)
+                    if (!mayRetry(route) || placement.isOriginUncertain()) {
+                        return stopRetrying(end, UPSTREAM_FAILED)
+                    }
                 }
                 is SendEnd.NotRun, SendEnd.Unsent ->
                     if (sends >= MAX_SENDS) return stopRetrying(end, UPSTREAMS_REFUSED)
@@ -205,18 +215,23 @@
      * Returns whether the request can leave a silent [upstream] for another one that is available.
      * If so, the retry is already charged to the retry budget.
      */
-    private fun mayAbandon(upstream: Upstream, route: ServingRoute, service: String): Boolean {
+    private fun mayAbandon(
+        upstream: Upstream,
+        route: ServingRoute,
+        placement: StreamPlacement
+    ): Boolean {
         if (!mayRetry(route, runs + 1)) return false
         val nowMillis = dependencies.clock.nowMillis()
-        val facts = request.facts
-        val hasOther = dependencies.directory.serving(service, facts.model, facts.adapter)
+        val hasOther = placement.candidates()
             .any {
                 it !== upstream &&
                     !it.isSilent(nowMillis) &&
                     it.isAvailable(nowMillis) &&
                     dependencies.sendLimiter.limitOf(it) == null
             }
-        if (!hasOther || !dependencies.retries.tryAcquireRetry(service)) return false
+        if (!hasOther || !dependencies.retries.tryAcquireRetry(placement.service)) {
+            return false
+        }
         hasReservedRetry = true
         return true
     }
@@ -302,14 +317,15 @@
     }
 
     /**
-     * Selects a service of the route by weight. The choice is a hash of the request id, so retries
-     * by the caller with the same id go to the same service.
+     * Selects a service of the route by weight. The choice is a hash of the request id, for a stream
+     * that is resumed of that of the request that began it.
      */
     private fun selectService(route: ServingRoute): String {
         val shares = route.services
         if (shares.size == 1) return shares.first().service
         val total = shares.sumOf { it.weight }
-        val point = Math.floorMod(request.facts.id.hashCode(), HASH_STEPS) * total / HASH_STEPS
+        val id = request.facts.resumedId ?: request.facts.id
+        val point = Math.floorMod(id.hashCode(), HASH_STEPS) * total / HASH_STEPS
         var sum = 0.0
         return shares.firstOrNull { share ->
             sum += share.weight
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -0,0 +1,122 @@
+package cactusfold.entry.callers
+
+import cactusfold.decisions.streams.StreamOrigin
+import cactusfold.entry.streams.StreamFinding
+import cactusfold.entry.upstream.Upstream
+import cactusfold.ports.serving.Repeatability
+import cactusfold.ports.serving.ServingRoute
+
+/**
+ * Keeps the stream of one request at the service and software version at which it began. Other
+ * requests may be sent to any upstream of their service.
+ */
+internal class StreamPlacement(
+    private val dependencies: RequestFlowDependencies,
+    private val request: CallerRequest,
+    private val route: ServingRoute,
+    private val selectedService: String
+) {
+    private val isResumable = route.repeatability == Repeatability.STREAM_RESUMABLE
+    private val isTakenUp = isResumable && request.facts.lastEventId != null
+    private val facts = request.facts
+
+    /** Where the stream began; null before its first event. */
+    private var origin: StreamOrigin? = null
+
+    /** The upstream that sent the first event of this answer. */
+    private var firstUpstream: Upstream? = null
+
+    /** The service to which the request is sent. */
+    val service: String get() = origin?.service ?: selectedService
+
+    /** Whether only upstreams of one software version can continue the stream. */
+    val isBound: Boolean get() = origin != null
+
+    /** Finds out where a stream began that the caller resumes. Returns why it cannot go on, or null. */
+    suspend fun locate(deadlineAtMillis: Long): ErrorAnswer? {
+        if (!isTakenUp) return null
+        val startedAtMillis = dependencies.clock.nowMillis()
+        val untilMillis = minOf(deadlineAtMillis, startedAtMillis + route.targetMillis)
+        val finding = dependencies.streams.lookup.find(
+            facts.resumedId,
+            selectedService,
+            untilMillis
+        )
+        val refusal = when (finding) {
+            is StreamFinding.Found -> {
+                origin = finding.origin
+                val isRouted = route.services.any { it.service == finding.origin.service }
+                if (isRouted) null else ErrorAnswer.NotRun("stream-service-gone", null)
+            }
+            StreamFinding.Unknown -> ErrorAnswer.NotRun("stream-unknown", null)
+            StreamFinding.Undecided ->
+                ErrorAnswer.NotRun("stream-undecided", UNDECIDED_RETRY_AFTER_MILLIS)
+        }
+        val source = (finding as? StreamFinding.Found)?.source
+        dependencies.meters.recordResumption(refusal?.code ?: source.orEmpty())
+        dependencies.events.write(
+            "stream-located",
+            "request" to facts.id,
+            "resumes" to facts.resumedId,
+            "after" to facts.lastEventId,
+            "source" to source,
+            "refusal" to refusal?.code,
+            "service" to origin?.service,
+            "version" to origin?.softwareVersion,
+            "took_ms" to dependencies.clock.nowMillis() - startedAtMillis
+        )
+        return refusal
+    }
+
+    /** Returns the upstreams to which the request may be sent now. */
+    fun candidates(): List<Upstream> =
+        dependencies.directory.serving(service, facts.model, facts.adapter).filter(::accepts)
+
+    /** Whether upstreams have the model that only do not accept this stream. */
+    fun hasOthers(): Boolean =
+        dependencies.directory.serving(service, facts.model, facts.adapter).isNotEmpty()
+
+    private fun accepts(upstream: Upstream): Boolean {
+        if (!isResumable) return true
+        val version = upstream.entry.softwareVersion
+        return origin?.let { it.softwareVersion == version }
+            ?: dependencies.streams.recorded.contains(service, version)
+    }
+
+    /** Whether an upstream of the stream's version may still take it, though perhaps not now. */
+    fun isVersionServing(): Boolean = dependencies.directory.usable.any {
+        it.entry.service == service && it.entry.softwareVersion == origin?.softwareVersion
+    }
+
+    /** Records that [upstream] sends the first event of this answer, before it is passed on. */
+    fun began(upstream: Upstream) {
+        firstUpstream = firstUpstream ?: upstream
+        if (!isResumable) return
+        val bound = origin
+            ?: StreamOrigin(service, upstream.entry.softwareVersion).also { origin = it }
+        val id = (if (isTakenUp) facts.resumedId else facts.id) ?: return
+        dependencies.streams.own.began(id, bound, dependencies.streams.keptMillis())
+        dependencies.events.write(
+            "stream-bound",
+            "request" to facts.id,
+            "stream" to id,
+            "service" to bound.service,
+            "version" to bound.softwareVersion
+        )
+    }
+
+    /**
+     * Whether the upstream that began the stream is known to have restarted meanwhile, so that its
+     * registration may not have stated the version that answered.
+     */
+    fun isOriginUncertain(): Boolean {
+        val first = firstUpstream ?: return false
+        val current = dependencies.directory.find(first.entry.id) ?: return false
+        return isResumable && current.start != first.start
+    }
+
+    private companion object {
+        /** Another coordinator takes over within some seconds. */
+        const val UNDECIDED_RETRY_AFTER_MILLIS = 1_000L
+    }
+}
--- a/entry/src/main/kotlin/cactusfold/entry/config/RouteTable.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/config/RouteTable.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.config
 
+import cactusfold.entry.streams.ResumableServices
 import cactusfold.ports.serving.ServiceSpec
 import cactusfold.ports.serving.ServingConfig
 import cactusfold.ports.serving.ServingRoute
@@ -7,6 +8,9 @@
 
 /** One version of the configuration, indexed for lookups by request. */
 public class RouteTable(public val config: ServingConfig) {
+    /** The services with streams that may be resumed. */
+    public val resumableServices: ResumableServices = ResumableServices.of(config)
+
     private val routesByHost: Map<String, List<ServingRoute>> = config.routes
         .groupBy { it.host }
         .mapValues { (_, routes) -> routes.sortedByDescending { it.prefix.length } }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
@@ -12,6 +12,8 @@
 import cactusfold.protocol.entry.MemberReport
 import cactusfold.protocol.entry.SendGrant
 import cactusfold.protocol.entry.SendRequest
+import cactusfold.protocol.entry.StreamAnswer
+import cactusfold.protocol.entry.StreamRequest
 import io.grpc.StatusException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
@@ -93,6 +95,14 @@
         return ask(target, SEND_REQUEST_TIMEOUT_MILLIS) { it.takeSend(request) }
     }
 
+    /** Asks where a stream began; null if there is no coordinator or it does not answer soon. */
+    public suspend fun findStream(request: StreamRequest): StreamAnswer? {
+        if (lease.isCoordinator) return localCoordinator?.find(request)
+        val target = lease.coordinator ?: return null
+        if (!isConnected) return null
+        return ask(target, STREAM_REQUEST_TIMEOUT_MILLIS) { it.findStream(request) }
+    }
+
     private suspend fun <A> ask(
         target: CoordinatorAddress,
         timeoutMillis: Long,
@@ -202,5 +212,8 @@
 
         /** A request can move on to another upstream, so it does not wait as long. */
         const val SEND_REQUEST_TIMEOUT_MILLIS = 300L
+
+        /** The store can be asked instead. */
+        const val STREAM_REQUEST_TIMEOUT_MILLIS = 300L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -8,6 +8,7 @@
 import cactusfold.entry.rate.SendGrants
 import cactusfold.entry.residency.FleetDemand
 import cactusfold.entry.residency.LoadCoordinator
+import cactusfold.entry.streams.FleetStreams
 import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamLimits
@@ -29,6 +30,9 @@
 import cactusfold.protocol.entry.PromptCrash
 import cactusfold.protocol.entry.SendGrant
 import cactusfold.protocol.entry.SendRequest
+import cactusfold.protocol.entry.ServiceVersions
+import cactusfold.protocol.entry.StreamAnswer
+import cactusfold.protocol.entry.StreamRequest
 import cactusfold.protocol.entry.UpstreamLimit
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.CoroutineContext
@@ -49,6 +53,7 @@
     public val limits: UpstreamLimits,
     public val config: ConfigWatcher,
     public val promptBlocks: SharedPromptBlocks,
+    public val streams: FleetStreams,
     public val clock: MonotonicClock,
     public val events: EventLog
 )
@@ -70,6 +75,7 @@
         val crashes = LinkedHashMap<String, PromptCrash>()
         val completedBlocks = LinkedHashMap<String, CompletedBlock>()
         val limits = LinkedHashMap<UpstreamStart, UpstreamLimit>()
+        val versions = LinkedHashMap<String, ServiceVersions>()
         val wake = Channel<Unit>(Channel.CONFLATED)
         var reportSequence = 0L
     }
@@ -112,6 +118,7 @@
         forwardPromptBlocks(report)
         report.departuresList.forEach(::announceDeparture)
         report.limitsList.forEach { dependencies.limits.heard(it, report.vm) }
+        dependencies.streams.reported(report.streamsList)
         if (report.demandsList.any { it.waiting > 0 }) planWake.trySend(Unit)
     }
 
@@ -210,6 +217,21 @@
     public fun grant(request: SendRequest): SendGrant? =
         if (dependencies.lease.isCoordinator) sends.ask(request) else null
 
+    override suspend fun findStream(request: StreamRequest): StreamAnswer =
+        dependencies.streams.ask(request)
+
+    /** Returns where the stream of [request] began, as far as this process knows. */
+    public fun find(request: StreamRequest): StreamAnswer = dependencies.streams.ask(request)
+
+    /** Announces changed [versions] to the members and this process. */
+    public fun announceVersions(versions: ServiceVersions) {
+        onLocalNotice(FleetNotice.newBuilder().addVersions(versions).build())
+        sessions.forEach {
+            it.versions[versions.service] = versions
+            it.wake.trySend(Unit)
+        }
+    }
+
     /** Applies the changed limit of [upstream] and announces it to the members. */
     public fun announceLimit(upstream: UpstreamStart) {
         dependencies.rates.configured()
@@ -228,6 +250,7 @@
         dependencies.promptBlocks.knownCompletions()
             .associateByTo(session.completedBlocks) { it.block }
         dependencies.limits.messages().associateByTo(session.limits) { it.start }
+        dependencies.streams.messages.associateByTo(session.versions) { it.service }
         sessions += session
         dependencies.events.write("member-attached", "member" to session.vm)
     }
@@ -253,6 +276,7 @@
             .addAllPromptCrashes(session.crashes.values)
             .addAllCompletedBlocks(session.completedBlocks.values)
             .addAllLimits(session.limits.values)
+            .addAllVersions(session.versions.values)
             .setFence(dependencies.lease.fence)
             .setMemberCount(memberCount ?: 0)
             .setReportSequence(session.reportSequence)
@@ -268,6 +292,7 @@
         session.crashes.clear()
         session.completedBlocks.clear()
         session.limits.clear()
+        session.versions.clear()
         return notice
     }
 
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
@@ -0,0 +1,184 @@
+package cactusfold.entry.streams
+
+import cactusfold.decisions.streams.KnownStream
+import cactusfold.decisions.streams.StreamLedger
+import cactusfold.decisions.streams.VersionRecord
+import cactusfold.entry.fleet.CoordinatorLeaseManager
+import cactusfold.entry.process.EventLog
+import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.table.WriteResult
+import cactusfold.protocol.entry.BoundStream
+import cactusfold.protocol.entry.ServiceVersions
+import cactusfold.protocol.entry.StreamAnswer
+import cactusfold.protocol.entry.StreamRequest
+import kotlinx.coroutines.delay
+
+/**
+ * The streams of the fleet and the software versions at which they began, while this process is the
+ * coordinator. Both are stored, since all processes may end at once.
+ *
+ * @param onRead called when the tables were read, after which members report their streams anew.
+ * @param onChange called with each service whose recorded versions changed.
+ */
+public class FleetStreams(
+    private val tables: StreamTables,
+    private val lease: CoordinatorLeaseManager,
+    private val directory: UpstreamDirectory,
+    private val clock: MonotonicClock,
+    private val events: EventLog,
+    private val services: () -> ResumableServices,
+    private val onRead: () -> Unit,
+    private val onChange: (ServiceVersions) -> Unit
+) {
+    private val records = HashMap<String, StoredRecord>()
+    private val rows = mutableListOf<StreamRow>()
+    private val unwritten = LinkedHashMap<String, BoundStream>()
+    private val announced = HashMap<String, ServiceVersions>()
+    private var ledger = StreamLedger()
+    private var readFence: Long? = null
+    private var era = 0L
+    private var storeClockOffsetMillis = 0L
+    private var sequence = 0L
+    private var writtenAtMillis = Long.MIN_VALUE / 2
+
+    private val isRead: Boolean get() = lease.isCoordinator && readFence == lease.fence
+    private val storeNowMillis: Long get() = clock.nowMillis() + storeClockOffsetMillis
+
+    /** Number of streams whose origin is known. */
+    public val count: Int get() = ledger.size
+
+    /** Messages about the recorded versions of all services. */
+    public val messages: List<ServiceVersions> get() = announced.values.toList()
+
+    /** Keeps the tables up to date while this process is the coordinator, until cancelled. */
+    public suspend fun run() {
+        while (true) {
+            if (lease.isCoordinator) step() else forget()
+            delay(STEP_MILLIS)
+        }
+    }
+
+    private fun forget() {
+        readFence = null
+        records.clear()
+        announced.clear()
+        unwritten.clear()
+        rows.clear()
+        ledger = StreamLedger()
+    }
+
+    private suspend fun step() {
+        if (!isRead && !read()) return
+        if (!directory.isKnown) return
+        ledger = ledger.withoutExpired(clock.nowMillis())
+        services().names.forEach { record(it) }
+        writeStreams()
+    }
+
+    private suspend fun read(): Boolean {
+        val fence = lease.fence
+        val snapshot = tables.read() ?: return false
+        if (!lease.isCoordinator || lease.fence != fence) return false
+        val nowMillis = clock.nowMillis()
+        storeClockOffsetMillis = snapshot.nowMillis - nowMillis
+        era = snapshot.era
+        records.clear()
+        records.putAll(snapshot.records)
+        rows.clear()
+        rows += snapshot.rows
+        for (id in snapshot.streams.ids) {
+            val stream = snapshot.streams.find(id) ?: continue
+            val expiresAtMillis = stream.expiresAtMillis - storeClockOffsetMillis
+            ledger = ledger.with(id, stream.copy(expiresAtMillis = expiresAtMillis))
+        }
+        readFence = fence
+        onRead()
+        events.write("streams-read", "streams" to ledger.size, "services" to records.size)
+        return true
+    }
+
+    /** Records the versions of [service] that are registered now, and announces what changed. */
+    private suspend fun record(service: String) {
+        val keptMillis = services().keptMillis
+        val stored = records[service]
+        val before = stored?.record ?: VersionRecord.unknownBefore(storeNowMillis)
+        val next = before.seen(directory.versionsOf(service), storeNowMillis, keptMillis)
+        if (next != stored?.record) {
+            val fence = lease.fence
+            val result = tables.writeRecord(service, next, stored?.rowVersion, era)
+            if (!lease.isCoordinator || lease.fence != fence) return
+            if (result !is WriteResult.Written || result.era != era || result.version == null) {
+                events.write("versions-unwritten", "service" to service, "end" to "$result")
+                readFence = null
+                return
+            }
+            records[service] = StoredRecord(next, result.version!!)
+        }
+        announce(service, next, keptMillis)
+    }
+
+    private fun announce(service: String, record: VersionRecord, keptMillis: Long) {
+        val message = ServiceVersions.newBuilder().setService(service)
+            .addAllSoftwareVersions(record.goneSinceMillis.keys.sorted())
+            .setNeedsReports(record.soleVersion(storeNowMillis, keptMillis) == null).build()
+        if (announced.put(service, message) != message) onChange(message)
+    }
+
+    private suspend fun writeStreams() {
+        val nowMillis = clock.nowMillis()
+        if (nowMillis - writtenAtMillis < WRITE_INTERVAL_MILLIS) return
+        val expired = rows.filter { it.expiresAtMillis < storeNowMillis }.take(MAX_DELETIONS)
+        if (unwritten.isEmpty() && expired.size < MAX_DELETIONS) return
+        writtenAtMillis = nowMillis
+        val batch = unwritten.values.take(MAX_STREAMS)
+        val key = "%019d-%09d".format(lease.fence, sequence++)
+        val expiresAtMillis = storeNowMillis + (batch.maxOfOrNull { it.keptMillis } ?: 0)
+        val result = tables.writeStreams(key, batch, expiresAtMillis, expired)
+        rows -= expired.toSet()
+        if (result !is WriteResult.Written || result.version == null) {
+            events.write("streams-unwritten", "streams" to batch.size, "end" to "$result")
+            return
+        }
+        unwritten -= batch.map { it.id }.toSet()
+        if (batch.isNotEmpty()) rows += StreamRow(key, result.version!!, expiresAtMillis)
+    }
+
+    /** Records streams that a member has reported. */
+    public fun reported(streams: List<BoundStream>) {
+        val nowMillis = clock.nowMillis()
+        for (stream in streams) {
+            if (ledger.find(stream.id) == null) unwritten[stream.id] = stream
+            val known = KnownStream(stream.origin, nowMillis + stream.keptMillis)
+            ledger = ledger.with(stream.id, known)
+        }
+    }
+
+    /** Returns where the stream began that [request] is about. */
+    public fun ask(request: StreamRequest): StreamAnswer {
+        val answer = StreamAnswer.newBuilder()
+        val known = ledger.find(request.id)?.origin
+        if (known != null && lease.isCoordinator) {
+            return answer.setOutcome(StreamAnswer.Outcome.KNOWN).setService(known.service)
+                .setSoftwareVersion(known.softwareVersion).build()
+        }
+        if (!isRead) return answer.setOutcome(StreamAnswer.Outcome.UNDECIDED).build()
+        val sole = records[request.service]?.record
+            ?.soleVersion(storeNowMillis, services().keptMillis)
+            ?: return answer.setOutcome(StreamAnswer.Outcome.UNKNOWN).build()
+        return answer.setOutcome(StreamAnswer.Outcome.SOLE_VERSION).setService(request.service)
+            .setSoftwareVersion(sole).build()
+    }
+
+    private companion object {
+        /** Interval between two looks at the registered versions. */
+        const val STEP_MILLIS = 50L
+
+        /** Interval between two writes of streams; those of the last one are lost with the power. */
+        const val WRITE_INTERVAL_MILLIS = 300L
+
+        /** Bounds of one transaction, far below those of the store. */
+        const val MAX_STREAMS = 500
+        const val MAX_DELETIONS = 20
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/OwnStreams.kt
@@ -0,0 +1,53 @@
+package cactusfold.entry.streams
+
+import cactusfold.decisions.streams.KnownStream
+import cactusfold.decisions.streams.StreamLedger
+import cactusfold.decisions.streams.StreamOrigin
+import cactusfold.node.time.MonotonicClock
+import cactusfold.protocol.entry.BoundStream
+
+/**
+ * The streams that began, or went on, at this process, until their callers can return no more.
+ *
+ * @param onNew called when there is a stream to report.
+ */
+public class OwnStreams(
+    private val clock: MonotonicClock,
+    private val versions: RecordedVersions,
+    private val onNew: () -> Unit
+) {
+    private var ledger = StreamLedger()
+    private val unsent = LinkedHashSet<String>()
+
+    /** Number of streams. */
+    public val count: Int get() = ledger.size
+
+    /** Returns the origin of the stream that began with request [id], or null. */
+    public fun find(id: String): StreamOrigin? = ledger.find(id)?.origin
+
+    /** Records the [origin] of a stream to which its caller may return for [keptMillis]. */
+    public fun began(id: String, origin: StreamOrigin, keptMillis: Long) {
+        val nowMillis = clock.nowMillis()
+        ledger = ledger.withoutExpired(nowMillis)
+            .with(id, KnownStream(origin, nowMillis + keptMillis))
+        unsent += id
+        if (versions.needsReports(origin.service)) onNew()
+    }
+
+    /** Returns the streams to report that were not reported before. */
+    public fun takeUnsent(): List<BoundStream> {
+        if (unsent.isEmpty()) return emptyList()
+        val nowMillis = clock.nowMillis()
+        ledger = ledger.withoutExpired(nowMillis)
+        unsent.retainAll(ledger.ids)
+        val sent = unsent.mapNotNull { id -> ledger.find(id)?.let { id to it } }
+            .filter { (_, stream) -> versions.needsReports(stream.origin.service) }
+        unsent -= sent.mapTo(mutableSetOf()) { it.first }
+        return sent.map { (id, stream) -> stream.message(id, nowMillis) }
+    }
+
+    /** Has all streams reported again, to another coordinator. */
+    public fun markUnsent() {
+        unsent += ledger.ids
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StreamLookup.kt
@@ -0,0 +1,95 @@
+package cactusfold.entry.streams
+
+import cactusfold.decisions.streams.StreamOrigin
+import cactusfold.node.time.MonotonicClock
+import cactusfold.protocol.entry.StreamAnswer
+import cactusfold.protocol.entry.StreamRequest
+import kotlinx.coroutines.delay
+
+/** What is known of a stream that a caller resumes. */
+public sealed interface StreamFinding {
+    /** The stream began at [origin], as known from [source]. */
+    public data class Found(public val origin: StreamOrigin, public val source: String) :
+        StreamFinding
+
+    /** No process and no row of the store knows the stream, and it may be of several versions. */
+    public data object Unknown : StreamFinding
+
+    /** Nobody could be asked in time. */
+    public data object Undecided : StreamFinding
+}
+
+/**
+ * Finds out where streams began that callers resume: at this process, the coordinator or, without
+ * one, the store.
+ *
+ * @param readStore returns what the store holds; null if it cannot be read.
+ * @param ask asks the coordinator; null if there is none or it does not answer.
+ * @param keptMillis how long callers may return to a stream.
+ */
+public class StreamLookup(
+    private val own: OwnStreams,
+    private val readStore: suspend () -> StreamSnapshot?,
+    private val clock: MonotonicClock,
+    private val keptMillis: () -> Long,
+    private val ask: suspend (StreamRequest) -> StreamAnswer?
+) {
+    private var snapshot: StreamSnapshot? = null
+    private var readAtMillis = Long.MIN_VALUE / 2
+
+    /**
+     * Finds the stream that began with request [id], null if the caller names none. A stream of
+     * which nothing is known would be one of [service]. Waits until [untilMillis] for an answer.
+     */
+    public suspend fun find(id: String?, service: String, untilMillis: Long): StreamFinding {
+        id?.let(own::find)?.let { return StreamFinding.Found(it, "own") }
+        val request = StreamRequest.newBuilder().setId(id.orEmpty()).setService(service).build()
+        val beganMillis = clock.nowMillis()
+        while (true) {
+            val answer = ask(request)
+            val finding = when (answer?.outcome) {
+                null, StreamAnswer.Outcome.UNDECIDED, StreamAnswer.Outcome.UNRECOGNIZED ->
+                    findStored(id, service, beganMillis)
+                StreamAnswer.Outcome.UNKNOWN -> StreamFinding.Unknown
+                StreamAnswer.Outcome.KNOWN, StreamAnswer.Outcome.SOLE_VERSION ->
+                    StreamFinding.Found(
+                        StreamOrigin(answer.service, answer.softwareVersion),
+                        if (answer.outcome == StreamAnswer.Outcome.KNOWN) "coordinator" else "sole"
+                    )
+            }
+            if (finding is StreamFinding.Found) return finding
+            val nowMillis = clock.nowMillis()
+            // The report of the process where the stream began may still be on its way.
+            val endsAtMillis = when (finding) {
+                StreamFinding.Unknown -> minOf(untilMillis, beganMillis + REPORT_MILLIS)
+                else -> untilMillis
+            }
+            if (nowMillis + RETRY_MILLIS > endsAtMillis) return finding
+            delay(RETRY_MILLIS)
+        }
+    }
+
+    /** A read that began before the request arrived may lack a version that was recorded since. */
+    private suspend fun findStored(
+        id: String?,
+        service: String,
+        arrivedMillis: Long
+    ): StreamFinding {
+        if (readAtMillis < arrivedMillis) {
+            val startedAtMillis = clock.nowMillis()
+            snapshot = readStore()
+            readAtMillis = startedAtMillis
+        }
+        val stored = snapshot ?: return StreamFinding.Undecided
+        id?.let(stored.streams::find)?.let { return StreamFinding.Found(it.origin, "store") }
+        val sole = stored.records[service]?.record?.soleVersion(stored.nowMillis, keptMillis())
+            ?: return StreamFinding.Undecided
+        return StreamFinding.Found(StreamOrigin(service, sole), "store-sole")
+    }
+
+    private companion object {
+        /** Time in which the report of a stream that has begun arrives at the coordinator. */
+        const val REPORT_MILLIS = 400L
+        const val RETRY_MILLIS = 50L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StreamMessages.kt
@@ -0,0 +1,14 @@
+package cactusfold.entry.streams
+
+import cactusfold.decisions.streams.KnownStream
+import cactusfold.decisions.streams.StreamOrigin
+import cactusfold.protocol.entry.BoundStream
+
+/** The origin that this message states. */
+internal val BoundStream.origin: StreamOrigin get() = StreamOrigin(service, softwareVersion)
+
+/** Returns the message about the stream that began with request [id], as of [nowMillis]. */
+internal fun KnownStream.message(id: String, nowMillis: Long): BoundStream =
+    BoundStream.newBuilder().setId(id).setService(origin.service)
+        .setSoftwareVersion(origin.softwareVersion)
+        .setKeptMillis((expiresAtMillis - nowMillis).coerceAtLeast(0)).build()
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -11,6 +11,10 @@
 import cactusfold.entry.rate.UpstreamRateLimiter
 import cactusfold.entry.rate.WorkspaceRateLimiter
 import cactusfold.entry.residency.ModelWaitQueue
+import cactusfold.entry.streams.OwnStreams
+import cactusfold.entry.streams.RecordedVersions
+import cactusfold.entry.streams.StreamBindings
+import cactusfold.entry.streams.StreamLookup
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamLimits
 import cactusfold.entry.upstream.UpstreamPolling
@@ -112,6 +116,8 @@
         val directory = UpstreamDirectory(NoFeed, clock, events, "z") { UpstreamPolling.Detached }
         val scope = CoroutineScope(SupervisorJob() + vertx.orCreateContext.dispatcher())
         val promptBlocks = SharedPromptBlocks(clock, events) {}
+        val recorded = RecordedVersions(events)
+        val own = OwnStreams(clock, recorded) {}
         val flow = RequestFlowDependencies(
             table = { RouteTable(config) },
             isConfigFresh = { failure?.let { throw it } ?: true },
@@ -132,7 +138,12 @@
             retries = RetryBudgets(bounds, clock) { null },
             clock = clock,
             events = events,
-            meters = CallerMeters(registry)
+            meters = CallerMeters(registry),
+            streams = StreamBindings(
+                recorded,
+                own,
+                StreamLookup(own, { null }, clock, { 0 }) { null }
+            ) { 0 }
         )
         CallerServer(vertx, HostPort("127.0.0.1", port), scope, flow, events)
     }
--- a/ports/src/main/kotlin/cactusfold/ports/table/ChangeFeed.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/table/ChangeFeed.kt
@@ -24,11 +24,13 @@
      * @property position from which the next call of [ChangeFeed.changes] continues.
      * @property era rises when the store loses recent writes; a position of an earlier era means
      *   nothing.
+     * @property nowMillis the store's clock, which is steady; null if the store does not state it.
      */
     public data class Changes(
         public val rows: List<RowChange>,
         public val position: Long,
-        public val era: Long = 0
+        public val era: Long = 0,
+        public val nowMillis: Long? = null
     ) : FeedResult
 
     /** The changes after the position are no longer retained; a new snapshot is required. */
