A crash that ends its answer in order is looked for

A runner that crashes while it writes an answer without length ends it in order. Each end that the check of a stream rejects now leads to the connection attempt that shows whether the upstream is down.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -229,7 +229,8 @@
             }
             isComplete = true
             return when (val check = sink.checkEnd()) {
-                is StreamCheck.Unsound -> SendEnd.Broken(check.reason)
+                // The upstream may have crashed: the end of a connection can be the end of an answer.
+                is StreamCheck.Unsound -> SendEnd.Broken(check.reason, closedNow())
                 StreamCheck.Sound -> SendEnd.Streamed
             }
         }
@@ -238,9 +239,12 @@
             val reason = cause.message ?: cause.javaClass.simpleName
             if (request == null) return SendEnd.NotRun("not connected: $reason")
             val isClosed = cause is IOException || cause is HttpClosedException
+            return SendEnd.Broken(reason, closedNow().takeIf { isClosed })
+        }
+
+        private fun closedNow(): Closed {
             val nowMillis = clock.nowMillis()
-            val closed = Closed(nowMillis - (firstPieceAtMillis ?: nowMillis)).takeIf { isClosed }
-            return SendEnd.Broken(reason, closed)
+            return Closed(nowMillis - (firstPieceAtMillis ?: nowMillis))
         }
 
         private fun options(): RequestOptions = RequestOptions()
--- a/entry/src/test/kotlin/cactusfold/entry/path/PoisonBlockTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PoisonBlockTest.kt
@@ -1,5 +1,8 @@
 package cactusfold.entry.path
 
+import cactusfold.platform.standin.AnswerEnd
+import cactusfold.platform.standin.AnswerFraming
+import cactusfold.platform.standin.RawAnswer
 import cactusfold.platform.standin.RunnerStandin
 import java.net.http.HttpResponse
 import kotlin.test.assertEquals
@@ -47,6 +50,26 @@
             assertTrue(refused >= ROUNDS / 2, "only $refused of $ROUNDS were refused")
         }
 
+        // Guards against crashes that are overlooked because the answer before them, which has no
+        // length, ends in order.
+        @Test
+        fun `a crash that ends the answer in order counts as one`() {
+            val torn = AnswerEnd.INSIDE_EVENT
+            for (end in listOf(torn, AnswerEnd.WITHOUT_EVENTS)) {
+                val answer = RawAnswer(AnswerFraming.CONNECTION_CLOSE, end, completeEvents = 0)
+                runners.forEach {
+                    it.poisonBlock = "$POISON$end"
+                    it.poisonAnswer = answer
+                }
+                val before = crashes
+                repeat(ROUNDS) {
+                    Thread.sleep(ROUND_MILLIS)
+                    call("first", "$POISON$end")
+                }
+                assertTrue(crashes - before <= MAX_CRASHES, "$end: ${crashes - before} crashes")
+            }
+        }
+
         @Test
         fun `sound requests that share the other blocks are served`() {
             val served = (1..ROUNDS).count {
