A connection that brought a refusal is not used again

A faulty runner wrote an earlier refusal once more on a kept connection. It has no id, or that of a request which was refused and sent again to the same runner, so it was taken for the answer: the request counted as not run while the runner ran it, was sent again, and its caller was told to try again. A refusal costs its connection now.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -13,12 +13,15 @@
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpClosedException
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
 import io.vertx.core.net.HostAndPort
 import io.vertx.kotlin.coroutines.coAwait
 import java.io.IOException
+import java.util.Collections
+import java.util.WeakHashMap
 import kotlinx.coroutines.CancellationException
 
 /**
@@ -116,6 +119,9 @@
     private val onAnswer: (Upstream, ResponseMetadata, sentAtMillis: Long) -> Unit
 ) {
     private val bodies = AnswerBodies()
+
+    /** Kept connections that brought a refusal, and are not used again. */
+    private val refusing = Collections.newSetFromMap(WeakHashMap<HttpConnection, Boolean>())
     private val client: HttpClientAgent = vertx.createHttpClient(
         HttpClientOptions()
             .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
@@ -161,7 +167,18 @@
             if (!isComplete) request?.reset()
         }
 
+        /** Returns a connection that has not brought a refusal, which could be written once more. */
         private suspend fun connect(): HttpClientRequest {
+            while (true) {
+                val open = acquire()
+                if (open.connection() !in refusing) return open
+                open.exceptionHandler { }
+                open.reset()
+                open.connection().close()
+            }
+        }
+
+        private suspend fun acquire(): HttpClientRequest {
             val connecting = client.request(options())
             try {
                 return connecting.coAwait()
@@ -203,6 +220,7 @@
         }
 
         private suspend fun notRun(response: HttpClientResponse, start: AnswerStart): SendEnd {
+            refusing += response.request().connection()
             // The connection is closed if the rest of the answer is not worth reading.
             isComplete = bodies.read(response) != null
             return SendEnd.NotRun("status ${start.status}", start.status)
