Streams begin only at versions that are recorded as serving

Only versions that the record says serve are announced now, and what is recorded is announced again also if a newer record cannot be written. A process without a coordinator reads the records every 1.5 s.

--- a/decisions/src/main/kotlin/cactusfold/decisions/streams/VersionRecord.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/streams/VersionRecord.kt
@@ -15,6 +15,12 @@
     public val goneSinceMillis: ImmutableMap<String, Long?>,
     public val completeSinceMillis: Long
 ) {
+    /**
+     * The versions at which streams may begin. One that is gone is not among them, also if it has
+     * returned, before the record says so; else streams might begin there after it was dropped.
+     */
+    public val serving: Set<String> get() = goneSinceMillis.filterValues { it == null }.keys
+
     /**
      * Returns the record after upstreams of the versions [serving] were seen. Versions that have
      * been gone for [keptMillis], for which callers may return to a stream, are dropped.
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -280,7 +280,9 @@
         keepRunning("lease") { lease.run() }
         keepRunning("coordinator") { coordinator.run() }
         keepRunning("streams") { fleetStreams.run() }
-        scope.launch { recordedVersions.readFrom(streamTables) }
+        keepRunning("versions") {
+            recordedVersions.follow(streamTables) { coordinatorClient.isConnected }
+        }
         keepRunning("link") { coordinatorClient.run() }
         scope.launch {
             val registration = MemberRegistration(store, memberRow).register()
--- a/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
@@ -98,29 +98,33 @@
         return true
     }
 
-    /** Records the versions of [service] that are registered now, and announces what changed. */
+    /** Records the versions of [service] that are registered now, and announces what is recorded. */
     private suspend fun record(service: String) {
         val keptMillis = services().keptMillis
         val stored = records[service]
         val before = stored?.record ?: VersionRecord.unknownBefore(storeNowMillis)
         val next = before.seen(directory.versionsOf(service), storeNowMillis, keptMillis)
-        if (next != stored?.record) {
-            val fence = lease.fence
-            val result = tables.writeRecord(service, next, stored?.rowVersion, era)
-            if (!lease.isCoordinator || lease.fence != fence) return
-            if (result !is WriteResult.Written || result.era != era || result.version == null) {
-                events.write("versions-unwritten", "service" to service, "end" to "$result")
-                readFence = null
-                return
-            }
-            records[service] = StoredRecord(next, result.version!!)
+        if (next != stored?.record) write(service, next, stored?.rowVersion)
+        if (isRead) records[service]?.let { announce(service, it.record, keptMillis) }
+    }
+
+    private suspend fun write(service: String, record: VersionRecord, rowVersion: Long?) {
+        val fence = lease.fence
+        val result = tables.writeRecord(service, record, rowVersion, era)
+        if (!lease.isCoordinator || lease.fence != fence) return
+        val version = (result as? WriteResult.Written)?.takeIf { it.era == era }?.version
+        if (version != null) {
+            records[service] = StoredRecord(record, version)
+        } else {
+            events.write("versions-unwritten", "service" to service, "end" to "$result")
+            // The row may have been written after all, or by another coordinator.
+            readFence = null
         }
-        announce(service, next, keptMillis)
     }
 
     private fun announce(service: String, record: VersionRecord, keptMillis: Long) {
         val message = ServiceVersions.newBuilder().setService(service)
-            .addAllSoftwareVersions(record.goneSinceMillis.keys.sorted())
+            .addAllSoftwareVersions(record.serving.sorted())
             .setNeedsReports(record.soleVersion(storeNowMillis, keptMillis) == null).build()
         if (announced.put(service, message) != message) onChange(message)
     }
--- a/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
@@ -4,7 +4,7 @@
 import cactusfold.protocol.entry.ServiceVersions
 import kotlinx.coroutines.delay
 
-/** The recorded software versions as this process knows them. Streams begin only at these. */
+/** The recorded software versions that serve, as this process knows them. Streams begin only there. */
 public class RecordedVersions(private val events: EventLog) {
     private val services = HashMap<String, ServiceVersions>()
 
@@ -26,20 +26,29 @@
         )
     }
 
-    /** Reads the recorded versions from the store, unless the coordinator announces them first. */
-    public suspend fun readFrom(tables: StreamTables) {
-        while (services.isEmpty()) {
-            tables.readRecords()?.forEach { (service, stored) ->
-                val versions = ServiceVersions.newBuilder().setService(service)
-                    .addAllSoftwareVersions(stored.record.goneSinceMillis.keys)
+    /**
+     * Reads the recorded versions from the store while [isConnected] says that no coordinator
+     * announces them, until cancelled.
+     */
+    public suspend fun follow(tables: StreamTables, isConnected: () -> Boolean) {
+        while (true) {
+            if (services.isEmpty() || !isConnected()) read(tables)
+            delay(READ_INTERVAL_MILLIS)
+        }
+    }
+
+    private suspend fun read(tables: StreamTables) {
+        tables.readRecords()?.forEach { (service, stored) ->
+            heard(
+                ServiceVersions.newBuilder().setService(service)
+                    .addAllSoftwareVersions(stored.record.serving.sorted())
                     .setNeedsReports(true).build()
-                if (service !in services) heard(versions)
-            }
-            delay(RETRY_MILLIS)
+            )
         }
     }
 
     private companion object {
-        const val RETRY_MILLIS = 1_000L
+        /** Interval between two reads; versions change by releases, which take many seconds. */
+        const val READ_INTERVAL_MILLIS = 1_500L
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/RejoinedStreamsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/RejoinedStreamsTest.kt
@@ -148,6 +148,7 @@
 
         /** Kills the coordinator and some other processes, and starts others in their place. */
         private fun replaceCoordinator() {
+            Thread.sleep(CRASH_MILLIS)
             val coordinator = fleet.single { vm -> vm.output().any { "\"lease-taken\"" in it } }
             val killed = listOf(coordinator) + (fleet - coordinator).take(KILLED_VMS - 1)
             killed.forEach(EntryJvm::close)
