--- a/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
@@ -12,6 +12,7 @@
 import cactusfold.protocol.entry.ServiceVersions
 import cactusfold.protocol.entry.StreamAnswer
 import cactusfold.protocol.entry.StreamRequest
+import java.util.Locale
 import kotlinx.coroutines.delay
 
 /**
@@ -135,8 +136,9 @@
         val expired = rows.filter { it.expiresAtMillis < storeNowMillis }.take(MAX_DELETIONS)
         if (unwritten.isEmpty() && expired.size < MAX_DELETIONS) return
         writtenAtMillis = nowMillis
+        unwritten.keys.retainAll(ledger.ids)
         val batch = unwritten.values.take(MAX_STREAMS)
-        val key = "%019d-%09d".format(lease.fence, sequence++)
+        val key = String.format(Locale.ROOT, "%019d-%09d", lease.fence, sequence++)
         val expiresAtMillis = storeNowMillis + (batch.maxOfOrNull { it.keptMillis } ?: 0)
         val result = tables.writeStreams(key, batch, expiresAtMillis, expired)
         rows -= expired.toSet()
