A slow read of recorded versions does not replace a newer announcement

A process without a coordinator reads the records; one that connected meanwhile had what the coordinator announced replaced by the older read, and began no streams at a new version until the next change.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -281,7 +281,7 @@
         keepRunning("coordinator") { coordinator.run() }
         keepRunning("streams") { fleetStreams.run() }
         keepRunning("versions") {
-            recordedVersions.follow(streamTables) { coordinatorClient.isConnected }
+            recordedVersions.follow(streamTables::readRecords) { coordinatorClient.isConnected }
         }
         keepRunning("link") { coordinatorClient.run() }
         scope.launch {
--- a/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
@@ -7,6 +7,7 @@
 /** The recorded software versions that serve, as this process knows them. Streams begin only there. */
 public class RecordedVersions(private val events: EventLog) {
     private val services = HashMap<String, ServiceVersions>()
+    private var announcements = 0L
 
     /** Whether streams of [service] may begin at [softwareVersion]. */
     public fun contains(service: String, softwareVersion: String): Boolean =
@@ -17,6 +18,11 @@
 
     /** Records what the coordinator has announced. */
     public fun heard(versions: ServiceVersions) {
+        announcements++
+        set(versions)
+    }
+
+    private fun set(versions: ServiceVersions) {
         if (services.put(versions.service, versions) == versions) return
         events.write(
             "versions-recorded",
@@ -27,19 +33,26 @@
     }
 
     /**
-     * Reads the recorded versions from the store while [isConnected] says that no coordinator
-     * announces them, until cancelled.
+     * Reads the recorded versions from the store with [readRecords] while [isConnected] says that no
+     * coordinator announces them, until cancelled.
      */
-    public suspend fun follow(tables: StreamTables, isConnected: () -> Boolean) {
+    public suspend fun follow(
+        readRecords: suspend () -> Map<String, StoredRecord>?,
+        isConnected: () -> Boolean
+    ) {
         while (true) {
-            if (services.isEmpty() || !isConnected()) read(tables)
+            if (services.isEmpty() || !isConnected()) read(readRecords)
             delay(READ_INTERVAL_MILLIS)
         }
     }
 
-    private suspend fun read(tables: StreamTables) {
-        tables.readRecords()?.forEach { (service, stored) ->
-            heard(
+    internal suspend fun read(readRecords: suspend () -> Map<String, StoredRecord>?) {
+        val announcementsBefore = announcements
+        val records = readRecords() ?: return
+        // What the coordinator has announced meanwhile may be newer, and is not announced again.
+        if (announcements != announcementsBefore) return
+        for ((service, stored) in records) {
+            set(
                 ServiceVersions.newBuilder().setService(service)
                     .addAllSoftwareVersions(stored.record.serving.sorted())
                     .setNeedsReports(true).build()
--- a/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
@@ -78,7 +78,11 @@
         @Test
         fun `a stream goes on at another runner of its version`() {
             join("i-2", "v2")
-            join("i-3", "v1")
+            val other = join("i-3", "v1")
+            EntryFixture.eventually("the other runner was not chosen") {
+                call()
+                other.ran.isNotEmpty()
+            }
             old.rawAnswer = brokenOff
             repeat(CALLS) {
                 val end = assertIs<CallEnd.Answered>(call().second)
