A test of crashes that end the answer before the port

The end of the answer reaches the process before the stand-in closes its port, so the check whether it refuses connections comes too early. A process that is ended by its system closes its sockets one after another as well.

--- a/entry/src/test/kotlin/cactusfold/entry/callers/SharedPromptBlocksTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/SharedPromptBlocksTest.kt
@@ -139,6 +139,13 @@
             assertEquals(setOf("b0", "b1", "b2"), first.knownCrashes().single().blocksList.toSet())
         }
 
+        @Test
+        fun `an upstream that closes its port after its connections has crashed`() {
+            val answers = ArrayDeque(listOf(false, true))
+            assertEquals(listOf(true, true, true), detect { answers.removeFirst() })
+            assertEquals(1, first.knownCrashes().size)
+        }
+
         @Test
         fun `an upstream that accepts connections has not crashed`() {
             assertEquals(listOf(false, false, false), detect { false })
--- a/entry/src/test/kotlin/cactusfold/entry/path/PoisonBlockTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PoisonBlockTest.kt
@@ -53,9 +53,17 @@
         // Guards against crashes that are overlooked because the answer before them, which has no
         // length, ends in order.
         @Test
-        fun `a crash that ends the answer in order counts as one`() {
-            val torn = AnswerEnd.INSIDE_EVENT
-            for (end in listOf(torn, AnswerEnd.WITHOUT_EVENTS)) {
+        fun `a crash that ends the answer in order counts as one`() = assertFewCrashes()
+
+        // Guards against a check that comes before the port of the crashed upstream is closed.
+        @Test
+        fun `a crash that ends the answer before the port counts as one`() {
+            runners.forEach { it.portOpenMillis = 20 }
+            assertFewCrashes()
+        }
+
+        private fun assertFewCrashes() {
+            for (end in listOf(AnswerEnd.INSIDE_EVENT, AnswerEnd.WITHOUT_EVENTS)) {
                 val answer = RawAnswer(AnswerFraming.CONNECTION_CLOSE, end, completeEvents = 0)
                 runners.forEach {
                     it.poisonBlock = "$POISON$end"
