A crash whose port closes after its connections is found

CrashDetector connected once to an upstream that had broken off a request. One that ends closes its sockets one after another; the check that came before the port closed took the crash for a broken answer, and the block that had caused it was not blamed. The check is now repeated once, 50 ms later, if the connection was accepted.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CrashDetector.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CrashDetector.kt
@@ -6,9 +6,11 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 
 /**
- * Finds out whether an upstream that broke off a request has crashed: it then refuses connections.
+ * Finds out whether an upstream that broke off a request has crashed: it then refuses connections,
+ * at once or shortly after.
  *
  * @param isRefused connects to the upstream once and returns whether it refused.
  */
@@ -46,7 +48,7 @@
         val check = checks.getOrPut(id) {
             scope.async {
                 try {
-                    isRefused(upstream)
+                    isRefused(upstream) || isRefusedLater(upstream)
                 } finally {
                     checks.remove(id)
                 }
@@ -54,4 +56,14 @@
         }
         return check.await()
     }
+
+    /** A process that ends closes its connections and its port one after another. */
+    private suspend fun isRefusedLater(upstream: Upstream): Boolean {
+        delay(RECHECK_MILLIS)
+        return isRefused(upstream)
+    }
+
+    private companion object {
+        const val RECHECK_MILLIS = 50L
+    }
 }
