The soak of planned work has two software versions, taken-up streams and repeated refusals

Engines serve two versions, crash, alone or two at once, and return with either; callers leave streams at drawn times and take up what broke off, at the process beside the stopping one if there is one; upstreams repeat a refusal on connections that they keep. A part of a stream must be the beginning of one version's events, and the rest must follow it at that version.

--- a/entry/src/test/kotlin/cactusfold/entry/soak/CallPlan.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/CallPlan.kt
@@ -6,6 +6,9 @@
 import io.vertx.core.http.HttpServerRequest
 import kotlin.random.Random
 
+/** The stream with [id] that a caller takes up after its first [events], which are of [version]. */
+class ResumedStream(val id: String, val events: Int, val version: String)
+
 /** What a caller sends, and how it reads the answer. */
 class CallPlan(
     val kind: String,
@@ -15,34 +18,71 @@
     val timeoutMillis: Long = ROUTE_TIMEOUT_MILLIS,
     private val bodyPauseMillis: Long = 0,
     private val lateMillis: Long = 0,
-    private val readPauseMillis: Long = 0
+    private val readPauseMillis: Long = 0,
+    val resumed: ResumedStream? = null
 ) {
+    /** Whether a caller may take up the stream that answers the request. */
+    val isResumable: Boolean get() = route == RESUMABLE_ROUTE
+
     /** Sends the request and returns its id. */
     fun send(connection: CallerConnection): String {
         val shapeQuery = "delay=${shape.delayMillis}&events=${shape.events}" +
             "&pause=${shape.eventDelayMillis}&bytes=${shape.bytes ?: PLAIN_BYTES}"
-        return connection.send("$route?$shapeQuery", model, timeoutMillis, bodyPauseMillis)
+        val resumes = resumed?.let { it.id to it.events }
+        return connection.send(
+            "$route?$shapeQuery",
+            model,
+            timeoutMillis,
+            bodyPauseMillis,
+            resumes = resumes
+        )
     }
 
-    /** Waits for the answer. */
-    fun receive(connection: CallerConnection): CallEnd =
-        connection.receive(lateMillis, readPauseMillis)
+    /** Waits for the answer, for [leaveMillis] if that may be taken up. */
+    fun receive(connection: CallerConnection, leaveMillis: Long?): CallEnd = connection.receive(
+        lateMillis,
+        readPauseMillis,
+        leaveMillis?.takeIf { isResumable } ?: Long.MAX_VALUE
+    )
+
+    /** Returns a request for the rest of the stream [id], of which [body] was the beginning. */
+    fun takenUp(id: String, body: String): CallPlan? {
+        if (!isResumable) return null
+        val events = (resumed?.events ?: 0) + body.split("\n\n").dropLast(1).size
+        val version = resumed?.version ?: versions.singleOrNull { isPart(body, it) }
+        if (version == null || events >= shape.events) return null
+        val stream = ResumedStream(resumed?.id ?: id, events, version)
+        return CallPlan("taken-up", route, model, shape, resumed = stream)
+    }
 
     /** Whether [body] is all that an upstream answers. */
     fun isComplete(body: String): Boolean = if (model == null) {
         body.length == (shape.bytes ?: PLAIN_BYTES)
     } else {
-        body == (1..shape.events).joinToString("") { "id: $it\ndata: piece $it\n\n" }
+        versions.any { body == events(it) }
     }
 
+    /** Whether [body] may be the beginning of what an upstream answers. */
+    fun isPart(body: String): Boolean = model == null || versions.any { isPart(body, it) }
+
+    private val versions get() = resumed?.let { listOf(it.version) } ?: SoakPlan.VERSIONS
+
+    private fun isPart(body: String, version: String) = events(version).startsWith(body)
+
+    private fun events(version: String): String =
+        ((resumed?.events ?: 0) + 1..shape.events).joinToString("") {
+            "id: $it\ndata: $version $it\n\n"
+        }
+
     override fun toString(): String = "$kind $route model=$model $shape " +
         "timeoutMillis=$timeoutMillis bodyPauseMillis=$bodyPauseMillis lateMillis=$lateMillis " +
-        "readPauseMillis=$readPauseMillis"
+        "readPauseMillis=$readPauseMillis resumed=${resumed?.run { "$id after $events, $version" }}"
 
     companion object {
         /** The routes' time limit in [cactusfold.platform.standin.OperatorStandin]. */
         const val ROUTE_TIMEOUT_MILLIS: Long = 4_000
         private const val PLAIN_BYTES = 20
+        private const val RESUMABLE_ROUTE = "/draft/x"
 
         /** Returns the shape that [send] asks for. */
         fun shapeOf(request: HttpServerRequest): AnswerShape {
@@ -58,7 +98,7 @@
         /** Draws a request of a random kind. */
         fun draw(random: Random): CallPlan {
             val plain = listOf("/look/x", "/book/x").random(random)
-            val stream = listOf("/draft/x", "/once/x").random(random)
+            val stream = listOf(RESUMABLE_ROUTE, "/once/x").random(random)
             val delayMillis = random.nextLong(0, 1_501)
             return when (random.nextInt(100)) {
                 in 0 until 40 -> CallPlan("plain", plain, shape = AnswerShape(delayMillis))
--- a/entry/src/test/kotlin/cactusfold/entry/soak/PlannedWorkSoakTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/PlannedWorkSoakTest.kt
@@ -9,7 +9,9 @@
 
 /**
  * Random planned work on entry processes that serve callers: SIGTERM once or more often, SIGHUP and
- * changes of the configuration, which overlap, with upstreams that limit their requests. Runs each of the [Seeds] once for all tests.
+ * changes of the configuration, which overlap. Upstreams limit their requests, repeat refusals, and
+ * crash and return with another software version; callers take up the streams that break off. Runs
+ * each of the [Seeds] once for all tests.
  */
 class PlannedWorkSoakTest {
     @Nested
@@ -20,6 +22,7 @@
         @Test
         fun `a refused request has not run`() = check(Rule.TRUE_REFUSAL)
 
+        // Also guards against streams that go on at another version than the one that began them.
         @Test
         fun `an answer that looks complete is complete`() = check(Rule.COMPLETE)
     }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/RequestRules.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/RequestRules.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.soak
 
 import cactusfold.platform.standin.CallEnd
+import cactusfold.platform.standin.CallerConnection
 import cactusfold.platform.standin.ExecutedRequest
 import java.util.concurrent.TimeUnit
 
@@ -43,13 +44,17 @@
                 end.status in REFUSALS && ran.isNotEmpty() ->
                     broken(Rule.TRUE_REFUSAL, "refused but ran")
                 end.status !in ANSWERS -> broken(Rule.ANSWERED, "status ${end.status}")
-                else -> Verdict.Sound("${end.status}")
+                else -> Verdict.Sound(named("${end.status}", call))
             }
             is CallEnd.Cut -> when {
+                !call.plan.isPart(end.body) -> broken(Rule.COMPLETE, "wrong part of a stream")
+                end.reason == CallerConnection.LEFT -> Verdict.Sound("left")
                 tookMillis > SILENT_MILLIS -> broken(Rule.ANSWERED, "open without an answer")
                 reachedLimit(call) -> Verdict.Sound("cut at the time limit")
                 ran.any { isAtWorkAtTheEnd(it, call) } ->
                     Verdict.Sound("cut while the upstream worked in the last sixth")
+                call.plan.model != null && ran.any(::endedInCrash) ->
+                    Verdict.Sound(named("cut by a crash", call))
                 ran.isNotEmpty() -> broken(Rule.ANSWERED, "cut after it ran")
                 // The kernel resets a connection that is closed with bytes that were not read.
                 end.reason == RESET && isLeftUnread(call) -> Verdict.Sound("cut, not read")
@@ -59,6 +64,15 @@
         }
     }
 
+    private fun named(end: String, call: SentCall) =
+        if (call.plan.resumed == null) end else "taken up: $end"
+
+    /** Whether the engine of [ran] crashed; others of its version need not be there. */
+    private fun endedInCrash(ran: ExecutedRequest): Boolean {
+        val endedAtNanos = ran.endedAtNanos ?: return false
+        return run.crashedAtNanos.any { millis(endedAtNanos - it) in 0..CRASH_MILLIS }
+    }
+
     private fun broken(rule: Rule, kind: String) = Verdict.Broken(rule, kind)
 
     private fun reachedLimit(call: SentCall): Boolean =
@@ -105,6 +119,9 @@
 
         const val RESET = "Connection reset"
 
+        /** Time within which all connections of an engine end when it crashes. */
+        const val CRASH_MILLIS = 100L
+
         /** A request that ends sooner may have crossed the close of its connection. */
         const val CROSSING_MILLIS = 200L
 
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
@@ -28,6 +28,12 @@
 /** A [limit] that a runner states in its answers from a time on; null if it states none. */
 data class LimitChange(val atMillis: Long, val runner: String, val limit: String?)
 
+/** A crash of a [runner], which returns with [version]. */
+data class Restart(val atMillis: Long, val runner: String, val version: String)
+
+/** A time from [fromMillis] on in which a [runner] repeats refusals on connections that it keeps. */
+data class RepeatedRefusals(val fromMillis: Long, val untilMillis: Long, val runner: String)
+
 /** Whether another entry process runs beside, and which of them coordinates. */
 enum class Beside { NONE, COORDINATES, FOLLOWS }
 
@@ -52,6 +58,33 @@
      */
     val limits: List<LimitChange> = drawLimits(Random(seed + LIMIT_SEEDS)).sortedBy { it.atMillis }
 
+    /** Crashes of engines, with times as in [work], and with draws of their own. */
+    val restarts: List<Restart> = drawRestarts(Random(seed + RESTART_SEEDS)).sortedBy {
+        it.atMillis
+    }
+
+    /** As [restarts]. */
+    val refusals: List<RepeatedRefusals> = drawRefusals(Random(seed + REFUSAL_SEEDS))
+
+    /** When a caller leaves its streams, with draws of its own. */
+    fun leaving(caller: Int): Random = Random(seed + LEAVING_SEEDS + caller)
+
+    private fun drawRestarts(random: Random): List<Restart> = buildList {
+        repeat(random.nextInt(MAX_RESTARTS + 1)) {
+            val atMillis = random.nextLong(-leadMillis, stopMillis)
+            // Half of them are followed by another at once, perhaps the last of a version.
+            for (i in 0..random.nextInt(2)) {
+                add(Restart(atMillis + i, "i-${random.nextInt(1, 4)}", VERSIONS.random(random)))
+            }
+        }
+    }
+
+    private fun drawRefusals(random: Random): List<RepeatedRefusals> =
+        listOf("d-2", "d-3", "i-2", "i-3").filter { random.nextInt(4) == 0 }.map {
+            val fromMillis = random.nextLong(-leadMillis, stopMillis)
+            RepeatedRefusals(fromMillis, fromMillis + random.nextLong(200, 2_001), it)
+        }
+
     private fun drawLimits(random: Random): List<LimitChange> = buildList {
         for (runner in listOf("d-1", "d-2", "i-1", "i-2")) {
             if (random.nextInt(3) > 0) continue
@@ -83,10 +116,16 @@
 
     override fun toString(): String = "stopMillis=$stopMillis beside=$beside " +
         "loadMillis=$loadMillis callers=${callers.size} leadMillis=$leadMillis initial=$initial " +
-        "work=$work limits=$limits"
+        "work=$work limits=$limits restarts=$restarts refusals=$refusals"
 
-    private companion object {
-        const val LIMIT_SEEDS = 1_000_000
-        val LIMITS = listOf("0", "0.5", "1", "4", "20", "1, 30", "none")
+    companion object {
+        /** The software versions of the engines, in the order in which they start. */
+        val VERSIONS = listOf("v1", "v2")
+        private const val MAX_RESTARTS = 4
+        private const val LIMIT_SEEDS = 1_000_000
+        private const val RESTART_SEEDS = 2_000_000
+        private const val REFUSAL_SEEDS = 3_000_000
+        private const val LEAVING_SEEDS = 4_000_000
+        private val LIMITS = listOf("0", "0.5", "1", "4", "20", "1, 30", "none")
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakRun.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakRun.kt
@@ -1,8 +1,11 @@
 package cactusfold.entry.soak
 
 import cactusfold.entry.path.PlatformFixture
+import cactusfold.entry.soak.SoakPlan.Companion.VERSIONS
 import cactusfold.platform.standin.CallEnd
 import cactusfold.platform.standin.CallerConnection
+import cactusfold.platform.standin.RunnerBehavior
+import cactusfold.platform.standin.RunnerStandin
 import java.io.IOException
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
@@ -24,7 +27,11 @@
     val calls: MutableCollection<SentCall> = ConcurrentLinkedQueue()
     val platform = PlatformFixture()
 
+    /** When each engine crashed, by `System.nanoTime()`. */
+    val crashedAtNanos: MutableCollection<Long> = ConcurrentLinkedQueue()
+
     private lateinit var limits: LimitRules
+    private lateinit var runners: Map<String, RunnerStandin>
 
     /** When the first SIGTERM was sent. */
     var terminatedAtNanos: Long = 0
@@ -36,8 +43,8 @@
 
     /** Runs and returns what broke a rule. */
     fun run(): SoakReport = platform.use {
-        val runners = listOf("i-1", "i-2", "i-3")
-            .associateWith { platform.runner(it, "engine", setOf("warm")) } +
+        runners = listOf("i-1", "i-2", "i-3").withIndex()
+            .associate { (i, id) -> id to engine(id, VERSIONS[i % VERSIONS.size]) } +
             listOf("d-1", "d-2", "d-3").associateWith { platform.runner(it, "desk") }
         limits = LimitRules(runners)
         platform.runners.forEach {
@@ -54,6 +61,9 @@
         }
     }
 
+    private fun engine(id: String, version: String): RunnerStandin =
+        platform.runner(id, "engine", setOf("warm"), version).apply { eventText = version }
+
     private fun serving(vm: String): EntryJvm {
         val entry = EntryJvm("seed-${plan.seed}", vm, platform.store.port, plan.stopMillis)
         try {
@@ -66,10 +76,15 @@
     }
 
     private fun serve(entry: EntryJvm, beside: EntryJvm?): SoakReport {
-        val callers = plan.callers.map { random -> thread { callUntilGone(entry, random) } }
+        val callers = plan.callers.mapIndexed { i, random ->
+            thread { callUntilGone(entry, beside ?: entry, random, plan.leaving(i)) }
+        }
         terminatedAtNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(plan.leadMillis)
         val rules = ProcessRules(plan)
-        val limiting = thread { changeLimits() }
+        val changing = listOf(
+            thread { changeLimits() },
+            thread { restartEngines() }
+        ) + plan.refusals.map { thread { repeatRefusals(it) } }
         for ((atMillis, work) in plan.work) {
             sleepUntil(terminatedAtNanos + TimeUnit.MILLISECONDS.toNanos(atMillis))
             if (atMillis > 0 && !entry.isAlive) break
@@ -83,7 +98,7 @@
         exitedAtNanos = entry.exitedAtNanos
         entry.close()
         callers.forEach(Thread::join)
-        limiting.join()
+        changing.forEach(Thread::join)
         rules.checkOutput(entry)
         if (beside != null) {
             rules.checkAlive(beside)
@@ -103,14 +118,46 @@
         }
     }
 
+    private fun restartEngines() {
+        val plannedAtNanos = terminatedAtNanos
+        val startsAtNanos = HashMap<String, Long>()
+        for (restart in plan.restarts) {
+            sleepUntil(plannedAtNanos + TimeUnit.MILLISECONDS.toNanos(restart.atMillis))
+            val nowNanos = System.nanoTime()
+            // An engine that is not back yet cannot crash.
+            if (nowNanos < (startsAtNanos[restart.runner] ?: nowNanos)) continue
+            val runner = runners.getValue(restart.runner)
+            crashedAtNanos += nowNanos
+            startsAtNanos[restart.runner] =
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(2 * runner.returnMillis)
+            runner.softwareVersion = restart.version
+            runner.crash()
+            // What it sends before its connections are closed is still of the old version.
+            Thread.sleep(runner.returnMillis / 2)
+            runner.eventText = restart.version
+        }
+    }
+
+    private fun repeatRefusals(refusals: RepeatedRefusals) {
+        val plannedAtNanos = terminatedAtNanos
+        val runner = runners.getValue(refusals.runner)
+        sleepUntil(plannedAtNanos + TimeUnit.MILLISECONDS.toNanos(refusals.fromMillis))
+        runner.behavior = RunnerBehavior.REPEATS_REFUSALS
+        sleepUntil(plannedAtNanos + TimeUnit.MILLISECONDS.toNanos(refusals.untilMillis))
+        runner.behavior = RunnerBehavior.NORMAL
+    }
+
     private fun perform(work: PlannedWork, entry: EntryJvm) = when (work) {
         is PlannedWork.Configure -> work.write(platform)
         PlannedWork.Hangup -> entry.hangup()
         PlannedWork.Terminate -> entry.terminate()
     }
 
-    /** Keeps a connection until it ends or an answer says that it will. */
-    private fun callUntilGone(entry: EntryJvm, random: Random) {
+    /**
+     * Keeps a connection until it ends or an answer says that it will. Streams that break off, or
+     * that the caller leaves, are taken up at [other].
+     */
+    private fun callUntilGone(entry: EntryJvm, other: EntryJvm, random: Random, leaving: Random) {
         var connection: CallerConnection? = null
         while (entry.isAlive) {
             val call = CallPlan.draw(random)
@@ -119,7 +166,13 @@
             val closes = try {
                 val open = connection ?: CallerConnection(entry.callersPort, bufferBytes)
                 connection = open
-                call(open, call)
+                val leaveMillis = leaving.nextLong(MAX_LEAVE_MILLIS).takeIf {
+                    leaving.nextBoolean()
+                }
+                val sent = call(open, call, leaveMillis)
+                if (sent.end.closes) open.close()
+                takeUp(sent, other, leaving)
+                sent.end.closes
             } catch (_: IOException) {
                 // No connection, or it ended before the whole request was written.
                 true
@@ -133,16 +186,23 @@
         connection?.close()
     }
 
-    /** Returns whether the connection takes no further request. */
-    private fun call(connection: CallerConnection, call: CallPlan): Boolean {
+    private fun call(connection: CallerConnection, call: CallPlan, leaveMillis: Long?): SentCall {
         val startedAtNanos = System.nanoTime()
         val id = call.send(connection)
         val sentAtNanos = System.nanoTime()
-        val end = call.receive(connection)
-        calls += SentCall(id, call, startedAtNanos, sentAtNanos, end, System.nanoTime())
-        return when (end) {
-            is CallEnd.Answered -> end.closes
-            is CallEnd.Cut -> true
+        val end = call.receive(connection, leaveMillis)
+        return SentCall(id, call, startedAtNanos, sentAtNanos, end, System.nanoTime())
+            .also { calls += it }
+    }
+
+    /** Asks [entry] for the rest of the stream that broke off, until it refuses. */
+    private fun takeUp(brokenOff: SentCall, entry: EntryJvm, leaving: Random) {
+        var last = brokenOff
+        while (entry.isAlive) {
+            val end = last.end as? CallEnd.Cut ?: return
+            val call = last.plan.takenUp(last.id, end.body) ?: return
+            val leaveMillis = leaving.nextLong(MAX_LEAVE_MILLIS).takeIf { leaving.nextBoolean() }
+            last = CallerConnection(entry.callersPort).use { call(it, call, leaveMillis) }
         }
     }
 
@@ -152,6 +212,14 @@
     }
 
     private companion object {
+        /** Whether the connection takes no further request. */
+        val CallEnd.closes: Boolean
+            get() = when (this) {
+                is CallEnd.Answered -> closes
+                is CallEnd.Cut -> true
+            }
+
         const val SMALL_BUFFER_BYTES = 16_384
+        const val MAX_LEAVE_MILLIS = 2_000L
     }
 }
