Tests of streams at upstreams that restarted with another version unnoticed

Three tests fail: such a stream goes on, or is taken up, at the registered version, and a stream of that version goes on at such an upstream.

--- a/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
@@ -5,8 +5,10 @@
 import cactusfold.platform.standin.CallEnd
 import cactusfold.platform.standin.CallerConnection
 import cactusfold.platform.standin.RawAnswer
+import cactusfold.platform.standin.RunnerBehavior
 import cactusfold.platform.standin.RunnerStandin
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import org.junit.jupiter.api.AfterEach
@@ -95,6 +97,66 @@
         }
     }
 
+    /** Upstreams that have restarted with another version under their id, of which nobody knows. */
+    @Nested
+    inner class Restarted {
+        private fun restart(runner: RunnerStandin) {
+            runner.restarted()
+            runner.softwareVersion = "v2"
+            runner.eventText = "v2"
+        }
+
+        private fun joinAndAwait(id: String): RunnerStandin = join(id, "v1").also {
+            EntryFixture.eventually("$id was not chosen") {
+                call()
+                it.ran.isNotEmpty()
+            }
+        }
+
+        /** Calls until [runner] was chosen, and checks that no stream holds events of two versions. */
+        private fun assertNotJoined(runner: RunnerStandin) {
+            val sentBefore = runner.ran.size
+            var calls = 0
+            EntryFixture.eventually("the runner was not chosen") {
+                val body = when (val end = call().second) {
+                    is CallEnd.Answered -> end.body
+                    is CallEnd.Cut -> end.body
+                }
+                assertFalse("v1" in body && "v2" in body, body)
+                ++calls >= CALLS && runner.ran.size > sentBefore
+            }
+        }
+
+        @Test
+        fun `a stream that began there does not go on at the registered version`() {
+            joinAndAwait("i-3")
+            restart(old)
+            old.rawAnswer = brokenOff
+            assertNotJoined(old)
+        }
+
+        @Test
+        fun `a stream of the registered version does not go on there`() {
+            restart(joinAndAwait("i-3"))
+            old.rawAnswer = brokenOff
+            assertNotJoined(old)
+        }
+
+        @Test
+        fun `a stream that began there is not taken up at the registered version`() {
+            restart(old)
+            old.rawAnswer = brokenOff
+            val (id, end) = call()
+            assertEquals(events("v2", 1..3), assertIs<CallEnd.Cut>(end, "$end").body)
+            old.behavior = RunnerBehavior.FULL
+            join("i-3", "v1")
+            EntryFixture.eventually("i-3 was not chosen") { call().second is CallEnd.Answered }
+            repeat(CALLS) {
+                assertEquals(503, assertIs<CallEnd.Answered>(call(id to 3).second).status)
+            }
+        }
+    }
+
     @Nested
     inner class TakenUp {
         private fun retire() {
