A stream is bound only to a start of its upstream that is sure to have sent it

An upstream may restart under its id with another software version, and answers before its registration is read. A stream that began there was bound to the version of the registration, and so went on, or was taken up, at another one; a stream of that version went on at such an upstream. A stream whose start is not sure is cut at its end, is unknown to its process and, once reported, to the fleet, and is refused when it is taken up.

--- a/decisions/src/main/kotlin/cactusfold/decisions/streams/StreamLedger.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/streams/StreamLedger.kt
@@ -3,8 +3,12 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
-/** The origin of a stream, which is known until no caller can return to the stream. */
-public data class KnownStream(public val origin: StreamOrigin, public val expiresAtMillis: Long)
+/**
+ * A stream, which is known until no caller can return to it.
+ *
+ * @property origin where it began; null if that is uncertain, so that it cannot go on.
+ */
+public data class KnownStream(public val origin: StreamOrigin?, public val expiresAtMillis: Long)
 
 /** The streams whose origin is known, by the id of the request that brought their first event. */
 public data class StreamLedger(
@@ -22,8 +26,11 @@
     /** Adds [stream]; the origin of one that is known already never changes. */
     public fun with(id: String, stream: KnownStream): StreamLedger {
         val known = streams[id] ?: return StreamLedger(streams.put(id, stream))
-        if (known.expiresAtMillis >= stream.expiresAtMillis) return this
-        return StreamLedger(streams.put(id, known.copy(expiresAtMillis = stream.expiresAtMillis)))
+        val merged = KnownStream(
+            known.origin ?: stream.origin,
+            maxOf(known.expiresAtMillis, stream.expiresAtMillis)
+        )
+        return if (merged == known) this else StreamLedger(streams.put(id, merged))
     }
 
     /** Removes the streams to which no caller can return any more. */
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -37,6 +37,7 @@
 import cactusfold.entry.streams.OwnStreams
 import cactusfold.entry.streams.RecordedVersions
 import cactusfold.entry.streams.ResumableServices
+import cactusfold.entry.streams.StartCheck
 import cactusfold.entry.streams.StreamBindings
 import cactusfold.entry.streams.StreamLookup
 import cactusfold.entry.streams.StreamTables
@@ -239,6 +240,7 @@
             events = events,
             meters = meters,
             streams = StreamBindings(
+                scope,
                 recordedVersions,
                 ownStreams,
                 StreamLookup(
@@ -246,7 +248,8 @@
                     streamTables::read,
                     clock,
                     { resumableServices().keptMillis }
-                ) { coordinatorClient.findStream(it) }
+                ) { coordinatorClient.findStream(it) },
+                StartCheck(scope, directory, events, orders::report)
             ) { resumableServices().keptMillis }
         ),
         events
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -50,8 +50,11 @@
     /** The id of the last complete event that was sent to the caller; null if none had one. */
     public val lastEventId: String? get() = position.lastEventId
 
-    /** Called right before the first event of this answer is sent to the caller. */
-    public var beforeFirstEvent: () -> Unit = {}
+    /**
+     * Called right before the first event of an upstream is sent to the caller, which it is only if
+     * the result is sound.
+     */
+    public var beforeFirstEvent: suspend () -> StreamCheck = { StreamCheck.Sound }
 
     /** Number of complete events that were sent to the caller. */
     public var eventCount: Int = 0
@@ -90,11 +93,10 @@
         if (splitter.eventCount == 0) {
             leadingComments.appendBuffer(complete)
         } else if (complete.length() > 0) {
-            val isFirst = countBefore == 0
-            if (isFirst && !position.isContinuedBy(splitter.completedIds.firstOrNull())) {
-                return OUT_OF_ORDER
+            if (countBefore == 0) {
+                val check = checkFirst()
+                if (check is StreamCheck.Unsound) return check
             }
-            if (eventCount == 0) beforeFirstEvent()
             position.sent(splitter.completedIds)
             eventCount += splitter.eventCount - countBefore
             send(leadingComments.appendBuffer(complete))
@@ -104,6 +106,11 @@
         return if (heldBytes > MAX_EVENT_BYTES) TOO_LONG else StreamCheck.Sound
     }
 
+    private suspend fun checkFirst(): StreamCheck {
+        val isNext = position.isContinuedBy(splitter.completedIds.firstOrNull())
+        return if (isNext) beforeFirstEvent() else OUT_OF_ORDER
+    }
+
     private suspend fun send(events: Buffer) {
         recordPiece(clock.nowMillis())
         commitStart()
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -98,7 +98,7 @@
                 is SendEnd.Whole -> if (!isRetryableError(end, route)) return relay(end)
                 is SendEnd.Broken -> {
                     suspicion.recordBroken(upstream, end)
-                    if (!mayRetry(route) || placement.isOriginUncertain()) {
+                    if (!mayRetry(route) || !placement.isOriginCertain()) {
                         return stopRetrying(end, UPSTREAM_FAILED)
                     }
                 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -5,6 +5,7 @@
 import cactusfold.entry.upstream.Upstream
 import cactusfold.ports.serving.Repeatability
 import cactusfold.ports.serving.ServingRoute
+import kotlinx.coroutines.Deferred
 
 /**
  * Keeps the stream of one request at the service and software version at which it began. Other
@@ -23,8 +24,8 @@
     /** Where the stream began; null before its first event. */
     private var origin: StreamOrigin? = null
 
-    /** The upstream that sent the first event of this answer. */
-    private var firstUpstream: Upstream? = null
+    /** Whether the origin is certain; null if it was known before this answer. */
+    private var originCheck: Deferred<Boolean>? = null
 
     /** The service to which the request is sent. */
     val service: String get() = origin?.service ?: selectedService
@@ -88,35 +89,39 @@
         it.entry.service == service && it.entry.softwareVersion == origin?.softwareVersion
     }
 
-    /** Records that [upstream] sends the first event of this answer, before it is passed on. */
-    fun began(upstream: Upstream) {
-        firstUpstream = firstUpstream ?: upstream
-        if (!isResumable) return
+    /**
+     * Checks, before the first event of [upstream] is passed on, that the stream may begin or go on
+     * there.
+     */
+    suspend fun began(upstream: Upstream): StreamCheck {
+        if (!isResumable) return StreamCheck.Sound
         val bound = origin
-            ?: StreamOrigin(service, upstream.entry.softwareVersion).also { origin = it }
-        val id = (if (isTakenUp) facts.resumedId else facts.id) ?: return
-        dependencies.streams.own.began(id, bound, dependencies.streams.keptMillis())
+        val id = if (isTakenUp) facts.resumedId else facts.id
+        if (bound != null) {
+            if (!dependencies.streams.starts.isRunning(upstream.entry)) return OTHER_START
+            id?.let { dependencies.streams.continued(it, bound) }
+        } else {
+            val begun = StreamOrigin(service, upstream.entry.softwareVersion)
+            origin = begun
+            originCheck = dependencies.streams.bind(facts.id, begun, upstream.entry)
+        }
         dependencies.events.write(
             "stream-bound",
             "request" to facts.id,
             "stream" to id,
-            "service" to bound.service,
-            "version" to bound.softwareVersion
+            "service" to origin?.service,
+            "version" to origin?.softwareVersion
         )
+        return StreamCheck.Sound
     }
 
-    /**
-     * Whether the upstream that began the stream is known to have restarted meanwhile, so that its
-     * registration may not have stated the version that answered.
-     */
-    fun isOriginUncertain(): Boolean {
-        val first = firstUpstream ?: return false
-        val current = dependencies.directory.find(first.entry.id) ?: return false
-        return isResumable && current.start != first.start
-    }
+    /** Whether the stream surely began at the version that its upstream had registered. */
+    suspend fun isOriginCertain(): Boolean = originCheck?.await() ?: true
 
     private companion object {
         /** Another coordinator takes over within some seconds. */
         const val UNDECIDED_RETRY_AFTER_MILLIS = 1_000L
+
+        val OTHER_START = StreamCheck.Unsound("the upstream may have restarted")
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
@@ -154,7 +154,7 @@
     public fun reported(streams: List<BoundStream>) {
         val nowMillis = clock.nowMillis()
         for (stream in streams) {
-            if (ledger.find(stream.id) == null) unwritten[stream.id] = stream
+            if (ledger.find(stream.id)?.origin == null) unwritten[stream.id] = stream
             val known = KnownStream(stream.origin, nowMillis + stream.keptMillis)
             ledger = ledger.with(stream.id, known)
         }
@@ -163,11 +163,13 @@
     /** Returns where the stream began that [request] is about. */
     public fun ask(request: StreamRequest): StreamAnswer {
         val answer = StreamAnswer.newBuilder()
-        val known = ledger.find(request.id)?.origin
-        if (known != null && lease.isCoordinator) {
+        val stream = ledger.find(request.id).takeIf { lease.isCoordinator }
+        val known = stream?.origin
+        if (known != null) {
             return answer.setOutcome(StreamAnswer.Outcome.KNOWN).setService(known.service)
                 .setSoftwareVersion(known.softwareVersion).build()
         }
+        if (stream != null) return answer.setOutcome(StreamAnswer.Outcome.UNKNOWN).build()
         if (!isRead) return answer.setOutcome(StreamAnswer.Outcome.UNDECIDED).build()
         val sole = records[request.service]?.record
             ?.soleVersion(storeNowMillis, services().keptMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/streams/OwnStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/OwnStreams.kt
@@ -5,6 +5,7 @@
 import cactusfold.decisions.streams.StreamOrigin
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.entry.BoundStream
+import kotlinx.coroutines.Job
 
 /**
  * The streams that began, or went on, at this process, until their callers can return no more.
@@ -18,20 +19,33 @@
 ) {
     private var ledger = StreamLedger()
     private val unsent = LinkedHashSet<String>()
+    private val checks = HashMap<String, Job>()
 
     /** Number of streams. */
     public val count: Int get() = ledger.size
 
-    /** Returns the origin of the stream that began with request [id], or null. */
-    public fun find(id: String): StreamOrigin? = ledger.find(id)?.origin
+    /** Returns the stream that began with request [id], or null; waits for the check of its origin. */
+    public suspend fun find(id: String): KnownStream? {
+        checks[id]?.join()
+        return ledger.find(id)
+    }
+
+    /** Records that the stream [id] has begun, and that [check] finds out where. */
+    public fun awaits(id: String, check: Job) {
+        checks[id] = check
+        check.invokeOnCompletion { checks.remove(id, check) }
+    }
 
-    /** Records the [origin] of a stream to which its caller may return for [keptMillis]. */
-    public fun began(id: String, origin: StreamOrigin, keptMillis: Long) {
+    /**
+     * Records the [origin], null if it is uncertain, of a stream to which its caller may return for
+     * [keptMillis].
+     */
+    public fun began(id: String, origin: StreamOrigin?, keptMillis: Long) {
         val nowMillis = clock.nowMillis()
         ledger = ledger.withoutExpired(nowMillis)
             .with(id, KnownStream(origin, nowMillis + keptMillis))
         unsent += id
-        if (versions.needsReports(origin.service)) onNew()
+        if (needsReport(origin)) onNew()
     }
 
     /** Returns the streams to report that were not reported before. */
@@ -41,11 +55,14 @@
         ledger = ledger.withoutExpired(nowMillis)
         unsent.retainAll(ledger.ids)
         val sent = unsent.mapNotNull { id -> ledger.find(id)?.let { id to it } }
-            .filter { (_, stream) -> versions.needsReports(stream.origin.service) }
+            .filter { (_, stream) -> needsReport(stream.origin) }
         unsent -= sent.mapTo(mutableSetOf()) { it.first }
         return sent.map { (id, stream) -> stream.message(id, nowMillis) }
     }
 
+    private fun needsReport(origin: StreamOrigin?) =
+        origin == null || versions.needsReports(origin.service)
+
     /** Has all streams reported again, to another coordinator. */
     public fun markUnsent() {
         unsent += ledger.ids
--- a/entry/src/main/kotlin/cactusfold/entry/streams/StreamLookup.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StreamLookup.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.streams
 
+import cactusfold.decisions.streams.KnownStream
 import cactusfold.decisions.streams.StreamOrigin
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.entry.StreamAnswer
@@ -42,7 +43,7 @@
      * which nothing is known would be one of [service]. Waits until [untilMillis] for an answer.
      */
     public suspend fun find(id: String?, service: String, untilMillis: Long): StreamFinding {
-        id?.let(own::find)?.let { return StreamFinding.Found(it, "own") }
+        id?.let { own.find(it) }?.let { return found(it, "own") }
         val request = StreamRequest.newBuilder().setId(id.orEmpty()).setService(service).build()
         val beganMillis = clock.nowMillis()
         while (true) {
@@ -81,12 +82,15 @@
             readAtMillis = startedAtMillis
         }
         val stored = snapshot ?: return StreamFinding.Undecided
-        id?.let(stored.streams::find)?.let { return StreamFinding.Found(it.origin, "store") }
+        id?.let(stored.streams::find)?.let { return found(it, "store") }
         val sole = stored.records[service]?.record?.soleVersion(stored.nowMillis, keptMillis())
             ?: return StreamFinding.Undecided
         return StreamFinding.Found(StreamOrigin(service, sole), "store-sole")
     }
 
+    private fun found(stream: KnownStream, source: String): StreamFinding =
+        stream.origin?.let { StreamFinding.Found(it, source) } ?: StreamFinding.Unknown
+
     private companion object {
         /** Time in which the report of a stream that has begun arrives at the coordinator. */
         const val REPORT_MILLIS = 400L
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -13,6 +13,7 @@
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.streams.OwnStreams
 import cactusfold.entry.streams.RecordedVersions
+import cactusfold.entry.streams.StartCheck
 import cactusfold.entry.streams.StreamBindings
 import cactusfold.entry.streams.StreamLookup
 import cactusfold.entry.upstream.UpstreamDirectory
@@ -140,9 +141,11 @@
             events = events,
             meters = CallerMeters(registry),
             streams = StreamBindings(
+                scope,
                 recorded,
                 own,
-                StreamLookup(own, { null }, clock, { 0 }) { null }
+                StreamLookup(own, { null }, clock, { 0 }) { null },
+                StartCheck(scope, directory, events) { null }
             ) { 0 }
         )
         CallerServer(vertx, HostPort("127.0.0.1", port), scope, flow, events)
--- a/ports/src/main/kotlin/cactusfold/ports/serving/UpstreamEntry.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/UpstreamEntry.kt
@@ -40,6 +40,8 @@
  * @property isBusy whether an order is in progress, so that the runner refuses further orders.
  * @property acceptedOrderCount orders that the runner has accepted so far. The next order must
  *   state this number.
+ * @property startedAtEpochMillis when the runner started, which identifies the start; null if it
+ *   does not say so.
  */
 public data class RunnerReport(
     public val adaptersByModel: ImmutableMap<String, ImmutableSet<String>>,
@@ -47,7 +49,8 @@
     public val isBusy: Boolean,
     public val acceptedOrderCount: Long,
     public val modelsInHostMemory: ImmutableSet<String>,
-    public val modelsOnDisk: ImmutableSet<String>
+    public val modelsOnDisk: ImmutableSet<String>,
+    public val startedAtEpochMillis: Long? = null
 )
 
 /** An order to a runner to change which models or adapters it has loaded. */
