--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -16,6 +16,7 @@
 import cactusfold.entry.streams.StartCheck
 import cactusfold.entry.streams.StreamBindings
 import cactusfold.entry.streams.StreamLookup
+import cactusfold.entry.upstream.NoFeed
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamLimits
 import cactusfold.entry.upstream.UpstreamPolling
@@ -30,8 +31,6 @@
 import cactusfold.ports.serving.ServingRoute
 import cactusfold.ports.serving.ServingWorkspace
 import cactusfold.ports.serving.WeightedService
-import cactusfold.ports.table.ChangeFeed
-import cactusfold.ports.table.FeedResult
 import cactusfold.settings.schema.HostPort
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.MultiMap
@@ -55,13 +54,6 @@
 import org.junit.jupiter.api.Test
 
 class CallerServerTest {
-    private object NoFeed : ChangeFeed {
-        override suspend fun snapshot(table: String): FeedResult = FeedResult.Unavailable("none")
-
-        override suspend fun changes(table: String, position: Long, waitMillis: Long): FeedResult =
-            FeedResult.Unavailable("none")
-    }
-
     private val vertx = Vertx.vertx()
     private val clock = MonotonicClock.SYSTEM
     private val events = EventLog("vm", clock, linesPerSecond = 100)
--- a/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
@@ -1,11 +1,10 @@
 package cactusfold.entry.residency
 
 import cactusfold.entry.process.EventLog
+import cactusfold.entry.upstream.NoFeed
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamPolling
 import cactusfold.node.time.MonotonicClock
-import cactusfold.ports.table.ChangeFeed
-import cactusfold.ports.table.FeedResult
 import cactusfold.protocol.entry.Forecast
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -15,13 +14,6 @@
 import org.junit.jupiter.api.Test
 
 class ModelWaitQueueTest {
-    private object NoFeed : ChangeFeed {
-        override suspend fun snapshot(table: String): FeedResult = FeedResult.Unavailable("none")
-
-        override suspend fun changes(table: String, position: Long, waitMillis: Long): FeedResult =
-            FeedResult.Unavailable("none")
-    }
-
     private val clock = MonotonicClock { 10_000 }
     private val directory =
         UpstreamDirectory(NoFeed, clock, EventLog("vm", clock, linesPerSecond = 1), "z") {
