A stream of which processes state two origins is uncertain

A process that could not be sure where a stream began reported that, but another one that had taken the only version for the stream's overwrote it: the first known origin won, or replaced an uncertain one. An id that a caller uses for a second stream kept the origin of the first. Origins that differ now make a stream uncertain, so that it is refused, in each ledger and in what is stored.

--- a/decisions/src/main/kotlin/cactusfold/decisions/streams/StreamLedger.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/streams/StreamLedger.kt
@@ -23,11 +23,11 @@
     /** Returns the stream that began with request [id], or null. */
     public fun find(id: String): KnownStream? = streams[id]
 
-    /** Adds [stream]; the origin of one that is known already never changes. */
+    /** Adds [stream]. One that is known already with another origin, or with none, is uncertain. */
     public fun with(id: String, stream: KnownStream): StreamLedger {
         val known = streams[id] ?: return StreamLedger(streams.put(id, stream))
         val merged = KnownStream(
-            known.origin ?: stream.origin,
+            known.origin.takeIf { it == stream.origin },
             maxOf(known.expiresAtMillis, stream.expiresAtMillis)
         )
         return if (merged == known) this else StreamLedger(streams.put(id, merged))
--- a/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
@@ -154,9 +154,10 @@
     public fun reported(streams: List<BoundStream>) {
         val nowMillis = clock.nowMillis()
         for (stream in streams) {
-            if (ledger.find(stream.id)?.origin == null) unwritten[stream.id] = stream
-            val known = KnownStream(stream.origin, nowMillis + stream.keptMillis)
-            ledger = ledger.with(stream.id, known)
+            val before = ledger.find(stream.id)
+            val reported = KnownStream(stream.origin, nowMillis + stream.keptMillis)
+            ledger = ledger.with(stream.id, reported)
+            if (before == null || before.origin != stream.origin) unwritten[stream.id] = stream
         }
     }
 
