A test of reports to upstreams that limit their requests

The reports that check the start of an upstream took no token of its limit: 12 requests and reports arrived in 6 s at one that accepts one a second, where the bucket allows 8.

--- a/entry/src/test/kotlin/cactusfold/entry/path/UpstreamLimitTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/UpstreamLimitTest.kt
@@ -2,8 +2,10 @@
 
 import cactusfold.platform.standin.CallEnd
 import cactusfold.platform.standin.CallerConnection
+import java.util.concurrent.TimeUnit
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 
@@ -29,7 +31,34 @@
         }
     }
 
+    // Guards against reports, by which the process checks the start of an upstream, beyond its limit.
+    @Test
+    fun `reports and streams together keep the limit`() {
+        val engine = fixture.runner("i-2", "engine", setOf("warm"))
+        engine.statedLimit = "1"
+        fixture.start()
+        assertEquals(200, fixture.caller.call("/draft/x", model = "warm").statusCode())
+        Thread.sleep(CONTACT_MILLIS)
+        engine.arrivedAtNanos.clear()
+        val endsAtNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WINDOW_SECONDS)
+        var served = 0
+        while (System.nanoTime() < endsAtNanos) {
+            if (fixture.caller.call("/draft/x", model = "warm").statusCode() == 200) served++
+            Thread.sleep(PAUSE_MILLIS)
+        }
+        val arrived = engine.arrivedAtNanos.count { it < endsAtNanos }
+        assertTrue(arrived <= WINDOW_SECONDS + BURST, "$arrived requests and reports arrived")
+        assertTrue(served > 0, "no stream was served")
+    }
+
     private companion object {
+        const val WINDOW_SECONDS = 6L
+
+        /** What the bucket holds: a second's worth, and one more. */
+        const val BURST = 2
+        const val CONTACT_MILLIS = 1_000L
+        const val PAUSE_MILLIS = 50L
+
         /** Less than the time between two tokens, and than a request may wait for one. */
         const val SHORT_MILLIS = 100L
     }
