Reports that check the start of an upstream keep its limit

They were sent without a token, so an upstream that limits its requests got up to twice what it accepts. Each takes a token now, waits for one for up to 2 s, and streams that begin meanwhile share the report; without one the start is not sure.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -249,7 +249,7 @@
                     clock,
                     { resumableServices().keptMillis }
                 ) { coordinatorClient.findStream(it) },
-                StartCheck(scope, directory, events, orders::report)
+                StartCheck(scope, directory, clock, events, sendLimiter, orders::report)
             ) { resumableServices().keptMillis }
         ),
         events
--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -98,12 +98,12 @@
         val bound = origin
         val id = if (isTakenUp) facts.resumedId else facts.id
         if (bound != null) {
-            if (!dependencies.streams.starts.isRunning(upstream.entry)) return OTHER_START
+            if (!dependencies.streams.starts.isRunning(upstream)) return OTHER_START
             id?.let { dependencies.streams.continued(it, bound) }
         } else {
             val begun = StreamOrigin(service, upstream.entry.softwareVersion)
             origin = begun
-            originCheck = dependencies.streams.bind(facts.id, begun, upstream.entry)
+            originCheck = dependencies.streams.bind(facts.id, begun, upstream)
         }
         dependencies.events.write(
             "stream-bound",
--- a/entry/src/main/kotlin/cactusfold/entry/streams/StartCheck.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StartCheck.kt
@@ -2,7 +2,11 @@
 
 import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.entry.process.EventLog
+import cactusfold.entry.rate.SendDecision
+import cactusfold.entry.rate.UpstreamRateLimiter
+import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.RunnerReport
 import cactusfold.ports.serving.UpstreamEntry
 import kotlinx.coroutines.CoroutineScope
@@ -14,49 +18,80 @@
  * Finds out whether an upstream has restarted. Another start may have another software version, and
  * answers requests before its registration is read.
  *
+ * @param limiter limits the reports, which upstreams count like other requests.
  * @param report reads the report of an upstream; null if it does not answer.
  */
 public class StartCheck(
     private val scope: CoroutineScope,
     private val directory: UpstreamDirectory,
+    private val clock: MonotonicClock,
     private val events: EventLog,
+    private val limiter: UpstreamRateLimiter,
     private val report: suspend (UpstreamEntry) -> RunnerReport?
 ) {
     private val planned = HashMap<UpstreamStart, Deferred<Boolean>>()
 
-    /** Whether the start that [entry] registers still runs; false also if that is not known. */
-    public suspend fun isRunning(entry: UpstreamEntry): Boolean {
-        val report = report(entry) ?: run {
-            delay(RETRY_MILLIS)
-            report(entry)
+    /** Whether the start that [upstream] registers still runs; false also if that is not known. */
+    public suspend fun isRunning(upstream: Upstream): Boolean = check(upstream) {}
+
+    /** As [isRunning], a while after this call; further calls until then share the check. */
+    public fun checkSoon(upstream: Upstream): Deferred<Boolean> = planned.getOrPut(upstream.start) {
+        scope.async {
+            delay(COLLECT_MILLIS)
+            check(upstream) { planned.remove(upstream.start) }
         }
-        val isSame = report != null && report.startedAtEpochMillis == entry.startedAtEpochMillis
+    }
+
+    private suspend fun check(upstream: Upstream, onBegin: () -> Unit): Boolean {
+        val hasToken = awaitToken(upstream)
+        onBegin()
+        val report = if (hasToken) read(upstream) else null
+        val registered = upstream.entry.startedAtEpochMillis
+        val isSame = report != null && report.startedAtEpochMillis == registered
         if (!isSame) {
             events.write(
                 "start-unconfirmed",
-                "upstream" to entry.id,
-                "registered" to entry.startedAtEpochMillis,
-                "reported" to report?.startedAtEpochMillis
+                "upstream" to upstream.entry.id,
+                "registered" to registered,
+                "reported" to report?.startedAtEpochMillis,
+                "limited" to !hasToken
             )
             directory.markOutdated()
         }
         return isSame
     }
 
-    /** As [isRunning], a while after this call; further calls until then share the check. */
-    public fun checkSoon(entry: UpstreamEntry): Deferred<Boolean> {
-        val start = UpstreamStart(entry.id, entry.startedAtEpochMillis)
-        return planned.getOrPut(start) {
-            scope.async {
-                delay(COLLECT_MILLIS)
-                planned.remove(start)
-                isRunning(entry)
-            }
+    private suspend fun read(upstream: Upstream): RunnerReport? {
+        report(upstream.entry)?.let { return it }
+        delay(RETRY_MILLIS)
+        return if (awaitToken(upstream)) report(upstream.entry) else null
+    }
+
+    /** Returns whether a report may be read now, at the latest after [MAX_TOKEN_WAIT_MILLIS]. */
+    private suspend fun awaitToken(upstream: Upstream): Boolean {
+        val untilMillis = clock.nowMillis() + MAX_TOKEN_WAIT_MILLIS
+        while (true) {
+            val waitMillis =
+                when (val decision = limiter.acquire(listOf(upstream), joinsQueue = false)) {
+                    is SendDecision.Permitted -> if (limiter.use(
+                            decision.permit
+                        )
+                    ) {
+                        return true
+                    } else {
+                        0
+                    }
+                    is SendDecision.Limited -> decision.retryAfterMillis
+                    SendDecision.Undecided -> RETRY_MILLIS
+                }
+            if (clock.nowMillis() + waitMillis >= untilMillis) return false
+            delay(waitMillis)
         }
     }
 
     private companion object {
         const val COLLECT_MILLIS = 100L
         const val RETRY_MILLIS = 100L
+        const val MAX_TOKEN_WAIT_MILLIS = 2_000L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/streams/StreamBindings.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StreamBindings.kt
@@ -1,7 +1,7 @@
 package cactusfold.entry.streams
 
 import cactusfold.decisions.streams.StreamOrigin
-import cactusfold.ports.serving.UpstreamEntry
+import cactusfold.entry.upstream.Upstream
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
@@ -25,7 +25,7 @@
      * the answer was not of another start of the upstream. Returns whether it is. A stream without
      * an id cannot be taken up.
      */
-    public fun bind(id: String?, origin: StreamOrigin, upstream: UpstreamEntry): Deferred<Boolean> {
+    public fun bind(id: String?, origin: StreamOrigin, upstream: Upstream): Deferred<Boolean> {
         val check = scope.async {
             starts.checkSoon(upstream).await().also { isCertain ->
                 id?.let { own.began(it, origin.takeIf { isCertain }, keptMillis()) }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -111,18 +111,19 @@
         val promptBlocks = SharedPromptBlocks(clock, events) {}
         val recorded = RecordedVersions(events)
         val own = OwnStreams(clock, recorded) {}
+        val sendLimiter = UpstreamRateLimiter(
+            GrantMember("vm", "boot"),
+            clock,
+            UpstreamLimits(clock, events, registry, { false }, {}, {}),
+            { FleetPlace(null) }
+        ) { null }
         val flow = RequestFlowDependencies(
             table = { RouteTable(config) },
             isConfigFresh = { failure?.let { throw it } ?: true },
             directory = directory,
             waits = ModelWaitQueue(directory, clock) {},
             rateLimiter = WorkspaceRateLimiter("vm", "boot", clock, { null }) { null },
-            sendLimiter = UpstreamRateLimiter(
-                GrantMember("vm", "boot"),
-                clock,
-                UpstreamLimits(clock, events, registry, { false }, {}, {}),
-                { FleetPlace(null) }
-            ) { null },
+            sendLimiter = sendLimiter,
             suspects = SharedSuspects(clock) {},
             promptBlocks = promptBlocks,
             crashes = CrashDetector(scope, clock, promptBlocks) { false },
@@ -137,7 +138,7 @@
                 recorded,
                 own,
                 StreamLookup(own, { null }, clock, { 0 }) { null },
-                StartCheck(scope, directory, events) { null }
+                StartCheck(scope, directory, clock, events, sendLimiter) { null }
             ) { 0 }
         )
         CallerServer(vertx, HostPort("127.0.0.1", port), scope, flow, events)
--- a/entry/src/test/kotlin/cactusfold/entry/streams/StartCheckTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/streams/StartCheckTest.kt
@@ -2,12 +2,21 @@
 
 import cactusfold.decisions.streams.StreamOrigin
 import cactusfold.entry.process.EventLog
+import cactusfold.entry.rate.FleetPlace
+import cactusfold.entry.rate.GrantMember
+import cactusfold.entry.rate.UpstreamRateLimiter
 import cactusfold.entry.upstream.NoFeed
+import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.entry.upstream.UpstreamLimits
 import cactusfold.entry.upstream.UpstreamPolling
+import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.RunnerReport
+import cactusfold.ports.serving.StatedLimit
 import cactusfold.ports.serving.UpstreamEntry
+import cactusfold.protocol.entry.SendGrant
 import cactusfold.protocol.entry.ServiceVersions
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertNull
@@ -17,22 +26,38 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 
 class StartCheckTest {
-    private val events = EventLog("vm", { 0 }, linesPerSecond = 100)
-    private val upstream = UpstreamEntry(
-        "r1", "s", "127.0.0.1", 1, "z", 4, false, START, null,
-        persistentMapOf(), persistentSetOf(), persistentSetOf(), "v1"
+    private val clock = MonotonicClock.SYSTEM
+    private val events = EventLog("vm", clock, linesPerSecond = 100)
+    private val upstream = Upstream(
+        UpstreamEntry(
+            "r1", "s", "127.0.0.1", 1, "z", 4, false, START, null,
+            persistentMapOf(), persistentSetOf(), persistentSetOf(), "v1"
+        )
     )
+    private val limits =
+        UpstreamLimits(clock, events, SimpleMeterRegistry(), { true }, {}, {})
+    private var asked = 0
+    private var grant = SendGrant.newBuilder().setOutcome(SendGrant.Outcome.GRANTED)
+        .setUpstream("r1").build()
+    private val limiter =
+        UpstreamRateLimiter(GrantMember("vm", "b"), clock, limits, { FleetPlace(14, 0) }) {
+            asked++
+            grant
+        }
     private var reports = 0
 
     private fun check(scope: CoroutineScope, answer: (Int) -> Long?) = StartCheck(
         scope,
-        UpstreamDirectory(NoFeed, { 0 }, events, "z") { UpstreamPolling.Detached },
-        events
+        UpstreamDirectory(NoFeed, clock, events, "z") { UpstreamPolling.Detached },
+        clock,
+        events,
+        limiter
     ) {
         answer(++reports)?.let {
             RunnerReport(
@@ -81,6 +106,43 @@
         }
     }
 
+    @Nested
+    inner class Limits {
+        init {
+            limits.answered(upstream.start, StatedLimit.Rate(1.0), sentAtMillis = 0)
+        }
+
+        @Test
+        fun `each report takes a token of a limited upstream`() {
+            assertTrue(isRunning { if (it == 1) null else START })
+            assertEquals(2, asked)
+        }
+
+        @Test
+        fun `without a token in time no report is read`() {
+            grant = SendGrant.newBuilder().setOutcome(SendGrant.Outcome.WAIT)
+                .setRetryAfterMillis(10_000).build()
+            assertFalse(isRunning { START })
+            assertEquals(0, reports)
+        }
+
+        @Test
+        fun `streams that begin during the wait for a token share the report`() = runBlocking {
+            val granted = grant
+            grant = SendGrant.newBuilder().setOutcome(SendGrant.Outcome.WAIT)
+                .setRetryAfterMillis(300).build()
+            coroutineScope {
+                val check = check(this) { START }
+                val first = check.checkSoon(upstream)
+                delay(200)
+                val second = check.checkSoon(upstream)
+                grant = granted
+                assertTrue(first.await() && second.await())
+            }
+            assertEquals(1, reports)
+        }
+    }
+
     @Nested
     inner class Bindings {
         private val origin = StreamOrigin("s", "v1")
