Streams that are not reported are forgotten with the others

Their ids were dropped only when a report was made, so a process without a coordinator kept one for each stream that began. OwnStreamsTest: 100 of 100 ids kept before, the 5 to which a caller can return after.

--- a/entry/src/main/kotlin/cactusfold/entry/streams/OwnStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/OwnStreams.kt
@@ -24,6 +24,9 @@
     /** Number of streams. */
     public val count: Int get() = ledger.size
 
+    /** Number of streams that were not reported. */
+    public val unsentCount: Int get() = unsent.size
+
     /** Returns the stream that began with request [id], or null; waits for the check of its origin. */
     public suspend fun find(id: String): KnownStream? {
         checks[id]?.join()
@@ -42,8 +45,8 @@
      */
     public fun began(id: String, origin: StreamOrigin?, keptMillis: Long) {
         val nowMillis = clock.nowMillis()
-        ledger = ledger.withoutExpired(nowMillis)
-            .with(id, KnownStream(origin, nowMillis + keptMillis))
+        dropExpired(nowMillis)
+        ledger = ledger.with(id, KnownStream(origin, nowMillis + keptMillis))
         unsent += id
         if (needsReport(origin)) onNew()
     }
@@ -52,14 +55,20 @@
     public fun takeUnsent(): List<BoundStream> {
         if (unsent.isEmpty()) return emptyList()
         val nowMillis = clock.nowMillis()
-        ledger = ledger.withoutExpired(nowMillis)
-        unsent.retainAll(ledger.ids)
+        dropExpired(nowMillis)
         val sent = unsent.mapNotNull { id -> ledger.find(id)?.let { id to it } }
             .filter { (_, stream) -> needsReport(stream.origin) }
         unsent -= sent.mapTo(mutableSetOf()) { it.first }
         return sent.map { (id, stream) -> stream.message(id, nowMillis) }
     }
 
+    private fun dropExpired(nowMillis: Long) {
+        val left = ledger.withoutExpired(nowMillis)
+        if (left === ledger) return
+        ledger = left
+        unsent.retainAll(left.ids)
+    }
+
     private fun needsReport(origin: StreamOrigin?) =
         origin == null || versions.needsReports(origin.service)
 
