A stream that is known to be uncertain is refused at once

It was answered like one of which nothing is known yet, so its caller waited 0.4 s for a report that could not come. The coordinator's answer, the store and the own process now tell the two apart (`stream-uncertain`).

--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -50,6 +50,7 @@
                 if (isRouted) null else ErrorAnswer.NotRun("stream-service-gone", null)
             }
             StreamFinding.Unknown -> ErrorAnswer.NotRun("stream-unknown", null)
+            StreamFinding.Uncertain -> ErrorAnswer.NotRun("stream-uncertain", null)
             StreamFinding.Undecided ->
                 ErrorAnswer.NotRun("stream-undecided", UNDECIDED_RETRY_AFTER_MILLIS)
         }
--- a/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
@@ -170,7 +170,7 @@
             return answer.setOutcome(StreamAnswer.Outcome.KNOWN).setService(known.service)
                 .setSoftwareVersion(known.softwareVersion).build()
         }
-        if (stream != null) return answer.setOutcome(StreamAnswer.Outcome.UNKNOWN).build()
+        if (stream != null) return answer.setOutcome(StreamAnswer.Outcome.UNCERTAIN).build()
         if (!isRead) return answer.setOutcome(StreamAnswer.Outcome.UNDECIDED).build()
         val sole = records[request.service]?.record
             ?.soleVersion(storeNowMillis, services().keptMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/streams/StreamLookup.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StreamLookup.kt
@@ -16,6 +16,9 @@
     /** No process and no row of the store knows the stream, and it may be of several versions. */
     public data object Unknown : StreamFinding
 
+    /** The stream is known, but not the version at which it began. */
+    public data object Uncertain : StreamFinding
+
     /** Nobody could be asked in time. */
     public data object Undecided : StreamFinding
 }
@@ -52,13 +55,14 @@
                 null, StreamAnswer.Outcome.UNDECIDED, StreamAnswer.Outcome.UNRECOGNIZED ->
                     findStored(id, service, beganMillis)
                 StreamAnswer.Outcome.UNKNOWN -> StreamFinding.Unknown
+                StreamAnswer.Outcome.UNCERTAIN -> StreamFinding.Uncertain
                 StreamAnswer.Outcome.KNOWN, StreamAnswer.Outcome.SOLE_VERSION ->
                     StreamFinding.Found(
                         StreamOrigin(answer.service, answer.softwareVersion),
                         if (answer.outcome == StreamAnswer.Outcome.KNOWN) "coordinator" else "sole"
                     )
             }
-            if (finding is StreamFinding.Found) return finding
+            if (finding is StreamFinding.Found || finding is StreamFinding.Uncertain) return finding
             val nowMillis = clock.nowMillis()
             // The report of the process where the stream began may still be on its way.
             val endsAtMillis = when (finding) {
@@ -89,7 +93,7 @@
     }
 
     private fun found(stream: KnownStream, source: String): StreamFinding =
-        stream.origin?.let { StreamFinding.Found(it, source) } ?: StreamFinding.Unknown
+        stream.origin?.let { StreamFinding.Found(it, source) } ?: StreamFinding.Uncertain
 
     private companion object {
         /** Time in which the report of a stream that has begun arrives at the coordinator. */
