--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -16,10 +16,8 @@
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.table.ChangeFeed
 import cactusfold.ports.table.FeedResult
-import cactusfold.protocol.SuspectReport
 import cactusfold.protocol.TokenGrant
 import cactusfold.protocol.TokenRequest
-import cactusfold.protocol.entry.CompletedBlock
 import cactusfold.protocol.entry.CoordinatorGrpcKt.CoordinatorCoroutineImplBase
 import cactusfold.protocol.entry.Departure
 import cactusfold.protocol.entry.FleetNotice
@@ -33,7 +31,6 @@
 import cactusfold.protocol.entry.ServiceVersions
 import cactusfold.protocol.entry.StreamAnswer
 import cactusfold.protocol.entry.StreamRequest
-import cactusfold.protocol.entry.UpstreamLimit
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.CoroutineContext
 import kotlinx.coroutines.channels.Channel
@@ -67,21 +64,8 @@
     private val feed: ChangeFeed,
     context: CoroutineContext
 ) : CoordinatorCoroutineImplBase(context) {
-    private class Session(val vm: String) {
-        val pending = LinkedHashMap<String, Holdings>()
-        val forecasts = mutableListOf<Forecast>()
-        val suspects = mutableListOf<SuspectReport>()
-        val departures = mutableListOf<Departure>()
-        val crashes = LinkedHashMap<String, PromptCrash>()
-        val completedBlocks = LinkedHashMap<String, CompletedBlock>()
-        val limits = LinkedHashMap<UpstreamStart, UpstreamLimit>()
-        val versions = LinkedHashMap<String, ServiceVersions>()
-        val wake = Channel<Unit>(Channel.CONFLATED)
-        var reportSequence = 0L
-    }
-
     private val sends = SendGrants(dependencies.rates, dependencies.limits)
-    private val sessions = mutableSetOf<Session>()
+    private val sessions = mutableSetOf<MemberSession>()
     private val holdingsByRunner = LinkedHashMap<String, Holdings>()
     private val announcedDepartures = RecentDepartures()
     private var announcedRevision = 0L
@@ -182,10 +166,10 @@
             send(releaseNotice())
             return@channelFlow
         }
-        var session: Session? = null
+        var session: MemberSession? = null
         val reader = launch {
             requests.collect { report ->
-                val current = session ?: Session(report.vm).also { join(it) }
+                val current = session ?: MemberSession(report.vm).also { join(it) }
                 session = current
                 current.reportSequence = report.sequence
                 report(report)
@@ -242,7 +226,7 @@
         }
     }
 
-    private fun join(session: Session) {
+    private fun join(session: MemberSession) {
         session.pending.putAll(holdingsByRunner)
         session.departures += announcedDepartures.all(dependencies.clock.nowMillis())
         // The member may have just started.
@@ -255,28 +239,20 @@
         dependencies.events.write("member-attached", "member" to session.vm)
     }
 
-    private fun leave(session: Session) {
+    private fun leave(session: MemberSession) {
         sessions -= session
         if (sessions.none { it.vm == session.vm }) dependencies.demand.remove(session.vm)
         dependencies.events.write("member-left", "member" to session.vm)
     }
 
-    private suspend fun nextNotice(session: Session): FleetNotice {
+    private suspend fun nextNotice(session: MemberSession): FleetNotice {
         withTimeoutOrNull(HEARTBEAT_INTERVAL_MILLIS) { session.wake.receive() }
         // Changes often arrive in bursts; the delay combines them into one notice.
         val pauseMillis = CoordinatorPace.noticeMillis(sessions.size, lagMillis)
         val pausedAtMillis = dependencies.clock.nowMillis()
         delay(pauseMillis)
         recordLag(dependencies.clock.nowMillis() - pausedAtMillis - pauseMillis)
-        val notice = FleetNotice.newBuilder()
-            .addAllHoldings(session.pending.values)
-            .addAllForecasts(session.forecasts)
-            .addAllSuspects(session.suspects)
-            .addAllDepartures(session.departures)
-            .addAllPromptCrashes(session.crashes.values)
-            .addAllCompletedBlocks(session.completedBlocks.values)
-            .addAllLimits(session.limits.values)
-            .addAllVersions(session.versions.values)
+        return session.takeNews()
             .setFence(dependencies.lease.fence)
             .setMemberCount(memberCount ?: 0)
             .setReportSequence(session.reportSequence)
@@ -285,15 +261,6 @@
             .also(::addConfirmation)
             .also { notice -> positionOf(session.vm)?.let(notice::setMemberPosition) }
             .build()
-        session.pending.clear()
-        session.forecasts.clear()
-        session.suspects.clear()
-        session.departures.clear()
-        session.crashes.clear()
-        session.completedBlocks.clear()
-        session.limits.clear()
-        session.versions.clear()
-        return notice
     }
 
     private fun recordLag(lateMillis: Long) {
