--- a/entry/src/test/kotlin/cactusfold/entry/streams/OwnStreamsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/streams/OwnStreamsTest.kt
@@ -11,7 +11,7 @@
 
     // Guards against growth while no coordinator takes reports.
     @Test
-    fun `streams to which no caller can return are kept no longer, also if they were not reported`() {
+    fun `streams to which no caller can return are forgotten, also if not reported`() {
         for (i in 1..100) {
             nowMillis = i * 1_000L
             own.began("stream$i", StreamOrigin("s", "v1"), keptMillis = 5_000)
