An order's connection is not used again

What could be seen: a runner that writes an earlier refusal once more on a kept connection executes an order whose sender takes it for refused, so the model is loaded at a second runner. Answers to orders and reports carry no id.

Cause: HttpRunnerApi shared pooled connections between orders and reports.

Change: each order has a connection of its own; a connection that brought a refused report is closed. HttpRunnerApi makes its clients itself, and PlatformHttp says which connections are used again.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -100,11 +100,14 @@
     private val peerAddress = HostPort(settings.address, settings.peerPort)
 
     private val store = HttpTableStore(
-        httpClient(STORE_TIMEOUT_MILLIS)
-    )
-    private val orders = HttpRunnerApi(
-        httpClient(ORDER_TIMEOUT_MILLIS)
+        PlatformHttp(
+            vertx,
+            HttpTarget(settings.store.host, settings.store.port),
+            STORE_TIMEOUT_MILLIS,
+            closesOnTimeout = true
+        )
     )
+    private val orders = HttpRunnerApi(vertx, ORDER_TIMEOUT_MILLIS)
 
     private var table: RouteTable? = null
     private val config =
@@ -258,13 +261,6 @@
     private var isStopping = false
     private val stopped = CompletableDeferred<Unit>()
 
-    private fun httpClient(timeoutMillis: Long): PlatformHttp = PlatformHttp(
-        vertx,
-        HttpTarget(settings.store.host, settings.store.port),
-        timeoutMillis,
-        closesOnTimeout = true
-    )
-
     /** Whether the number of members is known, which the process needs to spend its token share. */
     public val isMemberCountKnown: Boolean get() = coordinatorClient.memberCount != null
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/RepeatedRefusalTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/RepeatedRefusalTest.kt
@@ -1,29 +1,77 @@
 package cactusfold.entry.path
 
+import cactusfold.platform.HttpRunnerApi
+import cactusfold.platform.UpstreamDecoder
 import cactusfold.platform.standin.RunnerBehavior
+import cactusfold.platform.standin.RunnerStandin
+import cactusfold.ports.serving.Decoded
+import cactusfold.ports.serving.OrderAuthority
+import cactusfold.ports.serving.OrderReply
+import cactusfold.ports.serving.RunnerOrder
+import cactusfold.ports.serving.UpstreamEntry
+import io.vertx.core.Vertx
+import java.util.concurrent.TimeUnit
 import kotlin.test.assertEquals
+import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 
 class RepeatedRefusalTest {
-    // Guards against an earlier refusal, written once more on a kept connection, that is taken for
-    // the answer to a request that the upstream executes.
-    @Test
-    fun `a request that may run once is not executed twice or reported as not executed`() {
-        EntryFixture().use { fixture ->
-            val desk = fixture.runner("i-1", "desk")
-            fixture.start()
-            desk.behavior = RunnerBehavior.REPEATS_REFUSALS
-            val statuses = List(CALLS) { fixture.caller.call("/book/x").statusCode() }
-            assertEquals(setOf(503), statuses.toSet())
-            assertEquals(emptyList(), desk.ran.map { it.id })
-            desk.behavior = RunnerBehavior.NORMAL
-            assertEquals(200, fixture.caller.call("/book/x").statusCode())
-            assertTrue(desk.ran.size == 1)
+    @Nested
+    inner class Requests {
+        // Guards against an earlier refusal, written once more on a kept connection, that is taken
+        // for the answer to a request that the upstream executes.
+        @Test
+        fun `a request that may run once is not executed twice or reported as not executed`() {
+            EntryFixture().use { fixture ->
+                val desk = fixture.runner("i-1", "desk")
+                fixture.start()
+                desk.behavior = RunnerBehavior.REPEATS_REFUSALS
+                val statuses = List(CALLS) { fixture.caller.call("/book/x").statusCode() }
+                assertEquals(setOf(503), statuses.toSet())
+                assertEquals(emptyList(), desk.ran.map { it.id })
+                desk.behavior = RunnerBehavior.NORMAL
+                assertEquals(200, fixture.caller.call("/book/x").statusCode())
+                assertTrue(desk.ran.size == 1)
+            }
+        }
+    }
+
+    @Nested
+    inner class Orders {
+        private val vertx = Vertx.vertx()
+        private val runner = RunnerStandin(vertx, "i-1", emptySet()).apply { start() }
+        private val entry = assertIs<Decoded.Valid<UpstreamEntry>>(
+            UpstreamDecoder.entry("i-1", runner.row("draft").toBuffer().bytes)
+        ).value
+        private val api = HttpRunnerApi(vertx, TIMEOUT_MILLIS)
+
+        @AfterEach
+        fun close() {
+            vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS)
+        }
+
+        // Guards against the same for an order: its load would be ordered at a second runner.
+        @Test
+        fun `an order is not taken for refused while the runner executes it`() {
+            runner.behavior = RunnerBehavior.REPEATS_REFUSALS
+            val replies = List(CALLS) { order() }
+            assertEquals(0, runner.orders.size)
+            assertTrue(replies.all { it is OrderReply.Rejected })
+            runner.behavior = RunnerBehavior.NORMAL
+            assertEquals(OrderReply.Accepted, order())
+        }
+
+        private fun order(): OrderReply = runBlocking {
+            api.order(entry, RunnerOrder.Load("m"), OrderAuthority("vm1", 1), 0) { true }
         }
     }
 
     private companion object {
         const val CALLS = 4
+        const val TIMEOUT_MILLIS = 1_000L
     }
 }
--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -59,18 +59,32 @@
     public data class NoAnswer(public val reason: String) : HttpOutcome
 }
 
+/**
+ * Which connections carry further requests. A faulty server may write an answer once more, and it is
+ * taken for the answer to the next request unless answers name their requests.
+ */
+public enum class ConnectionReuse {
+    ALWAYS,
+
+    /** Connections that brought a refusal are closed. */
+    AFTER_SUCCESS,
+    NEVER
+}
+
 /**
  * HTTP client for small requests, mostly to one address, each with a timeout.
  *
+ * @property defaultTarget null if each request states its target.
  * @property closesOnTimeout whether the connection of a request that timed out is closed. If not,
  *   it returns to the pool only after the response, and unresponsive connections exhaust the pool.
  */
 public class PlatformHttp(
     vertx: Vertx,
-    private val defaultTarget: HttpTarget,
+    private val defaultTarget: HttpTarget?,
     private val timeoutMillis: Long,
     poolSize: Int = DEFAULT_POOL_SIZE,
-    private val closesOnTimeout: Boolean = false
+    private val closesOnTimeout: Boolean = false,
+    private val reuse: ConnectionReuse = ConnectionReuse.ALWAYS
 ) {
     public constructor(
         vertx: Vertx,
@@ -85,7 +99,8 @@
             .setConnectTimeout(timeoutMillis.toInt())
             .setIdleTimeout(IDLE_SECONDS)
             .setIdleTimeoutUnit(TimeUnit.SECONDS)
-            .setKeepAliveTimeout(IDLE_SECONDS / 2),
+            .setKeepAliveTimeout(IDLE_SECONDS / 2)
+            .setKeepAlive(reuse != ConnectionReuse.NEVER),
         PoolOptions().setHttp1MaxSize(poolSize)
     )
 
@@ -112,6 +127,7 @@
                 request.send(Buffer.buffer(call.body))
                     .compose { response ->
                         response.body().map {
+                            if (endsConnection(response.statusCode())) request.connection().close()
                             HttpOutcome.Answer(response.statusCode(), it, response.headers())
                         }
                     }
@@ -132,11 +148,14 @@
         client.close()
     }
 
+    private fun endsConnection(status: Int): Boolean =
+        reuse == ConnectionReuse.AFTER_SUCCESS && status >= REFUSALS_FROM
+
     private fun failureOf(sent: Boolean, reason: String): HttpOutcome =
         if (sent) HttpOutcome.NoAnswer(reason) else HttpOutcome.NotSent(reason)
 
     private fun optionsOf(call: HttpCall): RequestOptions {
-        val target = call.target ?: defaultTarget
+        val target = checkNotNull(call.target ?: defaultTarget) { "no target for ${call.path}" }
         val options = RequestOptions()
             .setMethod(HttpMethod.valueOf(call.method))
             .setHost(target.host)
@@ -149,5 +168,8 @@
     private companion object {
         const val DEFAULT_POOL_SIZE = 16
         const val IDLE_SECONDS = 30
+
+        /** The lowest status that refuses a request. */
+        const val REFUSALS_FROM = 400
     }
 }
