A stream of unknown origin goes on only if there was one service as well as one version

What could be seen: the route of resumable streams moves from one service to another, or its split changes. A stream that began at the first is taken up at a VM that knows nothing of it, and goes on at the only version of the service that the route has now.

Cause: "the only version" was decided for the service of the later request. The service at which a stream began is a fact like its version, and was guessed.

Change: soleOrigin decides over the records of all services; versions of services that no route names any more count as gone, and so for as long as callers may return. While two services have resumable streams, these are reported and stored, and one of which nothing is known is refused.

--- a/decisions/src/main/kotlin/cactusfold/decisions/streams/VersionRecord.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/streams/VersionRecord.kt
@@ -33,15 +33,12 @@
         return if (all == goneSinceMillis) this else copy(goneSinceMillis = all.toImmutableMap())
     }
 
-    /**
-     * Returns the only version at which a stream can have begun to which its caller may still
-     * return, or null if there may be several.
-     */
-    public fun soleVersion(nowMillis: Long, keptMillis: Long): String? =
-        keptVersions(nowMillis, keptMillis).singleOrNull()
-            ?.takeIf { nowMillis - completeSinceMillis >= keptMillis }
+    /** Whether the record contains each version of streams to which callers may still return. */
+    public fun isComplete(nowMillis: Long, keptMillis: Long): Boolean =
+        nowMillis - completeSinceMillis >= keptMillis
 
-    private fun keptVersions(nowMillis: Long, keptMillis: Long): List<String> =
+    /** Returns the versions of streams to which callers may still return. */
+    public fun keptVersions(nowMillis: Long, keptMillis: Long): List<String> =
         goneSinceMillis.filterValues { it == null || nowMillis - it < keptMillis }.keys.toList()
 
     public companion object {
--- a/decisions/src/test/kotlin/cactusfold/decisions/streams/StreamOriginRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/streams/StreamOriginRandomisedTest.kt
@@ -9,46 +9,53 @@
 
 /**
  * Simulates what the processes of a fleet know of streams that callers take up at other processes:
- * versions come and go, one, some or all processes are killed, the coordinator is lost, and the
- * store is away or comes back from an older copy.
+ * versions come and go, the route of the streams moves between two services, one, some or all
+ * processes are killed, the coordinator is lost, and the store is away or comes back from an older
+ * copy.
  */
 class StreamOriginRandomisedTest {
-    private class Stream(val id: String, val version: String, val beganAtMillis: Long)
+    private class Stream(val id: String, val origin: StreamOrigin, val beganAtMillis: Long)
 
     private class Member {
         var ledger = StreamLedger()
-        var recorded = emptySet<String>()
+        var recorded = emptySet<StreamOrigin>()
         var needsReports = true
         val unsent = mutableSetOf<String>()
     }
 
-    /** The store's rows, with the era in which the record was written. */
+    /** The record of a service, with the era in which it was written. */
+    private data class StoredRecord(val record: VersionRecord, val era: Int)
+
+    /** The store's rows. */
     private data class Rows(
-        val record: VersionRecord?,
-        val era: Int,
+        val records: Map<String, StoredRecord>,
         val streams: Map<String, KnownStream>
     )
 
-    private class Coordinator(var record: VersionRecord, var ledger: StreamLedger) {
+    private class Coordinator(
+        var records: Map<String, VersionRecord>,
+        val unsaved: MutableSet<String>,
+        var ledger: StreamLedger
+    ) {
         val unwritten = mutableMapOf<String, KnownStream>()
     }
 
     private class Fleet(private val random: Random) {
         var now = 0L
         var serving = setOf("v1")
+        private var routed = "s1"
         var members = List(MEMBERS) { Member() }
         val broken = mutableListOf<Stream>()
         var wentOn = 0
         var servable = 0
         var wrong = 0
-        private var rows = Rows(null, 0, emptyMap())
+        private var rows = Rows(emptyMap(), emptyMap())
         private val copies = mutableListOf(rows)
         private var era = 0
         private var awayUntilMillis = 0L
         private var coordinator: Coordinator? = null
         private var coordinatorBackAtMillis = 0L
         private var nextStream = 1
-        private val origins = listOf("v1", "v2", "v3").associateWith { StreamOrigin("s", it) }
         private val isAway get() = now < awayUntilMillis
 
         fun step(isUndisturbed: Boolean = false) {
@@ -61,15 +68,16 @@
         }
 
         private fun disturb(): Unit = when (random.nextInt(250)) {
-            0 -> serving = serving + origins.keys.random(random)
+            0 -> serving = serving + VERSIONS.random(random)
             1 -> serving = (serving - serving.random(random)).ifEmpty { serving }
-            2 -> serving = setOf(origins.keys.random(random))
+            2 -> serving = setOf(VERSIONS.random(random))
             3 -> kill(1)
             4 -> kill(random.nextInt(MEMBERS))
             5 -> kill(MEMBERS)
             6 -> loseCoordinator()
             7 -> awayUntilMillis = now + random.nextLong(4_000)
             8 -> restore()
+            9 -> routed = SERVICES.random(random)
             else -> Unit
         }
 
@@ -102,9 +110,7 @@
         private fun coordinate() {
             if (coordinator == null && now >= coordinatorBackAtMillis && !isAway) start()
             val current = coordinator ?: return
-            val next = current.record.seen(serving, now, KEPT_MILLIS)
-            val isChanged = next != current.record || rows.record == null || rows.era != era
-            if (!isChanged || write(Rows(next, era, rows.streams))) current.record = next
+            (current.records.keys + routed).forEach { record(current, it) }
             announceAndCollect(current)
             if (current.unwritten.isNotEmpty() && random.nextInt(3) == 0) {
                 if (write(rows.copy(streams = rows.streams + current.unwritten))) {
@@ -113,16 +119,24 @@
             }
         }
 
-        private fun start() {
-            val stored = rows.record
-            val record = when {
-                stored == null -> VersionRecord.unknownBefore(now)
-                rows.era == era -> stored
-                else -> stored.copy(completeSinceMillis = now)
+        private fun record(current: Coordinator, service: String) {
+            val before = current.records[service] ?: VersionRecord.unknownBefore(now)
+            val versions = if (service == routed) serving else emptySet()
+            val next = before.seen(versions, now, KEPT_MILLIS)
+            if (next == current.records[service] && service !in current.unsaved) return
+            if (!write(rows.copy(records = rows.records + (service to StoredRecord(next, era))))) {
+                return
             }
+            current.records += service to next
+            current.unsaved -= service
+        }
+
+        private fun start() {
+            val records = rows.records.mapValues { (_, stored) -> readNow(stored) }
+            val unsaved = rows.records.filterValues { it.era != era }.keys.toMutableSet()
             var ledger = StreamLedger()
             rows.streams.forEach { (id, stream) -> ledger = ledger.with(id, stream) }
-            coordinator = Coordinator(record, ledger)
+            coordinator = Coordinator(records, unsaved, ledger)
             members.forEach { it.unsent += it.ledger.ids }
         }
 
@@ -134,44 +148,51 @@
                     current.ledger = current.ledger.with(id, stream)
                     member.unsent -= id
                 }
-                member.recorded = current.record.serving
-                member.needsReports = current.record.soleVersion(now, KEPT_MILLIS) == null
+                member.recorded = current.records.flatMapTo(mutableSetOf()) { (service, record) ->
+                    record.serving.map { StreamOrigin(service, it) }
+                }
+                member.needsReports = soleOrigin(current.records, now, KEPT_MILLIS) == null
             }
             current.ledger = current.ledger.withoutExpired(now)
         }
 
         private fun begin() {
             val member = members.random(random)
-            val version = serving.filter { it in member.recorded }.randomOrNull(random) ?: return
-            val stream = Stream("${nextStream++}", version, now)
-            val known = KnownStream(origins.getValue(version), now + KEPT_MILLIS)
+            val origin = serving.map { StreamOrigin(routed, it) }.filter { it in member.recorded }
+                .randomOrNull(random) ?: return
+            val stream = Stream("${nextStream++}", origin, now)
+            val known = KnownStream(origin, now + KEPT_MILLIS)
             member.ledger = member.ledger.withoutExpired(now).with(stream.id, known)
             member.unsent += stream.id
             broken += stream
         }
 
         private fun takeUp(stream: Stream) {
-            val version = locate(members.random(random), stream.id)?.softwareVersion
-            val isServed = stream.version in serving
-            if (isServed) servable++
-            if (version == null || version !in serving) return
-            if (version == stream.version) wentOn++ else wrong++
+            val origin = locate(members.random(random), stream.id)
+            if (isServed(stream.origin)) servable++
+            if (origin == null || !isServed(origin)) return
+            if (origin == stream.origin) wentOn++ else wrong++
         }
 
+        private fun isServed(origin: StreamOrigin): Boolean =
+            origin.service == routed && origin.softwareVersion in serving
+
         private fun locate(member: Member, id: String): StreamOrigin? {
             member.ledger.find(id)?.let { return it.origin }
             val current = coordinator
             if (current != null && random.nextInt(20) > 0) {
                 current.ledger.find(id)?.let { return it.origin }
-                return current.record.soleVersion(now, KEPT_MILLIS)?.let(origins::getValue)
+                return soleOrigin(current.records, now, KEPT_MILLIS)
             }
             if (isAway) return null
             rows.streams[id]?.let { return it.origin }
-            val isComplete = rows.era == era
-            return rows.record?.takeIf { isComplete }?.soleVersion(now, KEPT_MILLIS)
-                ?.let(origins::getValue)
+            return soleOrigin(rows.records.mapValues { readNow(it.value) }, now, KEPT_MILLIS)
         }
 
+        /** One that was written in an earlier era may lack versions until it is read. */
+        private fun readNow(stored: StoredRecord): VersionRecord =
+            if (stored.era == era) stored.record else stored.record.copy(completeSinceMillis = now)
+
         /** Number of streams that all processes know together. */
         val knownCount: Int
             get() = members.sumOf { it.ledger.withoutExpired(now).size } +
@@ -220,6 +241,8 @@
     }
 
     private companion object {
+        val SERVICES = listOf("s1", "s2")
+        val VERSIONS = listOf("v1", "v2", "v3")
         const val MEMBERS = 14
         const val STEPS = 2_000
         const val STEP_MILLIS = 100L
--- a/decisions/src/test/kotlin/cactusfold/decisions/streams/VersionRecordTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/streams/VersionRecordTest.kt
@@ -1,7 +1,6 @@
 package cactusfold.decisions.streams
 
 import kotlin.test.assertEquals
-import kotlin.test.assertNull
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 
@@ -11,29 +10,6 @@
     private fun VersionRecord.seen(nowMillis: Long, vararg serving: String): VersionRecord =
         seen(serving.toSet(), nowMillis, KEPT_MILLIS)
 
-    @Nested
-    inner class SoleVersion {
-        @Test
-        fun `the only version is known once the record is older than any stream`() {
-            val record = new.seen(0, "v1")
-            assertNull(record.soleVersion(KEPT_MILLIS - 1, KEPT_MILLIS))
-            assertEquals("v1", record.soleVersion(KEPT_MILLIS, KEPT_MILLIS))
-        }
-
-        @Test
-        fun `there is no only version while another one serves or has just left`() {
-            val both = new.seen(0, "v1").seen(500, "v1", "v2")
-            assertNull(both.soleVersion(5_000, KEPT_MILLIS))
-            val one = both.seen(6_000, "v2")
-            assertNull(one.soleVersion(6_999, KEPT_MILLIS))
-            assertEquals("v2", one.soleVersion(7_000, KEPT_MILLIS))
-        }
-
-        @Test
-        fun `no version is known of a service that has none`() =
-            assertNull(new.soleVersion(5_000, KEPT_MILLIS))
-    }
-
     @Nested
     inner class Serving {
         @Test
--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -38,11 +38,7 @@
         if (!isTakenUp) return null
         val startedAtMillis = dependencies.clock.nowMillis()
         val untilMillis = minOf(deadlineAtMillis, startedAtMillis + route.targetMillis)
-        val finding = dependencies.streams.lookup.find(
-            facts.resumedId,
-            selectedService,
-            untilMillis
-        )
+        val finding = dependencies.streams.lookup.find(facts.resumedId, untilMillis)
         val refusal = when (finding) {
             is StreamFinding.Found -> {
                 origin = finding.origin
--- a/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
@@ -2,7 +2,9 @@
 
 import cactusfold.decisions.streams.KnownStream
 import cactusfold.decisions.streams.StreamLedger
+import cactusfold.decisions.streams.StreamOrigin
 import cactusfold.decisions.streams.VersionRecord
+import cactusfold.decisions.streams.soleOrigin
 import cactusfold.entry.fleet.CoordinatorLeaseManager
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.upstream.UpstreamDirectory
@@ -73,10 +75,28 @@
         if (!isRead && !read()) return
         if (!directory.isKnown) return
         ledger = ledger.withoutExpired(clock.nowMillis())
-        services().names.forEach { record(it) }
+        recordVersions()
         writeStreams()
     }
 
+    /** Records the versions that are registered now, and announces what is recorded. */
+    private suspend fun recordVersions() {
+        val resumable = services()
+        if (resumable.names.isEmpty()) return
+        for (service in resumable.names + records.keys) {
+            // No stream begins any more at a service that no route names.
+            val serving =
+                if (service in resumable.names) directory.versionsOf(service) else emptySet()
+            record(service, serving, resumable.keptMillis)
+        }
+        if (!isRead) return
+        val needsReports = soleOrigin(resumable.keptMillis) == null
+        records.forEach { (service, stored) -> announce(service, stored.record, needsReports) }
+    }
+
+    private fun soleOrigin(keptMillis: Long): StreamOrigin? =
+        soleOrigin(records.mapValues { it.value.record }, storeNowMillis, keptMillis)
+
     private suspend fun read(): Boolean {
         val fence = lease.fence
         val snapshot = tables.read() ?: return false
@@ -99,14 +119,11 @@
         return true
     }
 
-    /** Records the versions of [service] that are registered now, and announces what is recorded. */
-    private suspend fun record(service: String) {
-        val keptMillis = services().keptMillis
+    private suspend fun record(service: String, serving: Set<String>, keptMillis: Long) {
         val stored = records[service]
         val before = stored?.record ?: VersionRecord.unknownBefore(storeNowMillis)
-        val next = before.seen(directory.versionsOf(service), storeNowMillis, keptMillis)
+        val next = before.seen(serving, storeNowMillis, keptMillis)
         if (next != stored?.record) write(service, next, stored?.rowVersion)
-        if (isRead) records[service]?.let { announce(service, it.record, keptMillis) }
     }
 
     private suspend fun write(service: String, record: VersionRecord, rowVersion: Long?) {
@@ -123,10 +140,10 @@
         }
     }
 
-    private fun announce(service: String, record: VersionRecord, keptMillis: Long) {
+    private fun announce(service: String, record: VersionRecord, needsReports: Boolean) {
         val message = ServiceVersions.newBuilder().setService(service)
             .addAllSoftwareVersions(record.serving.sorted())
-            .setNeedsReports(record.soleVersion(storeNowMillis, keptMillis) == null).build()
+            .setNeedsReports(needsReports).build()
         if (announced.put(service, message) != message) onChange(message)
     }
 
@@ -172,11 +189,10 @@
         }
         if (stream != null) return answer.setOutcome(StreamAnswer.Outcome.UNCERTAIN).build()
         if (!isRead) return answer.setOutcome(StreamAnswer.Outcome.UNDECIDED).build()
-        val sole = records[request.service]?.record
-            ?.soleVersion(storeNowMillis, services().keptMillis)
+        val sole = soleOrigin(services().keptMillis)
             ?: return answer.setOutcome(StreamAnswer.Outcome.UNKNOWN).build()
-        return answer.setOutcome(StreamAnswer.Outcome.SOLE_VERSION).setService(request.service)
-            .setSoftwareVersion(sole).build()
+        return answer.setOutcome(StreamAnswer.Outcome.SOLE_VERSION).setService(sole.service)
+            .setSoftwareVersion(sole.softwareVersion).build()
     }
 
     private companion object {
--- a/entry/src/main/kotlin/cactusfold/entry/streams/StreamLookup.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StreamLookup.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.decisions.streams.KnownStream
 import cactusfold.decisions.streams.StreamOrigin
+import cactusfold.decisions.streams.soleOrigin
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.entry.StreamAnswer
 import cactusfold.protocol.entry.StreamRequest
@@ -42,18 +43,18 @@
     private var readAtMillis = Long.MIN_VALUE / 2
 
     /**
-     * Finds the stream that began with request [id], null if the caller names none. A stream of
-     * which nothing is known would be one of [service]. Waits until [untilMillis] for an answer.
+     * Finds the stream that began with request [id], null if the caller names none. Waits until
+     * [untilMillis] for an answer.
      */
-    public suspend fun find(id: String?, service: String, untilMillis: Long): StreamFinding {
+    public suspend fun find(id: String?, untilMillis: Long): StreamFinding {
         id?.let { own.find(it) }?.let { return found(it, "own") }
-        val request = StreamRequest.newBuilder().setId(id.orEmpty()).setService(service).build()
+        val request = StreamRequest.newBuilder().setId(id.orEmpty()).build()
         val beganMillis = clock.nowMillis()
         while (true) {
             val answer = ask(request)
             val finding = when (answer?.outcome) {
                 null, StreamAnswer.Outcome.UNDECIDED, StreamAnswer.Outcome.UNRECOGNIZED ->
-                    findStored(id, service, beganMillis)
+                    findStored(id, beganMillis)
                 StreamAnswer.Outcome.UNKNOWN -> StreamFinding.Unknown
                 StreamAnswer.Outcome.UNCERTAIN -> StreamFinding.Uncertain
                 StreamAnswer.Outcome.KNOWN, StreamAnswer.Outcome.SOLE_VERSION ->
@@ -75,11 +76,7 @@
     }
 
     /** A read that began before the request arrived may lack a version that was recorded since. */
-    private suspend fun findStored(
-        id: String?,
-        service: String,
-        arrivedMillis: Long
-    ): StreamFinding {
+    private suspend fun findStored(id: String?, arrivedMillis: Long): StreamFinding {
         if (readAtMillis < arrivedMillis) {
             val startedAtMillis = clock.nowMillis()
             snapshot = readStore()
@@ -87,9 +84,10 @@
         }
         val stored = snapshot ?: return StreamFinding.Undecided
         id?.let(stored.streams::find)?.let { return found(it, "store") }
-        val sole = stored.records[service]?.record?.soleVersion(stored.nowMillis, keptMillis())
+        val records = stored.records.mapValues { it.value.record }
+        val sole = soleOrigin(records, stored.nowMillis, keptMillis())
             ?: return StreamFinding.Undecided
-        return StreamFinding.Found(StreamOrigin(service, sole), "store-sole")
+        return StreamFinding.Found(sole, "store-sole")
     }
 
     private fun found(stream: KnownStream, source: String): StreamFinding =
--- a/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
@@ -39,9 +39,12 @@
     private fun events(version: String, numbers: IntRange): String =
         numbers.joinToString("") { "id: $it\ndata: $version $it\n\n" }
 
-    private fun call(resumes: Pair<String?, Int>? = null): Pair<String, CallEnd> =
+    private fun call(
+        resumes: Pair<String?, Int>? = null,
+        path: String = "/draft/x"
+    ): Pair<String, CallEnd> =
         CallerConnection(fixture.callers).use {
-            val id = it.send("/draft/x", "warm", resumes = resumes)
+            val id = it.send(path, "warm", resumes = resumes)
             id to it.receive()
         }
 
@@ -197,6 +200,28 @@
             }
         }
 
+        // Guards against a guess that the service of the route is that at which the stream began.
+        @Test
+        fun `a stream of unknown service is refused after its route moved`() {
+            fixture.operator.timeoutMillis = SHORT_TIMEOUT_MILLIS
+            fixture.operator.addedEngines = listOf("engine-2")
+            fixture.runner("i-2", "engine-2", setOf("warm"))
+            configure(version = 2)
+            EntryFixture.eventually("no route of the other service") {
+                call(path = "/engine-2/x").second.let { it is CallEnd.Answered && it.status == 200 }
+            }
+            // Until then, each service may have had another version before it was recorded.
+            Thread.sleep(3 * SHORT_TIMEOUT_MILLIS)
+            fixture.operator.resumableService = "engine-2"
+            configure(version = 3)
+            assertNewStreamsBeginAt("piece")
+            val end = assertIs<CallEnd.Answered>(call("unknown" to 3).second)
+            assertEquals(503, end.status)
+        }
+
+        private fun configure(version: Int) =
+            fixture.operator.configure(version, keys = listOf("key-1"))
+
         @Test
         fun `a stream of unknown version goes on where only one version has served for long`() {
             EntryFixture.eventually("still refused") {
@@ -209,5 +234,8 @@
     private companion object {
         /** Enough for each of the runners to be chosen. */
         const val CALLS = 8
+
+        /** Callers may return to streams for twice as long. */
+        const val SHORT_TIMEOUT_MILLIS = 1_000L
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/streams/StartCheckTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/streams/StartCheckTest.kt
@@ -158,7 +158,7 @@
                 val starts = check(this) { start }
                 val bindings = StreamBindings(this, versions, own, lookup, starts) { 1_000 }
                 bindings.bind("id", origin, upstream)
-                (lookup.find("id", "s", 0) as? StreamFinding.Found)?.origin
+                (lookup.find("id", 0) as? StreamFinding.Found)?.origin
             }
         }
 
--- a/entry/src/test/kotlin/cactusfold/entry/streams/StreamLookupTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/streams/StreamLookupTest.kt
@@ -20,7 +20,7 @@
             StreamLookup(own, { stored }, clock, { 1_000 }) {
                 asked++
                 outcome?.let { StreamAnswer.newBuilder().setOutcome(it).build() }
-            }.find("id", "s", clock.nowMillis() + 10_000)
+            }.find("id", clock.nowMillis() + 10_000)
         }
 
     // Guards against callers that wait for a report that will not come.
