The tests of framings call until the runner under test was chosen

Its six calls went to either of two runners at random, and all six can miss the one that breaks off.

Change: at least six calls, and further ones until the runner was chosen. Every answer is checked as before.

--- a/entry/src/test/kotlin/cactusfold/entry/path/AnswerFramingTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/AnswerFramingTest.kt
@@ -65,17 +65,28 @@
     /** Checks a stream that may be resumed and one that may not. */
     private fun assertStreamIsBroken(answer: RawAnswer) {
         first.rawAnswer = answer
-        repeat(CALLS) {
-            val received = fixture.caller.call("/draft/x", model = "warm")
-            assertEquals(200 to stream, received.statusCode() to received.body())
+        assertResumableIsWhole("not resumed") {
+            second.ran.any { it.lastEventId == "${answer.completeEvents}" }
         }
-        assertTrue(second.ran.any { it.lastEventId == "${answer.completeEvents}" }, "not resumed")
         second.rawAnswer = answer
         repeat(CALLS) {
             assertFailsWith<IOException> { fixture.caller.call("/once/x", model = "warm") }
         }
     }
 
+    /** Checks whole streams until the first runner was chosen, or [isMet]; the choice is random. */
+    private fun assertResumableIsWhole(
+        message: String = "the first runner was not chosen",
+        isMet: () -> Boolean = { first.ran.isNotEmpty() }
+    ) {
+        var calls = 0
+        EntryFixture.eventually(message) {
+            val received = fixture.caller.call("/draft/x", model = "warm")
+            assertEquals(200 to stream, received.statusCode() to received.body())
+            ++calls >= CALLS && isMet()
+        }
+    }
+
     private fun assertDelimited(received: HttpResponse<String>) {
         val headers = received.headers()
         val length = headers.firstValue("Content-Length").isPresent
@@ -144,11 +155,7 @@
         @Test
         fun `a stream that is silent after its head runs on another runner`() {
             first.rawAnswer = silent
-            repeat(CALLS) {
-                val received = fixture.caller.call("/draft/x", model = "warm")
-                assertEquals(200 to stream, received.statusCode() to received.body())
-            }
-            assertTrue(first.ran.isNotEmpty(), "the first runner was not chosen")
+            assertResumableIsWhole()
         }
 
         // The caller's connection was closed at the time limit without an answer.
@@ -232,11 +239,7 @@
         /** Checks that the stream runs anew, and that the caller is told if it may not. */
         private fun assertNothingWasSent(answer: RawAnswer) {
             first.rawAnswer = answer.copy(completeEvents = 0)
-            repeat(CALLS) {
-                val received = fixture.caller.call("/draft/x", model = "warm")
-                assertEquals(200 to stream, received.statusCode() to received.body(), "$answer")
-            }
-            assertTrue(first.ran.isNotEmpty(), "the first runner was not chosen")
+            assertResumableIsWhole()
             assertTrue(second.ran.all { it.lastEventId == null })
             second.rawAnswer = first.rawAnswer
             val received = fixture.caller.call("/once/x", model = "warm")
@@ -263,7 +266,7 @@
     private companion object {
         val CLOSE = AnswerFraming.CONNECTION_CLOSE
 
-        /** Enough for each of two runners to be chosen. */
+        /** Number of times each kind of answer is checked at least. */
         const val CALLS = 6
     }
 }
