A stream goes on at a runner of its version that has to load its model

Cause: no runner of the version had the model, and a stream that is bound to a version caused no load. Demand was known by model alone, and runners of the other version had it.

Change: demand, forecasts and waits for a model may name a software version. The planner loads the model at a runner of that version, also if others have it, and says when it is ready; the caller waits or is told when to come back. A wait ends at once if the version is gone. Within an answer, the caller's patience counts from the break.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -59,6 +59,7 @@
  * @property lastUsedMillis when each model in memory was last used.
  * @property requestsPerSecond requests that the runner accepts from all VMs together; null if it
  *   states no limit.
+ * @property softwareVersion the version of the runner's software.
  */
 public data class RunnerState(
     public val id: String,
@@ -73,7 +74,8 @@
     public val adapterOrders: Int,
     public val inFlight: ImmutableMap<String, Int>,
     public val lastUsedMillis: ImmutableMap<String, Long>,
-    public val requestsPerSecond: Double? = null
+    public val requestsPerSecond: Double? = null,
+    public val softwareVersion: String = ""
 ) {
     /** Returns the source from which the runner would load the weights of [model]. */
     public fun sourceOf(model: String): WeightSource = when (model) {
@@ -90,6 +92,8 @@
  * @property refusedSinceLoad refusals since the model's last load; prevents starvation.
  * @property targetAtMillis earliest target response time among the requests.
  * @property deadlineAtMillis latest deadline among the requests.
+ * @property softwareVersion the only version whose runners can serve the requests, which continue
+ *   streams that began there; null for any.
  */
 public data class ModelDemand(
     public val model: String,
@@ -97,8 +101,13 @@
     public val waiting: Int,
     public val targetAtMillis: Long,
     public val deadlineAtMillis: Long,
-    public val refusedSinceLoad: Int = 0
-)
+    public val refusedSinceLoad: Int = 0,
+    public val softwareVersion: String? = null
+) {
+    /** Returns whether [runner] can serve the requests once it has the model. */
+    public fun accepts(runner: RunnerState): Boolean =
+        softwareVersion == null || softwareVersion == runner.softwareVersion
+}
 
 /** Where the weights of a model are loaded from. */
 public enum class WeightSource { HOST_MEMORY, DISK, STORE }
@@ -147,15 +156,24 @@
     public val obstacle: Obstacle
 )
 
+/** When [model] should be ready at a runner of [softwareVersion]. */
+public data class VersionForecast(
+    public val model: String,
+    public val softwareVersion: String,
+    public val readyAtMillis: Long
+)
+
 /**
  * The planner's orders and forecasts.
  *
  * @property tooLate models that will be ready only after the deadlines of all waiting requests.
  * @property readyAtMillis when each model that requests wait for should be ready.
+ * @property atVersions forecasts for requests that wait for a runner of one software version.
  */
 public data class ResidencyPlan(
     public val steps: List<ResidencyOrder>,
     public val tooLate: List<String>,
     public val readyAtMillis: Map<String, Long>,
-    public val blocked: List<BlockedDemand> = emptyList()
+    public val blocked: List<BlockedDemand> = emptyList(),
+    public val atVersions: List<VersionForecast> = emptyList()
 )
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -52,6 +52,7 @@
     private val tooLate = mutableListOf<String>()
     private val readyAtMillisByModel = mutableMapOf<String, Long>()
     private val blocked = mutableListOf<BlockedDemand>()
+    private val atVersions = mutableListOf<VersionForecast>()
     private val orderedRunners = mutableSetOf<String>()
     private val needAdapterSlots = mutableSetOf<String>()
     private val times = LoadTimes(view)
@@ -66,13 +67,37 @@
     private val waitingCost = WaitingCost(view, times, replicas)
 
     fun run(): ResidencyPlan {
-        val (present, absent) = view.demands.filter { it.waiting > 0 }
-            .partition { demand -> view.runners.any { demand.model in it.served } }
+        val (present, absent) = view.demands.filter { it.waiting > 0 }.partition { demand ->
+            view.runners.any { demand.model in it.served && demand.accepts(it) }
+        }
         present.filter { it.adapter != null }.forEach(::placeAdapter)
-        loadAbsent(absent)
+        val (bound, unbound) = absent.partition { it.softwareVersion != null }
+        loadAbsent(unbound)
+        loadAtVersions(bound)
         addReplicas()
         if (steps.isEmpty()) preload()
-        return ResidencyPlan(steps, tooLate, readyAtMillisByModel, blocked)
+        return ResidencyPlan(steps, tooLate, readyAtMillisByModel, blocked, atVersions)
+    }
+
+    /**
+     * Loads models for streams that only runners of one software version can continue. A caller for
+     * whom the load is too late returns, since it has a part of its stream.
+     */
+    private fun loadAtVersions(absent: List<ModelDemand>) {
+        val merged = absent.groupBy { it.model to it.softwareVersion }.values.map(::merge)
+        for (demand in merged.sortedByDescending { it.waiting }) {
+            val version = demand.softwareVersion ?: continue
+            val loading = view.runners
+                .firstOrNull { it.loading == demand.model && demand.accepts(it) }
+            val candidate = if (loading == null) bestCandidate(demand) else null
+            val ready = loading?.loadedAtMillis ?: candidate?.let(::readyAtMillis)
+            if (ready == null) {
+                blocked += BlockedDemand(demand.model, null, obstacleOf(demand, null))
+                continue
+            }
+            atVersions += VersionForecast(demand.model, version, ready)
+            candidate?.let(::order)
+        }
     }
 
     private fun loadAbsent(absent: List<ModelDemand>) {
@@ -116,10 +141,9 @@
 
     private fun obstacleOf(demand: ModelDemand, candidate: Candidate?): Obstacle {
         if (candidate != null) return Obstacle.TOO_LATE
-        val free = view.runners.filter { mayOrder(it) }
-        val hasLocalCopy = view.runners.any {
-            it.sourceOf(demand.model) != WeightSource.STORE
-        }
+        val accepting = view.runners.filter(demand::accepts)
+        val free = accepting.filter(::mayOrder)
+        val hasLocalCopy = accepting.any { it.sourceOf(demand.model) != WeightSource.STORE }
         val needsStore = free.all { it.sourceOf(demand.model) == WeightSource.STORE }
         return when {
             free.isEmpty() || needsStore && hasLocalCopy -> Obstacle.RUNNERS_BUSY
@@ -172,7 +196,7 @@
 
     private fun candidateOn(runner: RunnerState, demand: ModelDemand): Candidate? {
         val cost = bounds.models[demand.model] ?: return null
-        if (!mayOrder(runner)) return null
+        if (!mayOrder(runner) || !demand.accepts(runner)) return null
         val source = runner.sourceOf(demand.model)
         if (source == WeightSource.STORE && !mayLoadFromStore()) return null
         val evicted = evictions(runner, cost.weightMegabytes) ?: return null
@@ -254,7 +278,7 @@
 
     private fun placeAdapter(demand: ModelDemand) {
         val adapter = demand.adapter ?: return
-        val serving = view.runners.filter { demand.model in it.served }
+        val serving = view.runners.filter { demand.model in it.served && demand.accepts(it) }
         if (serving.any { adapter in it.served.getValue(demand.model) || isOrdered(it, demand) }) {
             return
         }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.entry.residency.ModelNeed
 import cactusfold.entry.residency.ModelWait
 import cactusfold.entry.upstream.ModelUse
 import cactusfold.entry.upstream.Upstream
@@ -44,7 +45,6 @@
         placement.locate(deadlineAtMillis)?.let { return failOrAbort(it) }
         val service = placement.service
         val model = request.facts.model
-        val adapter = request.facts.adapter
         dependencies.retries.recordRequest(service)
         model?.let(dependencies.waits::arrived)
         val suspicion = RequestSuspicion(dependencies, request, admitted.workspace)
@@ -55,21 +55,21 @@
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
             val candidates = placement.candidates()
-            if (candidates.isEmpty() && (placement.isBound || placement.hasOthers())) {
-                versions.await(placement)?.let { return failOrAbort(it) }
+            if (candidates.isEmpty() && !placement.isBound && placement.hasOthers()) {
+                versions.await()?.let { return failOrAbort(it) }
                 continue
             }
             if (candidates.isEmpty() && model != null) {
-                val targetAtMillis = request.arrivedAtMillis + route.targetMillis
-                val patienceEndsMillis = route.patienceMillis?.let { request.arrivedAtMillis + it }
-                val waitUntilMillis =
-                    minOf(deadlineAtMillis, patienceEndsMillis ?: deadlineAtMillis) -
-                        FIRST_PIECE_RESERVE_MILLIS
-                val wait = awaitModel(service, model, adapter, targetAtMillis, waitUntilMillis)
-                if (wait is ModelWait.Refused) {
-                    return refuse("model-not-in-time", wait.retryAfterMillis)
+                val need = modelNeed(route, placement, model, deadlineAtMillis)
+                when (val wait = awaitModel(need)) {
+                    ModelWait.Ready -> continue
+                    ModelWait.VersionGone -> return refuse("stream-version-gone", null)
+                    is ModelWait.Refused ->
+                        return refuse(placement.absentModelCode, wait.retryAfterMillis)
                 }
-                continue
+            }
+            if (candidates.isEmpty() && placement.isBound) {
+                return refuse("stream-version-gone", null)
             }
             val selected = when (val selection = selection.select(candidates)) {
                 is Selection.Selected -> selection
@@ -108,26 +108,39 @@
         }
     }
 
-    private suspend fun awaitModel(
-        service: String,
+    /**
+     * Returns what the request waits for while no upstream has its model. Its caller is patient from
+     * the arrival or, once its stream has begun, from the last event on.
+     */
+    private fun modelNeed(
+        route: ServingRoute,
+        placement: StreamPlacement,
         model: String,
-        adapter: String?,
-        targetAtMillis: Long,
-        waitUntilMillis: Long
-    ): ModelWait {
-        val startedAtMillis = dependencies.clock.nowMillis()
-        val wait = dependencies.waits.await(
-            service,
-            model,
-            adapter,
-            targetAtMillis,
-            waitUntilMillis
+        deadlineAtMillis: Long
+    ): ModelNeed {
+        val sinceMillis =
+            if (reply.hasBegun) dependencies.clock.nowMillis() else request.arrivedAtMillis
+        val patienceEndsMillis = route.patienceMillis?.let { sinceMillis + it } ?: deadlineAtMillis
+        return ModelNeed(
+            service = placement.service,
+            model = model,
+            adapter = request.facts.adapter,
+            softwareVersion = placement.softwareVersion,
+            targetAtMillis = sinceMillis + route.targetMillis,
+            deadlineAtMillis =
+            minOf(deadlineAtMillis, patienceEndsMillis) - FIRST_PIECE_RESERVE_MILLIS
         )
+    }
+
+    private suspend fun awaitModel(need: ModelNeed): ModelWait {
+        val startedAtMillis = dependencies.clock.nowMillis()
+        val wait = dependencies.waits.await(need)
         dependencies.events.write(
             "model-waited",
             "request" to request.facts.id,
-            "model" to model,
-            "adapter" to adapter,
+            "model" to need.model,
+            "adapter" to need.adapter,
+            "version" to need.softwareVersion,
             "end" to wait.toString(),
             "waited_ms" to dependencies.clock.nowMillis() - startedAtMillis
         )
--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -33,6 +33,12 @@
     /** Whether only upstreams of one software version can continue the stream. */
     val isBound: Boolean get() = origin != null
 
+    /** The only software version whose upstreams can continue the stream; null for any. */
+    val softwareVersion: String? get() = origin?.softwareVersion
+
+    /** The code of a refusal because no upstream has the model in time. */
+    val absentModelCode: String get() = if (isBound) "stream-version-busy" else "model-not-in-time"
+
     /** Finds out where a stream began that the caller resumes. Returns why it cannot go on, or null. */
     suspend fun locate(deadlineAtMillis: Long): ErrorAnswer? {
         if (!isTakenUp) return null
@@ -81,11 +87,6 @@
             ?: dependencies.streams.recorded.contains(service, version)
     }
 
-    /** Whether an upstream of the stream's version may still take it, though perhaps not now. */
-    fun isVersionServing(): Boolean = dependencies.directory.usable.any {
-        it.entry.service == service && it.entry.softwareVersion == origin?.softwareVersion
-    }
-
     /**
      * Checks, before the first event of [upstream] is passed on, that the stream may begin or go on
      * there.
--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -33,13 +33,13 @@
     public fun longTermArrivalsPerSecond(nowMillis: Long): Map<String, Double> =
         arrivals.longTermPerSecond(nowMillis)
 
-    /** Returns the waiting requests of all members, one entry per model and adapter. */
+    /** Returns the waiting requests of all members by model, adapter and software version. */
     public fun demands(nowMillis: Long): List<ModelDemand> = current(nowMillis)
         .flatMap { member ->
             member.report.demandsList.filter { it.waiting > 0 }.map { member to it }
         }
-        .groupBy({ it.second.model to it.second.adapter }, { it })
-        .map { (key, group) -> merge(key.first, key.second, group) }
+        .groupBy { (_, demand) -> Triple(demand.model, demand.adapter, demand.softwareVersion) }
+        .values.map(::merge)
 
     /** Returns the ids of upstreams that at least one member could not reach. */
     public fun unreachable(nowMillis: Long): Set<String> =
@@ -59,20 +59,17 @@
             .groupBy { it.runner }
             .mapValues { (_, uses) -> uses.mapTo(mutableSetOf()) { it.model to it.adapter } }
 
-    private fun merge(
-        model: String,
-        adapter: String,
-        group: List<Pair<ReceivedReport, Demand>>
-    ): ModelDemand = ModelDemand(
-        model = model,
-        adapter = adapter.ifEmpty { null },
+    private fun merge(group: List<Pair<ReceivedReport, Demand>>): ModelDemand = ModelDemand(
+        model = group.first().second.model,
+        adapter = group.first().second.adapter.ifEmpty { null },
         waiting = group.sumOf { it.second.waiting },
         targetAtMillis = group.minOf { (member, demand) ->
             member.atMillis + demand.targetInMillis
         },
         deadlineAtMillis = group.maxOf { (member, demand) ->
             member.atMillis + demand.limitInMillis
-        }
+        },
+        softwareVersion = group.first().second.softwareVersion.ifEmpty { null }
     )
 
     private fun current(nowMillis: Long): List<ReceivedReport> =
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -166,7 +166,12 @@
             loader.recordStart(step, nowMillis)
             scope.launch(jobs) { loader.execute(step) }
         }
-        val forecasts = plan.readyAtMillis.filter { (model, readyAtMillis) ->
+        val forecasts = forecastsOf(plan, nowMillis) + versionForecastsOf(plan, nowMillis)
+        if (forecasts.isNotEmpty()) onForecasts(forecasts)
+    }
+
+    private fun forecastsOf(plan: ResidencyPlan, nowMillis: Long): List<Forecast> =
+        plan.readyAtMillis.filter { (model, readyAtMillis) ->
             model in plan.tooLate || isForecastDue(model, readyAtMillis, nowMillis)
         }.map { (model, readyAtMillis) ->
             Forecast.newBuilder()
@@ -175,16 +180,25 @@
                 .setReadyInMillis((readyAtMillis - nowMillis).coerceAtLeast(0))
                 .build()
         }
-        if (forecasts.isNotEmpty()) onForecasts(forecasts)
-    }
 
-    /** Returns whether a forecast for [model] is to be sent, and records it as sent if so. */
-    private fun isForecastDue(model: String, readyAtMillis: Long, nowMillis: Long): Boolean {
-        val last = sentForecasts[model]
+    private fun versionForecastsOf(plan: ResidencyPlan, nowMillis: Long): List<Forecast> =
+        plan.atVersions.filter {
+            isForecastDue("${it.model}@${it.softwareVersion}", it.readyAtMillis, nowMillis)
+        }.map {
+            Forecast.newBuilder()
+                .setModel(it.model)
+                .setSoftwareVersion(it.softwareVersion)
+                .setReadyInMillis((it.readyAtMillis - nowMillis).coerceAtLeast(0))
+                .build()
+        }
+
+    /** Returns whether the forecast named [key] is to be sent, and records it as sent if so. */
+    private fun isForecastDue(key: String, readyAtMillis: Long, nowMillis: Long): Boolean {
+        val last = sentForecasts[key]
         val isCurrent = last != null &&
             nowMillis - last.atMillis < FORECAST_INTERVAL_MILLIS &&
             Math.abs(readyAtMillis - last.readyAtMillis) < MIN_FORECAST_CHANGE_MILLIS
-        if (!isCurrent) sentForecasts[model] = SentForecast(readyAtMillis, nowMillis)
+        if (!isCurrent) sentForecasts[key] = SentForecast(readyAtMillis, nowMillis)
         return !isCurrent
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
@@ -12,24 +12,38 @@
     /** An upstream has the model loaded. */
     public data object Ready : ModelWait
 
+    /** No upstream has the only software version that can serve the request. */
+    public data object VersionGone : ModelWait
+
     /** No load will complete in time; a retry after [retryAfterMillis] may succeed. */
     public data class Refused(public val retryAfterMillis: Long) : ModelWait
 }
 
+/**
+ * What a request waits for: an upstream of [service] with [model] and, if not null, [adapter].
+ *
+ * @property softwareVersion the only version of which the upstream may be; null for any.
+ * @property targetAtMillis by when the coordinator aims to have the model ready.
+ * @property deadlineAtMillis how long the request waits.
+ */
+public data class ModelNeed(
+    public val service: String,
+    public val model: String,
+    public val adapter: String?,
+    public val softwareVersion: String?,
+    public val targetAtMillis: Long,
+    public val deadlineAtMillis: Long
+)
+
 /** Queue of this process's requests that wait for their model to be loaded by a runner. */
 public class ModelWaitQueue(
     private val directory: UpstreamDirectory,
     private val clock: MonotonicClock,
     private val wake: () -> Unit
 ) {
-    private class Waiting(
-        val service: String,
-        val model: String,
-        val adapter: String?,
-        val targetAtMillis: Long,
-        val deadlineAtMillis: Long,
-        val result: CompletableDeferred<ModelWait>
-    )
+    private class Waiting(val need: ModelNeed) {
+        val result = CompletableDeferred<ModelWait>()
+    }
 
     private val waiting = LinkedHashSet<Waiting>()
     private val arrivals = HashMap<String, Int>()
@@ -46,31 +60,14 @@
         arrivals.merge(model, 1, Int::plus)
     }
 
-    /**
-     * Suspends until an upstream of [service] has [model] loaded with [adapter], but not beyond
-     * [deadlineAtMillis]. The coordinator aims to have the model ready by [targetAtMillis].
-     */
-    public suspend fun await(
-        service: String,
-        model: String,
-        adapter: String?,
-        targetAtMillis: Long,
-        deadlineAtMillis: Long
-    ): ModelWait {
-        if (directory.serving(service, model, adapter).isNotEmpty()) return ModelWait.Ready
-        val request =
-            Waiting(
-                service,
-                model,
-                adapter,
-                targetAtMillis,
-                deadlineAtMillis,
-                CompletableDeferred()
-            )
+    /** Suspends until an upstream serves [need], but not beyond its deadline. */
+    public suspend fun await(need: ModelNeed): ModelWait {
+        resultOf(need)?.let { return it }
+        val request = Waiting(need)
         waiting += request
         wake()
         try {
-            val leftMillis = deadlineAtMillis - clock.nowMillis()
+            val leftMillis = need.deadlineAtMillis - clock.nowMillis()
             return withTimeoutOrNull(leftMillis) { request.result.await() }
                 ?: ModelWait.Refused(EXPIRED_RETRY_AFTER_MILLIS)
         } finally {
@@ -82,16 +79,22 @@
     public fun forecast(forecast: Forecast) {
         val readyAtMillis = clock.nowMillis() + forecast.readyInMillis
         val retryAfterMillis = forecast.readyInMillis.coerceAtLeast(MIN_RETRY_AFTER_MILLIS)
-        waiting.filter { it.model == forecast.model }
-            .filter { forecast.isRefused || it.deadlineAtMillis < readyAtMillis }
+        waiting.filter { it.need.model == forecast.model }
+            .filter { it.need.softwareVersion.orEmpty() == forecast.softwareVersion }
+            .filter { forecast.isRefused || it.need.deadlineAtMillis < readyAtMillis }
             .forEach { it.result.complete(ModelWait.Refused(retryAfterMillis)) }
     }
 
     /** Returns the waiting requests, and the arrivals since the last call. */
     public fun takeDemands(): List<Demand> {
         val nowMillis = clock.nowMillis()
-        val demands = waiting.groupBy { it.model to it.adapter }.map { (key, group) ->
-            Demand.newBuilder().setModel(key.first).setAdapter(key.second.orEmpty())
+        val needs = waiting.map { it.need }
+        val demands = needs.groupBy {
+            Triple(it.model, it.adapter, it.softwareVersion)
+        }.map { (key, group) ->
+            val (model, adapter, softwareVersion) = key
+            Demand.newBuilder().setModel(model).setAdapter(adapter.orEmpty())
+                .setSoftwareVersion(softwareVersion.orEmpty())
                 .setWaiting(group.size)
                 .setTargetInMillis(group.minOf { it.targetAtMillis } - nowMillis)
                 .setLimitInMillis(group.maxOf { it.deadlineAtMillis } - nowMillis)
@@ -113,8 +116,21 @@
     }
 
     private fun release() {
-        if (waiting.isEmpty()) return
-        waiting.filter { directory.serving(it.service, it.model, it.adapter).isNotEmpty() }
-            .forEach { it.result.complete(ModelWait.Ready) }
+        for (request in waiting) {
+            resultOf(request.need)?.let(request.result::complete)
+        }
+    }
+
+    /** Returns how the wait for [need] ends now, or null if it goes on. */
+    private fun resultOf(need: ModelNeed): ModelWait? {
+        val version = need.softwareVersion
+        val serving = directory.serving(need.service, need.model, need.adapter)
+        return when {
+            serving.any { version == null || it.entry.softwareVersion == version } ->
+                ModelWait.Ready
+            version != null && version !in directory.versionsOf(need.service) ->
+                ModelWait.VersionGone
+            else -> null
+        }
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
@@ -70,7 +70,8 @@
             adapterOrders = adapterOrders,
             inFlight = inFlight.toImmutableMap(),
             lastUsedMillis = lastUsedMillis.toImmutableMap(),
-            requestsPerSecond = requestsPerSecond
+            requestsPerSecond = requestsPerSecond,
+            softwareVersion = upstream.entry.softwareVersion
         )
     }
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
@@ -7,6 +7,7 @@
 import cactusfold.platform.standin.RawAnswer
 import cactusfold.platform.standin.RunnerBehavior
 import cactusfold.platform.standin.RunnerStandin
+import kotlin.concurrent.thread
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertIs
@@ -42,11 +43,10 @@
     private fun call(
         resumes: Pair<String?, Int>? = null,
         path: String = "/draft/x"
-    ): Pair<String, CallEnd> =
-        CallerConnection(fixture.callers).use {
-            val id = it.send(path, "warm", resumes = resumes)
-            id to it.receive()
-        }
+    ): Pair<String, CallEnd> = CallerConnection(fixture.callers).use {
+        val id = it.send(path, "warm", resumes = resumes)
+        id to it.receive()
+    }
 
     /** Begins a stream at version `v1`, which breaks off after the third event, and returns its id. */
     private fun beginStream(): String {
@@ -100,6 +100,41 @@
         }
     }
 
+    /** Streams of a version of which no other runner has their model. */
+    @Nested
+    inner class WithoutModel {
+        private fun joinWithoutModel() =
+            fixture.runner("i-2", "engine", emptySet()).apply { eventText = "v1" }
+
+        // Guards against streams that are cut although a runner of their version could load the
+        // model.
+        @Test
+        fun `a stream goes on at a runner of its version that loads its model`() {
+            joinWithoutModel()
+            old.rawAnswer = brokenOff.copy(endDelayMillis = LEAVING_MILLIS)
+            val leaving = thread {
+                EntryFixture.eventually("no stream began") { old.ran.isNotEmpty() }
+                fixture.store.remove("servers", "i-1")
+            }
+            val end = assertIs<CallEnd.Answered>(call().second)
+            leaving.join()
+            assertEquals(events("v1", 1..RunnerStandin.EVENTS), end.body)
+        }
+
+        @Test
+        fun `a stream is taken up at a runner of its version that loads its model`() {
+            val id = beginStream()
+            joinWithoutModel()
+            join("i-3", "v2")
+            assertNewStreamsBeginAt("v2")
+            fixture.store.remove("servers", "i-1")
+            EntryFixture.eventually("the stream does not go on") {
+                val end = call(id to 3).second
+                end is CallEnd.Answered && end.body == events("v1", 4..RunnerStandin.EVENTS)
+            }
+        }
+    }
+
     /** Upstreams that have restarted with another version under their id, of which nobody knows. */
     @Nested
     inner class Restarted {
@@ -235,6 +270,9 @@
         /** Enough for each of the runners to be chosen. */
         const val CALLS = 8
 
+        /** Long enough to read that an upstream is gone. */
+        const val LEAVING_MILLIS = 500L
+
         /** Callers may return to streams for twice as long. */
         const val SHORT_TIMEOUT_MILLIS = 1_000L
     }
--- a/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
@@ -24,10 +24,13 @@
     private fun forecast(readyInMillis: Long): Forecast =
         Forecast.newBuilder().setModel("m").setReadyInMillis(readyInMillis).build()
 
+    private fun need(model: String, deadlineAtMillis: Long): ModelNeed =
+        ModelNeed("s", model, null, softwareVersion = null, 10_000, deadlineAtMillis)
+
     @Test
     fun `a forecast refuses only requests whose deadline is before the ready time`() = runBlocking {
-        val early = async { queue.await("s", "m", null, 10_000, deadlineAtMillis = 14_000) }
-        val late = async { queue.await("s", "m", null, 10_000, deadlineAtMillis = 26_000) }
+        val early = async { queue.await(need("m", deadlineAtMillis = 14_000)) }
+        val late = async { queue.await(need("m", deadlineAtMillis = 26_000)) }
         yield()
         queue.forecast(forecast(readyInMillis = 9_300))
         assertEquals(ModelWait.Refused(retryAfterMillis = 9_300), early.await())
@@ -37,7 +40,7 @@
 
     @Test
     fun `a forecast for another model does not end the wait`() = runBlocking {
-        val waiting = async { queue.await("s", "n", null, 10_000, deadlineAtMillis = 14_000) }
+        val waiting = async { queue.await(need("n", deadlineAtMillis = 14_000)) }
         yield()
         queue.forecast(forecast(readyInMillis = 9_300))
         yield()
