The wait for a model and the choice of a service have files of their own

ModelPatience waits for a model of one request, selectService chooses the service of a route; ModelNeed and ModelWait leave the queue's file. Nothing else changes.

Result: StreamVersionTest, EntryPathTest, ModelWaitQueueTest and CallerServerTest pass.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -1,6 +1,5 @@
 package cactusfold.entry.callers
 
-import cactusfold.entry.residency.ModelNeed
 import cactusfold.entry.residency.ModelWait
 import cactusfold.entry.upstream.ModelUse
 import cactusfold.entry.upstream.Upstream
@@ -41,7 +40,8 @@
     private suspend fun send(admitted: AdmissionDecision.Admitted): RequestOutcome {
         val route = admitted.route
         val deadlineAtMillis = admitted.deadlineAtMillis
-        val placement = StreamPlacement(dependencies, request, route, selectService(route))
+        val placement =
+            StreamPlacement(dependencies, request, route, selectService(route, request.facts))
         placement.locate(deadlineAtMillis)?.let { return failOrAbort(it) }
         val service = placement.service
         val model = request.facts.model
@@ -52,6 +52,7 @@
         val selection =
             UpstreamSelection(dependencies, request, route.targetMillis, deadlineAtMillis)
         val versions = VersionWait(dependencies, route.targetMillis, deadlineAtMillis)
+        val patience = ModelPatience(dependencies, request, route, deadlineAtMillis)
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
             val candidates = placement.candidates()
@@ -60,8 +61,7 @@
                 continue
             }
             if (candidates.isEmpty() && model != null) {
-                val need = modelNeed(route, placement, model, deadlineAtMillis)
-                when (val wait = awaitModel(need)) {
+                when (val wait = patience.awaitModel(placement, model, reply.hasBegun)) {
                     ModelWait.Ready -> continue
                     ModelWait.VersionGone -> return refuse("stream-version-gone", null)
                     is ModelWait.Refused ->
@@ -108,45 +108,6 @@
         }
     }
 
-    /**
-     * Returns what the request waits for while no upstream has its model. Its caller is patient from
-     * the arrival or, once its stream has begun, from the last event on.
-     */
-    private fun modelNeed(
-        route: ServingRoute,
-        placement: StreamPlacement,
-        model: String,
-        deadlineAtMillis: Long
-    ): ModelNeed {
-        val sinceMillis =
-            if (reply.hasBegun) dependencies.clock.nowMillis() else request.arrivedAtMillis
-        val patienceEndsMillis = route.patienceMillis?.let { sinceMillis + it } ?: deadlineAtMillis
-        return ModelNeed(
-            service = placement.service,
-            model = model,
-            adapter = request.facts.adapter,
-            softwareVersion = placement.softwareVersion,
-            targetAtMillis = sinceMillis + route.targetMillis,
-            deadlineAtMillis =
-            minOf(deadlineAtMillis, patienceEndsMillis) - FIRST_PIECE_RESERVE_MILLIS
-        )
-    }
-
-    private suspend fun awaitModel(need: ModelNeed): ModelWait {
-        val startedAtMillis = dependencies.clock.nowMillis()
-        val wait = dependencies.waits.await(need)
-        dependencies.events.write(
-            "model-waited",
-            "request" to request.facts.id,
-            "model" to need.model,
-            "adapter" to need.adapter,
-            "version" to need.softwareVersion,
-            "end" to wait.toString(),
-            "waited_ms" to dependencies.clock.nowMillis() - startedAtMillis
-        )
-        return wait
-    }
-
     private suspend fun sendTo(
         selected: Selection.Selected,
         route: ServingRoute,
@@ -329,23 +290,6 @@
         else -> fail(answer)
     }
 
-    /**
-     * Selects a service of the route by weight. The choice is a hash of the request id, for a stream
-     * that is resumed of that of the request that began it.
-     */
-    private fun selectService(route: ServingRoute): String {
-        val shares = route.services
-        if (shares.size == 1) return shares.first().service
-        val total = shares.sumOf { it.weight }
-        val id = request.facts.resumedId ?: request.facts.id
-        val point = Math.floorMod(id.hashCode(), HASH_STEPS) * total / HASH_STEPS
-        var sum = 0.0
-        return shares.firstOrNull { share ->
-            sum += share.weight
-            point < sum
-        }?.service ?: shares.last().service
-    }
-
     private companion object {
         /**
          * Codes for callers and metrics. What exactly happened is in the log; it may name other
@@ -359,15 +303,9 @@
         /** Urgency ranges from 0, the most urgent, to this. */
         const val LEAST_URGENT = 9
 
-        /** Number of equal parts of the hash range, over which services are spread by weight. */
-        const val HASH_STEPS = 10_000
-
         /** Number of sends after which a request that no upstream executed is refused. */
         const val MAX_SENDS = 4
 
-        /** Subtracted from the wait for a model: the engine's prefill precedes the first piece. */
-        const val FIRST_PIECE_RESERVE_MILLIS = 150L
-
         /** Retry delay for a request that was given up without having run at an upstream. */
         const val GIVEN_UP_RETRY_AFTER_MILLIS = 200L
     }
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelNeed.kt
@@ -0,0 +1,17 @@
+package cactusfold.entry.residency
+
+/**
+ * What a request waits for: an upstream of [service] with [model] and, if not null, [adapter].
+ *
+ * @property softwareVersion the only version of which the upstream may be; null for any.
+ * @property targetAtMillis by when the coordinator aims to have the model ready.
+ * @property deadlineAtMillis how long the request waits.
+ */
+public data class ModelNeed(
+    public val service: String,
+    public val model: String,
+    public val adapter: String?,
+    public val softwareVersion: String?,
+    public val targetAtMillis: Long,
+    public val deadlineAtMillis: Long
+)
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
@@ -7,34 +7,6 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Result of waiting for a model. */
-public sealed interface ModelWait {
-    /** An upstream has the model loaded. */
-    public data object Ready : ModelWait
-
-    /** No upstream has the only software version that can serve the request. */
-    public data object VersionGone : ModelWait
-
-    /** No load will complete in time; a retry after [retryAfterMillis] may succeed. */
-    public data class Refused(public val retryAfterMillis: Long) : ModelWait
-}
-
-/**
- * What a request waits for: an upstream of [service] with [model] and, if not null, [adapter].
- *
- * @property softwareVersion the only version of which the upstream may be; null for any.
- * @property targetAtMillis by when the coordinator aims to have the model ready.
- * @property deadlineAtMillis how long the request waits.
- */
-public data class ModelNeed(
-    public val service: String,
-    public val model: String,
-    public val adapter: String?,
-    public val softwareVersion: String?,
-    public val targetAtMillis: Long,
-    public val deadlineAtMillis: Long
-)
-
 /** Queue of this process's requests that wait for their model to be loaded by a runner. */
 public class ModelWaitQueue(
     private val directory: UpstreamDirectory,
