The router aborts a stream that it has begun if the upstream answers with anything but a stream

What could be seen: the router sends comments to a caller that waits for a stream, so the status 200 is sent. When the upstream then answered with an error or a document, its text ended the stream, framed as complete.

Cause: Reply.answer took any complete response for events once the head was sent.

Change: only a successful event stream is passed on then; for any other response the stream is aborted with an error event and a reset.

--- a/router/src/main/kotlin/cactusfold/router/callers/Reply.kt
+++ b/router/src/main/kotlin/cactusfold/router/callers/Reply.kt
@@ -11,9 +11,16 @@
 /** Writes the response to one request. */
 public class Reply(private val response: HttpServerResponse, private val id: String) {
 
-    /** Sends a complete response. */
+    /**
+     * Sends a complete response. A stream that a heartbeat has begun can only end with a stream; it
+     * is aborted for any other response, since its status and type cannot be sent any more.
+     */
     public suspend fun answer(answer: BufferedResponse) {
-        if (response.headWritten()) return sendEvents(answer.body)
+        if (response.headWritten()) {
+            if (answer.head.isEventStream) return sendEvents(answer.body)
+            val reason = "the upstream answered with status ${answer.head.status}"
+            return abort(Refusal.upstream(reason, RunState.MAY_HAVE_RUN))
+        }
         begin(answer.head)
         response.end(answer.body).coAwait()
     }
--- a/router/src/main/kotlin/cactusfold/router/forward/UpstreamClient.kt
+++ b/router/src/main/kotlin/cactusfold/router/forward/UpstreamClient.kt
@@ -28,7 +28,15 @@
 )
 
 /** Status and headers of an upstream response. */
-public class ResponseHead(public val status: Int, public val headers: List<Pair<String, String>>)
+public class ResponseHead(public val status: Int, public val headers: List<Pair<String, String>>) {
+    /** Whether this is the head of a successful event stream. */
+    public val isEventStream: Boolean
+        get() = status in 200..299 &&
+            headers.any { (name, value) ->
+                name.equals("content-type", ignoreCase = true) &&
+                    value.startsWith("text/event-stream", ignoreCase = true)
+            }
+}
 
 /** A completely received response. */
 public class BufferedResponse(public val head: ResponseHead, public val body: Buffer)
