A stream waits for an upstream of its version that cannot be reached for a moment

A wait also lasted until the caller's patience ended if the last upstream of the version was leaving.

Change: a version is gone if none of its upstreams may receive requests. Streams without a model wait as before up to half of the latency target; the queue of waiting requests is looked at with each report. The queue is copied before waits are ended.

No test has an upstream that is down for a moment.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -56,20 +56,20 @@
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
             val candidates = placement.candidates()
-            if (candidates.isEmpty() && !placement.isBound && placement.hasOthers()) {
-                versions.await()?.let { return failOrAbort(it) }
-                continue
+            if (candidates.isEmpty() && placement.isVersionGone()) {
+                return refuse("stream-version-gone", null)
             }
-            if (candidates.isEmpty() && model != null) {
+            val isUnrecorded = !placement.isBound && placement.hasOthers()
+            if (candidates.isEmpty() && model != null && !isUnrecorded) {
                 when (val wait = patience.awaitModel(placement, model, reply.hasBegun)) {
-                    ModelWait.Ready -> continue
-                    ModelWait.VersionGone -> return refuse("stream-version-gone", null)
+                    ModelWait.Ready, ModelWait.VersionGone -> continue
                     is ModelWait.Refused ->
                         return refuse(placement.absentModelCode, wait.retryAfterMillis)
                 }
             }
-            if (candidates.isEmpty() && placement.isBound) {
-                return refuse("stream-version-gone", null)
+            if (candidates.isEmpty() && (isUnrecorded || placement.isBound)) {
+                versions.await(placement)?.let { return failOrAbort(it) }
+                continue
             }
             val selected = when (val selection = selection.select(candidates)) {
                 is Selection.Selected -> selection
--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -87,6 +87,10 @@
             ?: dependencies.streams.recorded.contains(service, version)
     }
 
+    /** Whether no upstream that may receive requests has the version that the stream needs. */
+    fun isVersionGone(): Boolean =
+        origin?.let { !dependencies.directory.isServing(it.service, it.softwareVersion) } ?: false
+
     /**
      * Checks, before the first event of [upstream] is passed on, that the stream may begin or go on
      * there.
--- a/entry/src/main/kotlin/cactusfold/entry/callers/VersionWait.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/VersionWait.kt
@@ -3,8 +3,8 @@
 import kotlinx.coroutines.delay
 
 /**
- * The wait of one request until the software version of an upstream with its model is recorded, so
- * that streams may begin there. It takes up to half of the latency target.
+ * The wait of one request for an upstream of the software version that its stream needs: that at
+ * which it began, or one at which streams may begin. It takes up to half of the latency target.
  */
 internal class VersionWait(
     private val dependencies: RequestFlowDependencies,
@@ -15,12 +15,13 @@
     private var waitingSinceMillis: Long? = null
 
     /** Waits for a while. Returns why the request is given up instead, or null if it is not. */
-    suspend fun await(): ErrorAnswer? {
+    suspend fun await(placement: StreamPlacement): ErrorAnswer? {
         val nowMillis = dependencies.clock.nowMillis()
         val sinceMillis = waitingSinceMillis ?: nowMillis.also { waitingSinceMillis = it }
         val endsAtMillis = minOf(sinceMillis + maxWaitMillis, deadlineAtMillis)
         if (nowMillis >= endsAtMillis) {
-            return ErrorAnswer.NotRun("version-unrecorded", RETRY_AFTER_MILLIS)
+            val code = if (placement.isBound) "stream-version-busy" else "version-unrecorded"
+            return ErrorAnswer.NotRun(code, RETRY_AFTER_MILLIS)
         }
         delay(RECHECK_MILLIS)
         return null
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
@@ -59,6 +59,8 @@
 
     /** Returns the waiting requests, and the arrivals since the last call. */
     public fun takeDemands(): List<Demand> {
+        // An upstream to which connections failed is tried again after a while, without an event.
+        release()
         val nowMillis = clock.nowMillis()
         val needs = waiting.map { it.need }
         val demands = needs.groupBy {
@@ -88,7 +90,8 @@
     }
 
     private fun release() {
-        for (request in waiting) {
+        // A request that ends leaves the queue.
+        for (request in waiting.toList()) {
             resultOf(request.need)?.let(request.result::complete)
         }
     }
@@ -100,7 +103,7 @@
         return when {
             serving.any { version == null || it.entry.softwareVersion == version } ->
                 ModelWait.Ready
-            version != null && version !in directory.versionsOf(need.service) ->
+            version != null && !directory.isServing(need.service, version) ->
                 ModelWait.VersionGone
             else -> null
         }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -58,6 +58,11 @@
         .filter { it.entry.service == service }
         .mapTo(mutableSetOf()) { it.entry.softwareVersion }
 
+    /** Whether an upstream of [service] and [softwareVersion] may receive requests. */
+    public fun isServing(service: String, softwareVersion: String): Boolean = usable.any {
+        it.entry.service == service && it.entry.softwareVersion == softwareVersion
+    }
+
     /** Returns the ids of upstreams to which connections failed recently. */
     public fun down(): List<String> {
         val nowMillis = clock.nowMillis()
--- a/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
@@ -24,8 +24,17 @@
     private fun forecast(readyInMillis: Long): Forecast =
         Forecast.newBuilder().setModel("m").setReadyInMillis(readyInMillis).build()
 
-    private fun need(model: String, deadlineAtMillis: Long): ModelNeed =
-        ModelNeed("s", model, null, softwareVersion = null, 10_000, deadlineAtMillis)
+    private fun need(
+        model: String,
+        deadlineAtMillis: Long,
+        softwareVersion: String? = null
+    ): ModelNeed = ModelNeed("s", model, null, softwareVersion, 10_000, deadlineAtMillis)
+
+    @Test
+    fun `a wait for a version ends at once if no upstream has it`() = runBlocking {
+        val need = need("m", deadlineAtMillis = 14_000, softwareVersion = "v1")
+        assertEquals(ModelWait.VersionGone, queue.await(need))
+    }
 
     @Test
     fun `a forecast refuses only requests whose deadline is before the ready time`() = runBlocking {
