Connections of orders are kept until they bring a refusal

Cause: since each order had a connection of its own. Why more orders are refused over new connections was not traced.

Change: orders and reports share connections again, and one that brought a refusal is closed, which is all that a repeated refusal needs.

Result: RepeatedRefusalTest, RunnerOrderClientTest and StartCheckTest pass.

--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -59,24 +59,14 @@
     public data class NoAnswer(public val reason: String) : HttpOutcome
 }
 
-/**
- * Which connections carry further requests. A faulty server may write an answer once more, and it is
- * taken for the answer to the next request unless answers name their requests.
- */
-public enum class ConnectionReuse {
-    ALWAYS,
-
-    /** Connections that brought a refusal are closed. */
-    AFTER_SUCCESS,
-    NEVER
-}
-
 /**
  * HTTP client for small requests, mostly to one address, each with a timeout.
  *
  * @property defaultTarget null if each request states its target.
  * @property closesOnTimeout whether the connection of a request that timed out is closed. If not,
  *   it returns to the pool only after the response, and unresponsive connections exhaust the pool.
+ * @property closesOnRefusal whether a connection that brought a refusal is closed. If not, a faulty
+ *   server may write the refusal once more, which is taken for the answer to the next request.
  */
 public class PlatformHttp(
     vertx: Vertx,
@@ -84,7 +74,7 @@
     private val timeoutMillis: Long,
     poolSize: Int = DEFAULT_POOL_SIZE,
     private val closesOnTimeout: Boolean = false,
-    private val reuse: ConnectionReuse = ConnectionReuse.ALWAYS
+    private val closesOnRefusal: Boolean = false
 ) {
     public constructor(
         vertx: Vertx,
@@ -99,8 +89,7 @@
             .setConnectTimeout(timeoutMillis.toInt())
             .setIdleTimeout(IDLE_SECONDS)
             .setIdleTimeoutUnit(TimeUnit.SECONDS)
-            .setKeepAliveTimeout(IDLE_SECONDS / 2)
-            .setKeepAlive(reuse != ConnectionReuse.NEVER),
+            .setKeepAliveTimeout(IDLE_SECONDS / 2),
         PoolOptions().setHttp1MaxSize(poolSize)
     )
 
@@ -148,8 +137,7 @@
         client.close()
     }
 
-    private fun endsConnection(status: Int): Boolean =
-        reuse == ConnectionReuse.AFTER_SUCCESS && status >= REFUSALS_FROM
+    private fun endsConnection(status: Int): Boolean = closesOnRefusal && status >= REFUSALS_FROM
 
     private fun failureOf(sent: Boolean, reason: String): HttpOutcome =
         if (sent) HttpOutcome.NoAnswer(reason) else HttpOutcome.NotSent(reason)
