--- a/decisions/src/main/kotlin/cactusfold/decisions/holding/CoordinatorLeaseMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/holding/CoordinatorLeaseMachine.kt
@@ -209,7 +209,8 @@
      * extended.
      *
      * @param isSameEra whether the store has lost no writes since the last renewal. If it has, the
-     *   row may have returned to this holder after another one took over, unless the lease is valid.
+     *   row may have returned to this holder after another one took over, unless the lease is
+     *   valid.
      */
     public fun conflicted(
         state: CoordinatorLeaseState.LeaseHolder,
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -315,9 +315,9 @@
     }
 
     /**
-     * Adds a replica of a model whose runners limit their requests to fewer than arrive, or are busy
-     * or out of adapter slots. It is loaded from the weight store only while less than half of the
-     * store's concurrent loads are in use, to leave capacity for models that no runner has.
+     * Adds a replica of a model whose runners limit their requests to fewer than arrive, or are
+     * busy or out of adapter slots. It is loaded from the weight store only while less than half of
+     * the store's concurrent loads are in use, to leave capacity for models that no runner has.
      */
     private fun addReplicas() {
         val replicated = view.arrivalsPerSecond.keys.filter { (replicas[it] ?: 0) > 0 }
--- a/decisions/src/main/kotlin/cactusfold/decisions/streams/SoleOrigin.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/streams/SoleOrigin.kt
@@ -1,9 +1,9 @@
 package cactusfold.decisions.streams
 
 /**
- * Returns the only origin of the streams to which callers may still return for [keptMillis], or null
- * if there may be several. The service of a stream need not be that of its route, which may have
- * moved; so [records] are those of all services.
+ * Returns the only origin of the streams to which callers may still return for [keptMillis], or
+ * null if there may be several. The service of a stream need not be that of its route, which may
+ * have moved; so [records] are those of all services.
  */
 public fun soleOrigin(
     records: Map<String, VersionRecord>,
--- a/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
@@ -153,8 +153,8 @@
 }
 
 /**
- * Entry point of `cactusfold-entry`. The plain form `--config FILE` is read without the command-line
- * library, whose classes cannot be archived and are slow to load.
+ * Entry point of `cactusfold-entry`. The plain form `--config FILE` is read without the command-
+ * line library, whose classes cannot be archived and are slow to load.
  */
 public fun main(args: Array<String>) {
     if (args.size != 2 || args[0] != "--config") return runCommand(EntryCommand(), args)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -125,7 +125,9 @@
         else -> RequestOutcome.Failed(ErrorAnswer.NotRun(INTERNAL_ERROR, null))
     }
 
-    /** Sends [outcome]; if that fails an error answer, and if that fails too, cuts the connection. */
+    /**
+     * Sends [outcome]; if that fails an error answer, and if that fails too, cuts the connection.
+     */
     private fun finish(outcome: RequestOutcome) {
         val sent = sequence {
             yield(outcome)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -11,7 +11,8 @@
 /**
  * Writes the response to a caller's request.
  *
- * @param closeDelimited null unless the caller takes the end of its connection for that of a stream.
+ * @param closeDelimited null unless the caller takes the end of its connection for that of a
+ *   stream.
  */
 public class CallerReply(
     private val response: HttpServerResponse,
--- a/entry/src/main/kotlin/cactusfold/entry/callers/ModelPatience.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/ModelPatience.kt
@@ -5,8 +5,8 @@
 import cactusfold.ports.serving.ServingRoute
 
 /**
- * The wait of one request while no upstream has its model. The caller is patient from the arrival of
- * the request or, once its stream has begun, from the last event on.
+ * The wait of one request while no upstream has its model. The caller is patient from the arrival
+ * of the request or, once its stream has begun, from the last event on.
  */
 internal class ModelPatience(
     private val dependencies: RequestFlowDependencies,
@@ -14,7 +14,9 @@
     private val route: ServingRoute,
     private val deadlineAtMillis: Long
 ) {
-    /** Waits until an upstream that [placement] accepts has [model], while the caller is patient. */
+    /**
+     * Waits until an upstream that [placement] accepts has [model], while the caller is patient.
+     */
     suspend fun awaitModel(
         placement: StreamPlacement,
         model: String,
--- a/entry/src/main/kotlin/cactusfold/entry/callers/ServiceSelection.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/ServiceSelection.kt
@@ -7,8 +7,8 @@
 private const val HASH_STEPS = 10_000
 
 /**
- * Selects a service of [route] by weight. The choice is a hash of the request's id, for a stream that
- * is resumed of that of the request that began it.
+ * Selects a service of [route] by weight. The choice is a hash of the request's id, for a stream
+ * that is resumed of that of the request that began it.
  */
 internal fun selectService(route: ServingRoute, request: RequestMetadata): String {
     val shares = route.services
--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -39,7 +39,9 @@
     /** The code of a refusal because no upstream has the model in time. */
     val absentModelCode: String get() = if (isBound) "stream-version-busy" else "model-not-in-time"
 
-    /** Finds out where a stream began that the caller resumes. Returns why it cannot go on, or null. */
+    /**
+     * Finds out where a stream began that the caller resumes. Returns why it cannot go on, or null.
+     */
     suspend fun locate(deadlineAtMillis: Long): ErrorAnswer? {
         if (!isTakenUp) return null
         val startedAtMillis = dependencies.clock.nowMillis()
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -97,7 +97,9 @@
     public fun checkEnd(): StreamCheck
 }
 
-/** Whether a stream may be what its upstream meant to send. Its framing alone does not show that. */
+/**
+ * Whether a stream may be what its upstream meant to send. Its framing alone does not show that.
+ */
 public sealed interface StreamCheck {
     /** Nothing is wrong with the stream. */
     public data object Sound : StreamCheck
@@ -167,7 +169,9 @@
             if (!isComplete) request?.reset()
         }
 
-        /** Returns a connection that has not brought a refusal, which could be written once more. */
+        /**
+         * Returns a connection that has not brought a refusal, which could be written once more.
+         */
         private suspend fun connect(): HttpClientRequest {
             while (true) {
                 val open = acquire()
@@ -247,7 +251,8 @@
             }
             isComplete = true
             return when (val check = sink.checkEnd()) {
-                // The upstream may have crashed: the end of a connection can be the end of an answer.
+                // The upstream may have crashed: the end of a connection can be the end of an
+                // answer.
                 is StreamCheck.Unsound -> SendEnd.Broken(check.reason, closedNow())
                 StreamCheck.Sound -> SendEnd.Streamed
             }
--- a/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
@@ -199,7 +199,9 @@
         /** Interval between two looks at the registered versions. */
         const val STEP_MILLIS = 50L
 
-        /** Interval between two writes of streams; those of the last one are lost with the power. */
+        /**
+         * Interval between two writes of streams; those of the last one are lost with the power.
+         */
         const val WRITE_INTERVAL_MILLIS = 300L
 
         /** Bounds of one transaction, far below those of the store. */
--- a/entry/src/main/kotlin/cactusfold/entry/streams/OwnStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/OwnStreams.kt
@@ -27,7 +27,9 @@
     /** Number of streams that were not reported. */
     public val unsentCount: Int get() = unsent.size
 
-    /** Returns the stream that began with request [id], or null; waits for the check of its origin. */
+    /**
+     * Returns the stream that began with request [id], or null; waits for the check of its origin.
+     */
     public suspend fun find(id: String): KnownStream? {
         checks[id]?.join()
         return ledger.find(id)
--- a/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
@@ -4,7 +4,9 @@
 import cactusfold.protocol.entry.ServiceVersions
 import kotlinx.coroutines.delay
 
-/** The recorded software versions that serve, as this process knows them. Streams begin only there. */
+/**
+ * The recorded software versions that serve, as this process knows them. Streams begin only there.
+ */
 public class RecordedVersions(private val events: EventLog) {
     private val services = HashMap<String, ServiceVersions>()
     private var announcements = 0L
@@ -33,8 +35,8 @@
     }
 
     /**
-     * Reads the recorded versions from the store with [readRecords] while [isConnected] says that no
-     * coordinator announces them, until cancelled.
+     * Reads the recorded versions from the store with [readRecords] while [isConnected] says that
+     * no coordinator announces them, until cancelled.
      */
     public suspend fun follow(
         readRecords: suspend () -> Map<String, StoredRecord>?,
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -53,7 +53,9 @@
     /** Returns the upstream with [id], or null. */
     public fun find(id: String): Upstream? = upstreams[id]
 
-    /** Returns the software versions of all registered upstreams of [service], also leaving ones. */
+    /**
+     * Returns the software versions of all registered upstreams of [service], also leaving ones.
+     */
     public fun versionsOf(service: String): Set<String> = upstreams.values
         .filter { it.entry.service == service }
         .mapTo(mutableSetOf()) { it.entry.softwareVersion }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -190,7 +190,9 @@
     inner class Bodies {
         private val chunk = "400\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n"
 
-        /** Sends [chunks] of a body with pauses, and returns the status and reason of the answer. */
+        /**
+         * Sends [chunks] of a body with pauses, and returns the status and reason of the answer.
+         */
         private fun send(chunks: List<String>, pauseMillis: Long): String =
             Socket("127.0.0.1", port).use { socket ->
                 socket.soTimeout = 5_000
--- a/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/StreamVersionTest.kt
@@ -48,7 +48,9 @@
         id to it.receive()
     }
 
-    /** Begins a stream at version `v1`, which breaks off after the third event, and returns its id. */
+    /**
+     * Begins a stream at version `v1`, which breaks off after the third event, and returns its id.
+     */
     private fun beginStream(): String {
         old.rawAnswer = brokenOff
         val (id, end) = call()
@@ -151,7 +153,9 @@
             }
         }
 
-        /** Calls until [runner] was chosen, and checks that no stream holds events of two versions. */
+        /**
+         * Calls until [runner] was chosen, and checks that no stream holds events of two versions.
+         */
         private fun assertNotJoined(runner: RunnerStandin) {
             val sentBefore = runner.ran.size
             var calls = 0
--- a/entry/src/test/kotlin/cactusfold/entry/path/UpstreamLimitTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/UpstreamLimitTest.kt
@@ -31,7 +31,8 @@
         }
     }
 
-    // Guards against reports, by which the process checks the start of an upstream, beyond its limit.
+    // Guards against reports, by which the process checks the start of an upstream, beyond its
+    // limit.
     @Test
     fun `reports and streams together keep the limit`() {
         val engine = fixture.runner("i-2", "engine", setOf("warm"))
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
@@ -31,7 +31,9 @@
 /** A crash of a [runner], which returns with [version]. */
 data class Restart(val atMillis: Long, val runner: String, val version: String)
 
-/** A time from [fromMillis] on in which a [runner] repeats refusals on connections that it keeps. */
+/**
+ * A time from [fromMillis] on in which a [runner] repeats refusals on connections that it keeps.
+ */
 data class RepeatedRefusals(val fromMillis: Long, val untilMillis: Long, val runner: String)
 
 /** Whether another entry process runs beside, and which of them coordinates. */
--- a/entry/src/test/kotlin/cactusfold/entry/streams/StartCheckTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/streams/StartCheckTest.kt
@@ -168,7 +168,8 @@
             assertEquals(emptyList(), own.takeUnsent())
         }
 
-        // Guards against another process that takes the only version it knows for that of the stream.
+        // Guards against another process that takes the only version it knows for that of the
+        // stream.
         @Test
         fun `a stream of uncertain start is unknown, which is reported`() {
             assertNull(bind(START + 1))
