Demand is grouped by a named key, and the wait for a token of a report reads in steps

DemandKey replaces triples of model, adapter and version in the two places that group demand. Nothing else changes.

--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -38,8 +38,8 @@
         .flatMap { member ->
             member.report.demandsList.filter { it.waiting > 0 }.map { member to it }
         }
-        .groupBy { (_, demand) -> Triple(demand.model, demand.adapter, demand.softwareVersion) }
-        .values.map(::merge)
+        .groupBy { (_, demand) -> demand.key }
+        .map { (key, group) -> merge(key, group) }
 
     /** Returns the ids of upstreams that at least one member could not reach. */
     public fun unreachable(nowMillis: Long): Set<String> =
@@ -59,18 +59,19 @@
             .groupBy { it.runner }
             .mapValues { (_, uses) -> uses.mapTo(mutableSetOf()) { it.model to it.adapter } }
 
-    private fun merge(group: List<Pair<ReceivedReport, Demand>>): ModelDemand = ModelDemand(
-        model = group.first().second.model,
-        adapter = group.first().second.adapter.ifEmpty { null },
-        waiting = group.sumOf { it.second.waiting },
-        targetAtMillis = group.minOf { (member, demand) ->
-            member.atMillis + demand.targetInMillis
-        },
-        deadlineAtMillis = group.maxOf { (member, demand) ->
-            member.atMillis + demand.limitInMillis
-        },
-        softwareVersion = group.first().second.softwareVersion.ifEmpty { null }
-    )
+    private fun merge(key: DemandKey, group: List<Pair<ReceivedReport, Demand>>): ModelDemand =
+        ModelDemand(
+            model = key.model,
+            adapter = key.adapter,
+            waiting = group.sumOf { it.second.waiting },
+            targetAtMillis = group.minOf { (member, demand) ->
+                member.atMillis + demand.targetInMillis
+            },
+            deadlineAtMillis = group.maxOf { (member, demand) ->
+                member.atMillis + demand.limitInMillis
+            },
+            softwareVersion = key.softwareVersion
+        )
 
     private fun current(nowMillis: Long): List<ReceivedReport> =
         reports.values.filter { nowMillis - it.atMillis < REPORT_VALID_MILLIS }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
@@ -62,13 +62,9 @@
         // An upstream to which connections failed is tried again after a while, without an event.
         release()
         val nowMillis = clock.nowMillis()
-        val needs = waiting.map { it.need }
-        val demands = needs.groupBy {
-            Triple(it.model, it.adapter, it.softwareVersion)
-        }.map { (key, group) ->
-            val (model, adapter, softwareVersion) = key
-            Demand.newBuilder().setModel(model).setAdapter(adapter.orEmpty())
-                .setSoftwareVersion(softwareVersion.orEmpty())
+        val demands = waiting.map { it.need }.groupBy { it.key }.map { (key, group) ->
+            Demand.newBuilder().setModel(key.model).setAdapter(key.adapter.orEmpty())
+                .setSoftwareVersion(key.softwareVersion.orEmpty())
                 .setWaiting(group.size)
                 .setTargetInMillis(group.minOf { it.targetAtMillis } - nowMillis)
                 .setLimitInMillis(group.maxOf { it.deadlineAtMillis } - nowMillis)
@@ -81,14 +77,6 @@
         return demands + counts
     }
 
-    private companion object {
-        /** Minimum retry delay sent to a caller whose model will not be ready in time. */
-        const val MIN_RETRY_AFTER_MILLIS = 1_000L
-
-        /** Retry delay for a request whose deadline passed while it waited. */
-        const val EXPIRED_RETRY_AFTER_MILLIS = 500L
-    }
-
     private fun release() {
         // A request that ends leaves the queue.
         for (request in waiting.toList()) {
@@ -108,4 +96,12 @@
             else -> null
         }
     }
+
+    private companion object {
+        /** Minimum retry delay sent to a caller whose model will not be ready in time. */
+        const val MIN_RETRY_AFTER_MILLIS = 1_000L
+
+        /** Retry delay for a request whose deadline passed while it waited. */
+        const val EXPIRED_RETRY_AFTER_MILLIS = 500L
+    }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/streams/StartCheck.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StartCheck.kt
@@ -71,24 +71,20 @@
     private suspend fun awaitToken(upstream: Upstream): Boolean {
         val untilMillis = clock.nowMillis() + MAX_TOKEN_WAIT_MILLIS
         while (true) {
-            val waitMillis =
-                when (val decision = limiter.acquire(listOf(upstream), joinsQueue = false)) {
-                    is SendDecision.Permitted -> if (limiter.use(
-                            decision.permit
-                        )
-                    ) {
-                        return true
-                    } else {
-                        0
-                    }
-                    is SendDecision.Limited -> decision.retryAfterMillis
-                    SendDecision.Undecided -> RETRY_MILLIS
-                }
+            val waitMillis = acquireToken(upstream) ?: return true
             if (clock.nowMillis() + waitMillis >= untilMillis) return false
             delay(waitMillis)
         }
     }
 
+    /** Returns null once a report may be read, or how long to wait before the next try. */
+    private suspend fun acquireToken(upstream: Upstream): Long? =
+        when (val decision = limiter.acquire(listOf(upstream), joinsQueue = false)) {
+            is SendDecision.Permitted -> if (limiter.use(decision.permit)) null else 0L
+            is SendDecision.Limited -> decision.retryAfterMillis
+            SendDecision.Undecided -> RETRY_MILLIS
+        }
+
     private companion object {
         const val COLLECT_MILLIS = 100L
         const val RETRY_MILLIS = 100L
