Review case 1: the unreadable row nests objects, which takes less depth

Cause: arrays nest 550 levels before the stack overflows, objects 450; the parser refuses 1,000 by itself. Change: the row consists of nested objects.

--- a/review/1/UnreadableRow.java
+++ b/review/1/UnreadableRow.java
@@ -19,7 +19,7 @@
   private static final long LINGER_MILLIS = 8_000;
 
   /** Less than the bound `row-bytes`, 65,536. */
-  private static final int ROW_BYTES = 30_000;
+  private static final String UNREADABLE = "{\"a\":".repeat(6_000);
 
   /** Between the mean and the maximum of the site's requests to this service. */
   private static final long WORK_MILLIS = 100;
@@ -79,8 +79,8 @@
     }
     Thread.sleep(3_000);
     if (run.hasTrouble) {
-      store.put("servers", "a-another", "[".repeat(ROW_BYTES));
-      run.note("a row of " + ROW_BYTES + " bytes that cannot be read is written to servers/a-another");
+      store.put("servers", "a-another", UNREADABLE);
+      run.note("a row of " + UNREADABLE.length() + " bytes that cannot be read is written to servers/a-another");
     }
     Thread.sleep(4_000);
     Runner leaving = runners.stream().filter(it -> it.id.equals("d-1")).findFirst().get();
