--- a/review/standin/Config.java
+++ b/review/standin/Config.java
@@ -10,10 +10,16 @@
    * ijwi-hire; the limits of callers are those of the users' example.
    */
   static String json(int version, String... models) {
+    return json(version, 72_700, 0, models);
+  }
+
+  /** As above, with models of [megabytes] that have [adapters] each. */
+  static String json(int version, int megabytes, int adapters, String... models) {
     StringBuilder specs = new StringBuilder();
     for (String model : models) {
       if (specs.length() > 0) specs.append(',');
-      specs.append("{\"name\":\"" + model + "\",\"weights-mb\":72700.0,\"load-s\":6.0,\"adapters\":0,"
+      specs.append("{\"name\":\"" + model + "\",\"weights-mb\":" + megabytes + ".0,\"load-s\":6.0,\"adapters\":"
+          + adapters + ","
           + "\"adapter-mb\":66.0,\"warm-s\":1.3,\"disk-s\":1.7}");
     }
     return "{\"version\":" + version + ",\"routes\":["
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -56,7 +56,7 @@
         + "\",\"warmup-ms\":0,\"stage\":\"unified\",\"models\":" + modelsJson() + ",\"seq\":1,\"born\":" + born + "}";
   }
 
-  private String modelsJson() {
+  protected synchronized String modelsJson() {
     StringBuilder json = new StringBuilder("[");
     for (String model : models) {
       if (json.length() > 1) json.append(',');
@@ -115,7 +115,7 @@
     return status;
   }
 
-  private int statusOf(String json, String operation, String model) {
+  protected synchronized int statusOf(String json, String operation, String model) {
     String precondition = Store.field(json, "precondition");
     if (precondition != null && Long.parseLong(precondition) != seq) return 409;
     if (loading != null) return 409;
