Review: the scripts exit with 2 whenever a case could not run

Cause: a missing build or an exception ended a script with 1, which means that the rule was broken.

Change: one place that plays a case and ends its processes; the scripts check what they need. In case 2 the clients wait for twice the route's time limit, so that they still wait when the rule is judged.

--- a/review/1/UnreadableRow.java
+++ b/review/1/UnreadableRow.java
@@ -1,4 +1,3 @@
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,17 +23,8 @@
   /** Between the mean and the maximum of the site's requests to this service. */
   private static final long WORK_MILLIS = 100;
 
-  public static void main(String[] arguments) throws Exception {
-    Path folder = Path.of(arguments[0]);
-    Path work = Files.createTempDirectory("review-1-");
-    int code = 2;
-    List<Entry> entries = new ArrayList<>();
-    try (Run run = new Run(folder); Store store = new Store()) {
-      code = play(run, store, work, entries);
-    } finally {
-      entries.forEach(Entry::close);
-    }
-    System.exit(code);
+  public static void main(String[] arguments) {
+    Run.play(arguments[0], UnreadableRow::play);
   }
 
   private static int play(Run run, Store store, Path work, List<Entry> entries) throws Exception {
@@ -48,16 +38,7 @@
       store.put("servers", runner.id, runner.row("ready"));
     }
     store.put("op", "config", Config.json(1, "m1", "m2"));
-    for (int i = 1; i <= 3; i++) {
-      entries.add(new Entry(work, "front-" + i, "127.0.0." + i, "z1", store.port()));
-      entries.get(i - 1).start();
-    }
-    for (Entry entry : entries) {
-      if (!entry.awaitReady(20_000)) {
-        run.note(entry.name + " did not become ready");
-        return 2;
-      }
-    }
+    if (!Run.start(3, run, store, work, entries)) return 2;
     Thread.sleep(5_000);
 
     Map<String, Long> sentAt = new ConcurrentHashMap<>();
--- a/review/2/EndlessReport.java
+++ b/review/2/EndlessReport.java
@@ -2,7 +2,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -48,9 +47,8 @@
       endless.incrementAndGet();
       run.note("a body without end answers " + request.startLine);
       long began = System.nanoTime();
-      long sent = 0;
       try {
-        sent = send(request, socket.getOutputStream());
+        send(request, socket.getOutputStream());
       } catch (IOException e) {
         run.note("the caller closed it after " + (System.nanoTime() - began) / 1_000_000 + " ms");
       }
@@ -73,17 +71,8 @@
     }
   }
 
-  public static void main(String[] arguments) throws Exception {
-    Path folder = Path.of(arguments[0]);
-    Path work = Files.createTempDirectory("review-2-");
-    int code = 2;
-    List<Entry> entries = new ArrayList<>();
-    try (Run run = new Run(folder); Store store = new Store()) {
-      code = play(run, store, work, entries);
-    } finally {
-      entries.forEach(Entry::close);
-    }
-    System.exit(code);
+  public static void main(String[] arguments) {
+    Run.play(arguments[0], EndlessReport::play);
   }
 
   private static int play(Run run, Store store, Path work, List<Entry> entries) throws Exception {
@@ -97,17 +86,7 @@
       store.put("servers", runner.id, runner.row("ready"));
     }
     store.put("op", "config", Config.json(1, "m1", "m2"));
-    for (int i = 1; i <= 2; i++) {
-      Entry entry = new Entry(work, "front-" + i, "127.0.0." + i, "z1", store.port());
-      entries.add(entry);
-      entry.start();
-    }
-    for (Entry entry : entries) {
-      if (!entry.awaitReady(20_000)) {
-        run.note(entry.name + " did not become ready");
-        return 2;
-      }
-    }
+    if (!Run.start(2, run, store, work, entries)) return 2;
     Thread.sleep(5_000);
     isInTrouble = run.hasTrouble;
     Map<String, Call> calls = new ConcurrentHashMap<>();
@@ -119,7 +98,7 @@
       for (int c = 0; c < CLIENTS; c++) {
         clients.add(Run.daemon(() -> {
           while (Run.millis() < endsAt) {
-            call(entry, calls, "/book/x", "b" + ids.incrementAndGet(), TIMEOUT_MILLIS);
+            call(entry, calls, "/book/x", "b" + ids.incrementAndGet(), 2 * TIMEOUT_MILLIS);
             Thread.sleep(200);
           }
         }));
