--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review/classes
-javac -Xlint:all -d target/review/classes review/standin/*.java review/[1-5]/*.java
+javac -Xlint:all -d target/review/classes review/standin/*.java review/[1-5]/*.java review/beside/*.java
