A call that times out in the queue of a pool no longer costs it a connection

Seen: calls to the store or to a runner found no connection once as many calls as the pool has connections had timed out while they waited for one. Cause: PlatformHttp awaited a connection without a way to give it back when the wait was canceled. UpstreamSender did this right; both now open requests through KeptConnections, which also skips connections that brought a refusal. RepeatedRefusalTest awaited responses on another thread than the event loop, where a response can be lost; it runs on the event loop, as the process does. CallerServerTest waits for the end of a request whose connection its caller may see closed a moment earlier. Both checks are as strict as before.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -3,6 +3,7 @@
 import cactusfold.entry.upstream.Upstream
 import cactusfold.node.http.BodyChunkReader
 import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.http.KeptConnections
 import cactusfold.ports.serving.HeaderTranslator
 import cactusfold.ports.serving.ResponseMetadata
 import io.vertx.core.MultiMap
@@ -13,15 +14,12 @@
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpClosedException
-import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
 import io.vertx.core.net.HostAndPort
 import io.vertx.kotlin.coroutines.coAwait
 import java.io.IOException
-import java.util.Collections
-import java.util.WeakHashMap
 import kotlinx.coroutines.CancellationException
 
 /**
@@ -122,8 +120,6 @@
 ) {
     private val bodies = AnswerBodies()
 
-    /** Kept connections that brought a refusal, and are not used again. */
-    private val refusing = Collections.newSetFromMap(WeakHashMap<HttpConnection, Boolean>())
     private val client: HttpClientAgent = vertx.createHttpClient(
         HttpClientOptions()
             .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
@@ -133,6 +129,8 @@
         PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_UPSTREAM).setMaxWaitQueueSize(0)
     )
 
+    private val connections = KeptConnections(client)
+
     /**
      * Sends [upstreamRequest] to [upstream]. Cancellation closes the connection.
      *
@@ -156,7 +154,7 @@
         private var firstPieceAtMillis: Long? = null
 
         suspend fun run(): SendEnd = try {
-            val open = connect()
+            val open = connections.open(options())
             request = open
             open.authority(HostAndPort.authority(upstreamRequest.host, -1))
             exchange(open)
@@ -169,33 +167,6 @@
             if (!isComplete) request?.reset()
         }
 
-        /**
-         * Returns a connection that has not brought a refusal, which could be written once more.
-         */
-        private suspend fun connect(): HttpClientRequest {
-            while (true) {
-                val open = acquire()
-                if (open.connection() !in refusing) return open
-                open.exceptionHandler { }
-                open.reset()
-                open.connection().close()
-            }
-        }
-
-        private suspend fun acquire(): HttpClientRequest {
-            val connecting = client.request(options())
-            try {
-                return connecting.coAwait()
-            } catch (e: CancellationException) {
-                // The pool assigns the connection all the same, and gets it back only from here.
-                connecting.onSuccess {
-                    it.exceptionHandler { }
-                    it.reset()
-                }
-                throw e
-            }
-        }
-
         private suspend fun exchange(open: HttpClientRequest): SendEnd {
             if (!upstreamRequest.mayWrite()) return SendEnd.Unsent
             val startedAtMillis = clock.nowMillis()
@@ -224,7 +195,7 @@
         }
 
         private suspend fun notRun(response: HttpClientResponse, start: AnswerStart): SendEnd {
-            refusing += response.request().connection()
+            connections.exclude(response.request().connection())
             // The connection is closed if the rest of the answer is not worth reading.
             isComplete = bodies.read(response) != null
             return SendEnd.NotRun("status ${start.status}", start.status)
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -182,7 +182,8 @@
             failsToRefuse = true
             val end = assertIs<CallEnd.Cut>(CallerConnection(port).use { it.call("/nowhere/1") })
             assertTrue(end.afterMillis < 2_000, "$end")
-            assertEquals(0, server.running)
+            // The caller may see the end of its connection before the request's coroutine has ended.
+            EntryFixture.eventually("the request is still running") { server.running == 0 }
         }
     }
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/RepeatedRefusalTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/RepeatedRefusalTest.kt
@@ -10,6 +10,8 @@
 import cactusfold.ports.serving.RunnerOrder
 import cactusfold.ports.serving.UpstreamEntry
 import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.kotlin.coroutines.dispatcher
 import java.util.concurrent.TimeUnit
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -42,7 +44,8 @@
 
     @Nested
     inner class Orders {
-        private val vertx = Vertx.vertx()
+        private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1))
+        private val eventLoop = vertx.orCreateContext.dispatcher()
         private val runner = RunnerStandin(vertx, "i-1", emptySet()).apply { start() }
         private val entry = assertIs<Decoded.Valid<UpstreamEntry>>(
             UpstreamDecoder.entry("i-1", runner.row("draft").toBuffer().bytes)
@@ -60,12 +63,14 @@
             runner.behavior = RunnerBehavior.REPEATS_REFUSALS
             val replies = List(ORDERS) { order() }
             assertEquals(0, runner.orders.size)
-            assertTrue(replies.all { it is OrderReply.Rejected })
+            val others = replies.filterNot { it is OrderReply.Rejected }
+            assertEquals(emptyList(), others)
             runner.behavior = RunnerBehavior.NORMAL
             assertEquals(OrderReply.Accepted, order())
         }
 
-        private fun order(): OrderReply = runBlocking {
+        // As in the process: a response that is awaited on another thread can be lost.
+        private fun order(): OrderReply = runBlocking(eventLoop) {
             api.order(entry, RunnerOrder.Load("m"), OrderAuthority("vm1", 1), 0) { true }
         }
     }
--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -6,15 +6,12 @@
 import io.vertx.core.http.HttpClientAgent
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
-import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
 import io.vertx.core.json.DecodeException
 import io.vertx.core.json.JsonObject
 import io.vertx.kotlin.coroutines.coAwait
-import java.util.Collections
-import java.util.WeakHashMap
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -96,9 +93,7 @@
         PoolOptions().setHttp1MaxSize(poolSize)
     )
 
-    /** Kept connections that brought a refusal, and are not used again. */
-    private val refusing: MutableSet<HttpConnection> =
-        Collections.synchronizedSet(Collections.newSetFromMap(WeakHashMap()))
+    private val connections = KeptConnections(client)
 
     /**
      * Sends [call] and returns its outcome.
@@ -112,7 +107,7 @@
         val requestTimeoutMillis = call.timeoutMillis ?: timeoutMillis
         val outcome = withTimeoutOrNull(requestTimeoutMillis) {
             try {
-                val request = connect(call)
+                val request = connections.open(optionsOf(call))
                 open = request
                 if (!shouldSend()) {
                     request.reset()
@@ -123,7 +118,7 @@
                 request.send(Buffer.buffer(call.body))
                     .compose { response ->
                         if (closesOnRefusal && response.statusCode() >= REFUSALS_FROM) {
-                            refusing += request.connection()
+                            connections.exclude(request.connection())
                         }
                         response.body().map {
                             HttpOutcome.Answer(response.statusCode(), it, response.headers())
@@ -146,17 +141,6 @@
         client.close()
     }
 
-    /** Returns a connection that has not brought a refusal; those that have are closed. */
-    private suspend fun connect(call: HttpCall): HttpClientRequest {
-        while (true) {
-            val request = client.request(optionsOf(call)).coAwait()
-            if (request.connection() !in refusing) return request
-            request.exceptionHandler { }
-            request.reset()
-            request.connection().close()
-        }
-    }
-
     private fun failureOf(sent: Boolean, reason: String): HttpOutcome =
         if (sent) HttpOutcome.NoAnswer(reason) else HttpOutcome.NotSent(reason)
 
