Look-ups of streams end in time while the store does not answer

Cause: without a coordinator, requests that resume a stream read the store one after another, and each waited for the reads before its own, also past the time until which it may wait. Change: the wait is bounded by that time, and requests that come together share a read that fails. Evidence: StreamLookupTest, three new tests.

--- a/entry/src/main/kotlin/cactusfold/entry/streams/StreamLookup.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StreamLookup.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** What is known of a stream that a caller resumes. */
 public sealed interface StreamFinding {
@@ -57,7 +58,7 @@
             val answer = ask(request)
             val finding = when (answer?.outcome) {
                 null, StreamAnswer.Outcome.UNDECIDED, StreamAnswer.Outcome.UNRECOGNIZED ->
-                    findStored(id, beganMillis)
+                    findStored(id, beganMillis, untilMillis)
                 StreamAnswer.Outcome.UNKNOWN -> StreamFinding.Unknown
                 StreamAnswer.Outcome.UNCERTAIN -> StreamFinding.Uncertain
                 StreamAnswer.Outcome.KNOWN, StreamAnswer.Outcome.SOLE_VERSION ->
@@ -78,8 +79,14 @@
         }
     }
 
-    private suspend fun findStored(id: String?, arrivedMillis: Long): StreamFinding {
-        val stored = snapshotSince(arrivedMillis) ?: return StreamFinding.Undecided
+    private suspend fun findStored(
+        id: String?,
+        arrivedMillis: Long,
+        untilMillis: Long
+    ): StreamFinding {
+        val stored = withTimeoutOrNull(untilMillis - clock.nowMillis()) {
+            snapshotSince(arrivedMillis)
+        } ?: return StreamFinding.Undecided
         id?.let(stored.streams::find)?.let { return found(it, "store") }
         val records = stored.records.mapValues { it.value.record }
         val sole = soleOrigin(records, stored.nowMillis, keptMillis())
@@ -89,16 +96,21 @@
 
     /**
      * Returns a snapshot of the store whose read began at [arrivedMillis] or later; an earlier one
-     * may lack a version that was recorded since. Requests that wait meanwhile share the read.
+     * may lack a version that was recorded since. Requests that wait meanwhile share the read; one
+     * that failed is repeated only for those that ask after it.
      */
-    private suspend fun snapshotSince(arrivedMillis: Long): StreamSnapshot? = reading.withLock {
-        if (snapshot == null || readAtMillis < arrivedMillis) {
-            delay(readAtMillis + READ_INTERVAL_MILLIS - clock.nowMillis())
-            val startedAtMillis = clock.nowMillis()
-            snapshot = readStore()
-            readAtMillis = startedAtMillis
+    private suspend fun snapshotSince(arrivedMillis: Long): StreamSnapshot? {
+        val askedMillis = clock.nowMillis()
+        return reading.withLock {
+            if (readAtMillis < if (snapshot == null) askedMillis else arrivedMillis) {
+                delay(readAtMillis + READ_INTERVAL_MILLIS - clock.nowMillis())
+                readAtMillis = clock.nowMillis()
+                // The read may be canceled, and what was read before is older.
+                snapshot = null
+                snapshot = readStore()
+            }
+            snapshot
         }
-        snapshot
     }
 
     private fun found(stream: KnownStream, source: String): StreamFinding =
--- a/entry/src/test/kotlin/cactusfold/entry/streams/StreamLookupTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/streams/StreamLookupTest.kt
@@ -7,11 +7,14 @@
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.entry.StreamAnswer
 import kotlin.test.assertEquals
+import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Test
 
 class StreamLookupTest {
@@ -46,13 +49,7 @@
     @Test
     fun `requests that come together share the reads of the store`() = runBlocking {
         var reads = 0
-        val stored = StreamSnapshot(
-            emptyMap(),
-            StreamLedger().with("id", KnownStream(StreamOrigin("s", "v1"), Long.MAX_VALUE)),
-            emptyList(),
-            0,
-            0
-        )
+        val stored = snapshot("id")
         val read: suspend () -> StreamSnapshot = {
             reads++
             delay(READ_MILLIS)
@@ -64,6 +61,57 @@
         assertTrue(reads <= 2, "$reads reads")
     }
 
+    // Guards against requests that wait one after another for a store that does not answer.
+    @Test
+    fun `requests end in time while the store does not answer`() = runBlocking {
+        val lookup = StreamLookup(own, { awaitCancellation() }, clock, { 1_000 }) { null }
+        val untilMillis = clock.nowMillis() + WAIT_MILLIS
+        val found = withTimeout(10 * WAIT_MILLIS) {
+            List(20) { async { lookup.find("id", untilMillis) } }.awaitAll()
+        }
+        assertEquals(setOf<StreamFinding>(StreamFinding.Undecided), found.toSet())
+    }
+
+    // As above, for a store that refuses after a while.
+    @Test
+    fun `requests that come together share a read that fails`() = runBlocking {
+        var reads = 0
+        val read: suspend () -> StreamSnapshot? = {
+            reads++
+            delay(READ_MILLIS)
+            null
+        }
+        val lookup = StreamLookup(own, read, clock, { 1_000 }) { null }
+        List(20) { async { lookup.find("id", clock.nowMillis()) } }.awaitAll()
+        assertTrue(reads <= 2, "$reads reads")
+    }
+
+    // Guards against an older snapshot that is taken for that of a read which was canceled.
+    @Test
+    fun `nothing is known from a read that did not end in time`() = runBlocking {
+        val stored = snapshot("id")
+        var reads = 0
+        val read: suspend () -> StreamSnapshot? = {
+            if (++reads == 2) awaitCancellation() else stored
+        }
+        val lookup = StreamLookup(own, read, clock, { 1_000 }) { null }
+        assertIs<StreamFinding.Found>(lookup.find("id", clock.nowMillis() + WAIT_MILLIS))
+        delay(READ_MILLIS)
+        val early = async { lookup.find("id", clock.nowMillis() + WAIT_MILLIS) }
+        val late = async { lookup.find("id", clock.nowMillis() + 4 * WAIT_MILLIS) }
+        assertEquals(StreamFinding.Undecided, early.await())
+        assertIs<StreamFinding.Found>(late.await())
+        assertEquals(3, reads)
+    }
+
+    private fun snapshot(id: String): StreamSnapshot = StreamSnapshot(
+        emptyMap(),
+        StreamLedger().with(id, KnownStream(StreamOrigin("s", "v1"), Long.MAX_VALUE)),
+        emptyList(),
+        0,
+        0
+    )
+
     @Test
     fun `a stream that nobody knows may be reported shortly`() {
         assertEquals(StreamFinding.Unknown, find(null, StreamAnswer.Outcome.UNKNOWN))
@@ -72,5 +120,6 @@
 
     private companion object {
         const val READ_MILLIS = 20L
+        const val WAIT_MILLIS = 500L
     }
 }
