--- a/entry/src/test/kotlin/cactusfold/entry/path/UpstreamLimitTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/UpstreamLimitTest.kt
@@ -40,14 +40,14 @@
         fixture.start()
         assertEquals(200, fixture.caller.call("/draft/x", model = "warm").statusCode())
         Thread.sleep(CONTACT_MILLIS)
-        engine.arrivedAtNanos.clear()
+        engine.arrivals.clear()
         val endsAtNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WINDOW_SECONDS)
         var served = 0
         while (System.nanoTime() < endsAtNanos) {
             if (fixture.caller.call("/draft/x", model = "warm").statusCode() == 200) served++
             Thread.sleep(PAUSE_MILLIS)
         }
-        val arrived = engine.arrivedAtNanos.count { it < endsAtNanos }
+        val arrived = engine.arrivals.count { it.atNanos < endsAtNanos }
         assertTrue(arrived <= WINDOW_SECONDS + BURST, "$arrived requests and reports arrived")
         assertTrue(served > 0, "no stream was served")
     }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/FleetLimitTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/FleetLimitTest.kt
@@ -140,14 +140,17 @@
         fun worstWindow(upstream: RunnerStandin): Int {
             val fromNanos = limitedAtNanos + TimeUnit.MILLISECONDS.toNanos(CONTACT_MILLIS)
             val windowNanos = TimeUnit.MILLISECONDS.toNanos(WINDOW_MILLIS)
-            val arrivals = upstream.arrivedAtNanos.filter { it in fromNanos..endedAtNanos }
+            val arrivals = upstream.arrivals.map { it.atNanos }.filter {
+                it in
+                    fromNanos..endedAtNanos
+            }
             return arrivals.maxOfOrNull { first ->
                 arrivals.count { it - first in 0 until windowNanos }
             } ?: 0
         }
 
         fun arrivedWhileLimited(upstream: RunnerStandin): Int =
-            upstream.arrivedAtNanos.count { it in limitedAtNanos..endedAtNanos }
+            upstream.arrivals.count { it.atNanos in limitedAtNanos..endedAtNanos }
 
         private fun millisSince(nanos: Long): Long =
             TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos)
--- a/entry/src/test/kotlin/cactusfold/entry/soak/LimitRules.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/LimitRules.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.soak
 
+import cactusfold.platform.standin.Arrival
 import cactusfold.platform.standin.RunnerStandin
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
@@ -22,21 +23,22 @@
     /** Returns each runner that got more than the users tolerate in some window. */
     fun violations(): List<Violation> = runners.mapNotNull { (id, runner) ->
         val limits = stated.filter { it.runner == id }
-        val arrivals = runner.arrivedAtNanos.toList()
+        val arrivals = runner.arrivals.toList()
         arrivals.indices.firstNotNullOfOrNull { first -> violation(id, limits, arrivals, first) }
     }
 
     private fun violation(
         id: String,
         limits: List<Stated>,
-        arrivals: List<Long>,
+        arrivals: List<Arrival>,
         first: Int
     ): Violation? {
-        val fromNanos = arrivals[first]
+        val fromNanos = arrivals[first].atNanos
         val allowed = allowedFrom(limits, fromNanos) ?: return null
-        val got = arrivals.drop(first).count { it - fromNanos < WINDOW_NANOS }
-        if (got <= allowed) return null
-        val details = "$id got $got requests in 4 s, allowed $allowed"
+        val got = arrivals.drop(first).takeWhile { it.atNanos - fromNanos < WINDOW_NANOS }
+        if (got.size <= allowed) return null
+        val paths = got.groupingBy { it.path }.eachCount()
+        val details = "$id got ${got.size} requests in 4 s, allowed $allowed: $paths"
         return Violation(Rule.WITHIN_LIMIT, "over the limit", details)
     }
 
