One unreadable row no longer ends the task that follows the upstreams

Cause: the JSON parser of the deployed class path is recursive and ran out of stack (256 KB) at some 450 levels. The decoders catch three types of exceptions, and tasks were restarted after exceptions only, so the error ended the task for good, without a log line. Change: foreign bytes become JSON in one place, BoundedJson, which bounds nesting and numbers before the parser recurses. TaskSupervisor restarts a task after any failure, counts and logs it. Requests and sends that fail with an error end with an answer. An upstream whose row cannot be read is not used, also right after an outage of the store. The same in the router's parser of callers' bodies and for the lease row.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
@@ -90,6 +90,9 @@
     }
 
     private fun run(settings: Settings): Int {
+        Thread.setDefaultUncaughtExceptionHandler { thread, cause ->
+            LogManager.getLogger(javaClass).error("thread {} failed", thread.name, cause)
+        }
         val logging = settings.section("log")
         EntryLogging.setLevel(logging.text("level"))
         val vertx = Vertx.vertx(
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -23,6 +23,7 @@
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.process.ShutdownBudget
 import cactusfold.entry.process.StatusServer
+import cactusfold.entry.process.TaskSupervisor
 import cactusfold.entry.rate.FleetLimits
 import cactusfold.entry.rate.FleetTokenBuckets
 import cactusfold.entry.rate.GrantMember
@@ -70,15 +71,11 @@
 import io.vertx.core.internal.VertxInternal
 import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.collections.immutable.toImmutableSet
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineDispatcher
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.apache.logging.log4j.LogManager
 
 /**
  * Entry process: serves callers' requests, and coordinates the fleet while it holds the
@@ -92,10 +89,11 @@
     incarnation: String,
     linesPerSecond: Int
 ) {
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val tasks = TaskSupervisor(dispatcher, metrics)
+    private val scope = tasks.scope
     private val eventLoops = (vertx as VertxInternal).nettyEventLoopGroup()
     private val events = EventLog(settings.vm, clock, linesPerSecond)
-    private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val bounds = settings.bounds
     private val peerAddress = HostPort(settings.address, settings.peerPort)
 
@@ -273,17 +271,17 @@
         coordinator.onLocalNotice = ::handleNotice
         directory.listen(coordinator::announceLeaving)
         registerGauges()
-        keepRunning("configuration") { config.run() }
-        keepRunning("upstreams") { directory.run() }
-        keepRunning("silent upstreams") { directory.watchSilence() }
-        keepRunning("lease") { lease.run() }
-        keepRunning("coordinator") { coordinator.run() }
-        keepRunning("streams") { fleetStreams.run() }
-        keepRunning("versions") {
+        tasks.keepRunning("configuration") { config.run() }
+        tasks.keepRunning("upstreams") { directory.run() }
+        tasks.keepRunning("silent upstreams") { directory.watchSilence() }
+        tasks.keepRunning("lease") { lease.run() }
+        tasks.keepRunning("coordinator") { coordinator.run() }
+        tasks.keepRunning("streams") { fleetStreams.run() }
+        tasks.keepRunning("versions") {
             recordedVersions.follow(streamTables::readRecords) { coordinatorClient.isConnected }
         }
-        keepRunning("link") { coordinatorClient.run() }
-        scope.launch {
+        tasks.keepRunning("link") { coordinatorClient.run() }
+        tasks.complete("registration") {
             val registration = MemberRegistration(store, memberRow).register()
             coordinatorClient.registered(registration)
             rateLimiter.registered(registration.wasRegistered)
@@ -346,22 +344,6 @@
         events.write("settings-reloaded", "problem" to problem)
     }
 
-    /** Runs [task] until the process stops; logs its failures and restarts it. */
-    private fun keepRunning(name: String, task: suspend () -> Unit) {
-        scope.launch {
-            while (true) {
-                try {
-                    task()
-                } catch (e: CancellationException) {
-                    throw e
-                } catch (e: Exception) {
-                    log.error("{} failed, restarting", name, e)
-                }
-                delay(RESTART_DELAY_MILLIS)
-            }
-        }
-    }
-
     private fun applyConfig(next: ServingConfig) {
         table = RouteTable(next)
         rates.configured()
@@ -463,9 +445,5 @@
 
         const val DRAIN_CHECK_INTERVAL_MILLIS = 20L
         const val CONFIG_CHECK_INTERVAL_MILLIS = 10L
-
-        /** Delay before a failed task is restarted. */
-        const val RESTART_DELAY_MILLIS = 200L
-        val log = LogManager.getLogger(EntryProcess::class.java)
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -53,7 +53,7 @@
                 endCancelled()
                 throw e
             }
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             if (reply.isClosed) return recordEnd("caller-left")
             failed(e)
         }
@@ -114,7 +114,7 @@
         else -> RequestOutcome.Failed(STOPPING)
     }
 
-    private fun failed(cause: Exception): RequestOutcome {
+    private fun failed(cause: Throwable): RequestOutcome {
         log.error("request {} failed", facts.id, cause)
         return failedOutcome()
     }
@@ -139,7 +139,7 @@
     private fun trySend(outcome: RequestOutcome): Boolean = try {
         send(outcome)
         true
-    } catch (e: Exception) {
+    } catch (e: Throwable) {
         log.error("the answer to request {} cannot be sent", facts.id, e)
         false
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -160,7 +160,7 @@
             exchange(open)
         } catch (e: CancellationException) {
             throw e
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             failure(e)
         } finally {
             upstream.silence.sendEnded(this)
@@ -229,7 +229,7 @@
             }
         }
 
-        private fun failure(cause: Exception): SendEnd {
+        private fun failure(cause: Throwable): SendEnd {
             val reason = cause.message ?: cause.javaClass.simpleName
             if (request == null) return SendEnd.NotRun("not connected: $reason")
             val isClosed = cause is IOException || cause is HttpClosedException
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
@@ -214,11 +214,12 @@
         val hold = try {
             StoredHold.parseFrom(row.value)
         } catch (e: InvalidProtocolBufferException) {
-            events.write("lease-unreadable", "reason" to e.message)
-            return CoordinatorLeaseRecord("", 0, row.version, isReleased = false)
+            return unreadable(row, e.message)
         }
         if (hold.address.isNotEmpty() && hold.address != self.address) {
-            coordinator = CoordinatorAddress(hold.vm, HostPort.parse(hold.address), hold.fence)
+            val address = HostPort.parseOrNull(hold.address)
+                ?: return unreadable(row, "the address is '${hold.address}'")
+            coordinator = CoordinatorAddress(hold.vm, address, hold.fence)
         }
         // Only one process can listen on this address, so the earlier incarnation has ended.
         val isPredecessor = hold.address == self.address && hold.boot != self.boot
@@ -234,6 +235,11 @@
         )
     }
 
+    private fun unreadable(row: Row, reason: String?): CoordinatorLeaseRecord {
+        events.write("lease-unreadable", "reason" to reason)
+        return CoordinatorLeaseRecord("", 0, row.version, isReleased = false)
+    }
+
     private companion object {
         const val TABLE = "lease"
         const val ROW = "coordinator"
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -246,7 +246,8 @@
                     "upstream" to row.sort,
                     "reason" to decoded.reason
                 )
-                markMissing(row.sort)
+                // The row is there, so its upstream does not write the same one again.
+                drop(row.sort)
             }
         }
     }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -61,7 +61,7 @@
         EntryBounds(8_000, 5_000, 500, 0.2, 10_000, 100.0, RateTolerance(8_000, 0.1, 100.0), 5_000)
     private val port = FreePorts.next()
     private val registry = SimpleMeterRegistry()
-    private var failure: Exception? = null
+    private var failure: Throwable? = null
     private var failsToRefuse = false
 
     private val translator = object : HeaderTranslator by WireHeaders {
@@ -166,6 +166,13 @@
             assertEquals(CallEnd.Answered(503, "internal-error\n", closes = false), answer())
         }
 
+        // Guards against an error, such as a lack of memory, that leaves its caller waiting.
+        @Test
+        fun `a request whose processing ends with an error is answered`() {
+            failure = StackOverflowError("broken")
+            assertEquals(CallEnd.Answered(503, "internal-error\n", closes = false), answer())
+        }
+
         // Guards against a cancellation of something else that is taken for the caller's leaving.
         @Test
         fun `a request whose processing is cancelled while its caller waits is answered`() {
--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -1,5 +1,6 @@
 package cactusfold.ports.http
 
+import cactusfold.ports.json.BoundedJson
 import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
@@ -44,11 +45,9 @@
     ) : HttpOutcome {
         /** Returns the body as a JSON object, or null if it is not one. */
         public fun json(): JsonObject? = try {
-            body.toJsonObject()
+            BoundedJson.parseObject(body.bytes)
         } catch (_: DecodeException) {
             null
-        } catch (_: ClassCastException) {
-            null
         }
     }
 
@@ -127,7 +126,7 @@
                     .coAwait()
             } catch (e: CancellationException) {
                 throw e
-            } catch (e: Exception) {
+            } catch (e: Throwable) {
                 failureOf(sent, e.message ?: e.javaClass.simpleName)
             }
         }
--- a/router/src/main/kotlin/cactusfold/router/callers/CallerRequest.kt
+++ b/router/src/main/kotlin/cactusfold/router/callers/CallerRequest.kt
@@ -1,5 +1,6 @@
 package cactusfold.router.callers
 
+import cactusfold.ports.json.BoundedJson
 import cactusfold.settings.fleet.CallerKey
 import cactusfold.settings.fleet.FleetConfig
 import cactusfold.settings.fleet.Route
@@ -141,11 +142,9 @@
     }
 
     private fun parse(body: Buffer): JsonObject? = try {
-        body.toJsonObject()
+        BoundedJson.parseObject(body.bytes)
     } catch (_: DecodeException) {
         null
-    } catch (_: ClassCastException) {
-        null
     }
 
     private fun fieldProblem(path: String, body: JsonObject): Refusal? {
--- a/settings/src/main/kotlin/cactusfold/settings/schema/SectionReader.kt
+++ b/settings/src/main/kotlin/cactusfold/settings/schema/SectionReader.kt
@@ -36,5 +36,11 @@
         /** Parses `host:port`; the host may contain colons. */
         public fun parse(text: String): HostPort =
             HostPort(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
+
+        /** Parses `host:port` as [parse] does; null if [text] is anything else. */
+        public fun parseOrNull(text: String): HostPort? {
+            val port = text.substringAfterLast(':', "").toIntOrNull() ?: return null
+            return HostPort(text.substringBeforeLast(':'), port)
+        }
     }
 }
