Bodies of all kinds are bounded together; a report without an end stops no process

Cause: PlatformHttp kept any body whole, and its timeout bounds nothing at the speed of a link. Bodies of callers' requests were bounded each, not together. A request whose body finds no room is refused with bodies-full and a time to come back.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -3,6 +3,7 @@
 import cactusfold.decisions.holding.CoordinatorLeaseMachine
 import cactusfold.decisions.holding.CoordinatorLeaseSettings
 import cactusfold.decisions.rate.UpstreamStart
+import cactusfold.entry.callers.AnswerBodies
 import cactusfold.entry.callers.CallerMeters
 import cactusfold.entry.callers.CallerServer
 import cactusfold.entry.callers.CrashDetector
@@ -21,6 +22,7 @@
 import cactusfold.entry.fleet.FleetCoordinator
 import cactusfold.entry.fleet.MemberRegistration
 import cactusfold.entry.process.EventLog
+import cactusfold.entry.process.MemoryShares
 import cactusfold.entry.process.ShutdownBudget
 import cactusfold.entry.process.StatusServer
 import cactusfold.entry.process.TaskSupervisor
@@ -53,6 +55,8 @@
 import cactusfold.platform.HttpRunnerApi
 import cactusfold.platform.HttpTableStore
 import cactusfold.platform.WireHeaders
+import cactusfold.ports.http.BodyCollector
+import cactusfold.ports.http.ByteBudget
 import cactusfold.ports.http.HttpTarget
 import cactusfold.ports.http.PlatformHttp
 import cactusfold.ports.serving.OrderAuthority
@@ -97,15 +101,19 @@
     private val bounds = settings.bounds
     private val peerAddress = HostPort(settings.address, settings.peerPort)
 
+    private val memory = MemoryShares.ofProcess()
     private val store = HttpTableStore(
         PlatformHttp(
             vertx,
             HttpTarget(settings.store.host, settings.store.port),
             STORE_TIMEOUT_MILLIS,
-            closesOnTimeout = true
+            closesOnTimeout = true,
+            bodies =
+            BodyCollector(HttpTableStore.MAX_ANSWER_BYTES, ByteBudget(memory.storeBytes))
         )
     )
-    private val orders = HttpRunnerApi(vertx, ORDER_TIMEOUT_MILLIS)
+    private val orders =
+        HttpRunnerApi(vertx, ORDER_TIMEOUT_MILLIS, ByteBudget(memory.reportBytes))
 
     private var table: RouteTable? = null
     private val config =
@@ -234,7 +242,13 @@
             suspects = suspects,
             promptBlocks = promptBlocks,
             crashes = CrashDetector(scope, clock, promptBlocks, UpstreamProbe(vertx)::isRefused),
-            sender = UpstreamSender(vertx, WireHeaders, clock, ::handleAnswer),
+            sender = UpstreamSender(
+                vertx,
+                WireHeaders,
+                clock,
+                AnswerBodies(maxTotalBytes = memory.answerBytes),
+                ::handleAnswer
+            ),
             translator = WireHeaders,
             retries = RetryBudgets(bounds, clock) { coordinatorClient.memberCount },
             clock = clock,
@@ -253,7 +267,8 @@
                 StartCheck(scope, directory, clock, events, sendLimiter, orders::report)
             ) { resumableServices().keptMillis }
         ),
-        events
+        events,
+        ByteBudget(memory.callerBodyBytes)
     )
     private val status = StatusServer(vertx, metrics, ::unreadyReason)
     private var isStopping = false
--- a/entry/src/main/kotlin/cactusfold/entry/callers/AnswerBodies.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/AnswerBodies.kt
@@ -11,7 +11,7 @@
  */
 public class AnswerBodies(
     private val maxBytes: Int = MAX_BYTES,
-    private val maxTotalBytes: Int = MAX_TOTAL_BYTES
+    private val maxTotalBytes: Long
 ) {
     private val reading = mutableSetOf<Body>()
 
@@ -56,8 +56,5 @@
     private companion object {
         /** The size that bodies of callers have by default at most. */
         const val MAX_BYTES = 4 * 1024 * 1024
-
-        /** A sixth of the heap. */
-        const val MAX_TOTAL_BYTES = 6 * 1024 * 1024
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.callers
 
 import cactusfold.entry.process.EventLog
+import cactusfold.ports.http.ByteBudget
 import io.vertx.core.http.HttpServerRequest
 import kotlin.coroutines.cancellation.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
@@ -11,12 +12,14 @@
 /**
  * Collaborators of [CallerExchange] that are shared by all requests of a server.
  *
+ * @property bodies bounds the memory of all requests' bodies.
  * @property idleTimeoutMillis how long a caller may pause while it sends the body of a request.
  */
 public class ExchangeDependencies(
     public val flow: RequestFlowDependencies,
     public val meters: CallerMeters,
     public val events: EventLog,
+    public val bodies: ByteBudget,
     public val idleTimeoutMillis: () -> Long,
     public val phase: () -> ServingPhase
 )
@@ -32,6 +35,7 @@
     private val arrivedAtMillis: Long
 ) {
     private val facts = dependencies.flow.translator.call(request.headers())
+    private val memory = dependencies.bodies.share()
     private var flow: RequestFlow? = null
 
     init {
@@ -42,7 +46,9 @@
     public val id: String? get() = facts.id
 
     /** Runs the exchange to its end; cancelled when the caller leaves or the server ends it. */
-    public suspend fun run() {
+    public suspend fun run(): Unit = memory.use { runToEnd() }
+
+    private suspend fun runToEnd() {
         val outcome = try {
             process()
         } catch (e: CancellationException) {
@@ -75,6 +81,7 @@
         val body = when (val received = receive()) {
             is ReceivedBody.Complete -> received.body
             ReceivedBody.TooLarge -> return RequestOutcome.Failed(BODY_TOO_LARGE)
+            ReceivedBody.NoMemory -> return RequestOutcome.Failed(NO_MEMORY)
             ReceivedBody.Silent -> return RequestOutcome.Failed(BODY_TIMED_OUT)
         }
         if (dependencies.phase() != ServingPhase.OPEN) return RequestOutcome.Failed(STOPPING)
@@ -179,7 +186,7 @@
     private suspend fun receive(): ReceivedBody {
         val limits = dependencies.flow.table()?.config?.limits
         val maxBytes = limits?.bodyMaxBytes ?: DEFAULT_BODY_MAX_BYTES
-        return RequestBodyReader(request).read(maxBytes, dependencies.idleTimeoutMillis())
+        return RequestBodyReader(request).read(maxBytes, dependencies.idleTimeoutMillis(), memory)
     }
 
     private companion object {
@@ -191,6 +198,9 @@
         const val PAYLOAD_TOO_LARGE = 413
         val BODY_TOO_LARGE = ErrorAnswer.Rejected(PAYLOAD_TOO_LARGE, "body-too-large")
 
+        const val NO_MEMORY_RETRY_AFTER_MILLIS = 200L
+        val NO_MEMORY = ErrorAnswer.NotRun("bodies-full", NO_MEMORY_RETRY_AFTER_MILLIS)
+
         const val REQUEST_TIMEOUT = 408
         val BODY_TIMED_OUT = ErrorAnswer.Rejected(REQUEST_TIMEOUT, "body-timed-out")
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.callers
 
 import cactusfold.entry.process.EventLog
+import cactusfold.ports.http.ByteBudget
 import cactusfold.ports.serving.CallerLimits
 import cactusfold.settings.schema.HostPort
 import io.vertx.core.Vertx
@@ -18,19 +19,24 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** HTTP server for callers' requests; each request runs as a coroutine of its own. */
+/**
+ * HTTP server for callers' requests; each request runs as a coroutine of its own.
+ *
+ * @param bodies bounds the memory of all requests' bodies.
+ */
 public class CallerServer(
     private val vertx: Vertx,
     private val address: HostPort,
     private val scope: CoroutineScope,
     private val flow: RequestFlowDependencies,
-    events: EventLog
+    events: EventLog,
+    bodies: ByteBudget
 ) {
     private val requestsJob = SupervisorJob(scope.coroutineContext[Job])
     private val connections =
         CallerConnections(flow.clock, events, VertxConnectionOutput, ::idleTimeoutMillis)
     private val exchanges =
-        ExchangeDependencies(flow, flow.meters, events, ::idleTimeoutMillis) { phase }
+        ExchangeDependencies(flow, flow.meters, events, bodies, ::idleTimeoutMillis) { phase }
     private var server: HttpServer? = null
     private var refusesFromMillis = Long.MAX_VALUE
     private var isEnding = false
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestBodyReader.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestBodyReader.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.callers
 
 import cactusfold.node.http.BodyChunkReader
+import cactusfold.ports.http.ByteShare
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerRequest
 import kotlinx.coroutines.withTimeoutOrNull
@@ -12,29 +13,46 @@
     /** The body exceeds the limit; the rest of it is dropped. */
     data object TooLarge : ReceivedBody
 
+    /** The bodies of other requests leave no memory for this one; the rest of it is dropped. */
+    data object NoMemory : ReceivedBody
+
     /** The caller stopped sending before the end of the body. */
     data object Silent : ReceivedBody
 }
 
 /** Receives the body of a caller's request. */
 internal class RequestBodyReader(private val request: HttpServerRequest) {
-    /** Receives at most [maxBytes], waiting for each chunk for at most [silenceMillis]. */
-    suspend fun read(maxBytes: Int, silenceMillis: Long): ReceivedBody {
+    /**
+     * Receives at most [maxBytes], which are taken of [memory], waiting for each chunk for at most
+     * [silenceMillis].
+     */
+    suspend fun read(maxBytes: Int, silenceMillis: Long, memory: ByteShare): ReceivedBody {
         val announced = request.getHeader("content-length")?.toLongOrNull() ?: 0
         if (announced > maxBytes) return ReceivedBody.TooLarge
+        if (!memory.tryTake(announced.toInt())) return ReceivedBody.NoMemory
         val chunks = BodyChunkReader(request)
-        val body = Buffer.buffer()
+        val body = Buffer.buffer(announced.toInt())
+        var taken = announced.toInt()
         while (true) {
             val received = withTimeoutOrNull(silenceMillis) { Received(chunks.next()) }
             if (received == null) {
                 chunks.discard()
                 return ReceivedBody.Silent
             }
-            body.appendBuffer(received.chunk ?: return ReceivedBody.Complete(body))
-            if (body.length() > maxBytes) {
+            val chunk = received.chunk ?: return ReceivedBody.Complete(body)
+            val length = body.length() + chunk.length()
+            if (length > maxBytes) {
                 chunks.discard()
                 return ReceivedBody.TooLarge
             }
+            if (length > taken) {
+                if (!memory.tryTake(length - taken)) {
+                    chunks.discard()
+                    return ReceivedBody.NoMemory
+                }
+                taken = length
+            }
+            body.appendBuffer(chunk)
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -109,6 +109,7 @@
 /**
  * Sends requests to upstreams over pooled HTTP/1.1 connections, without pipelining.
  *
+ * @param bodies reads complete bodies, within limits.
  * @param onAnswer called with each answer of an upstream to the request that was sent to it, and
  *   when that was sent.
  */
@@ -116,10 +117,9 @@
     vertx: Vertx,
     private val translator: HeaderTranslator,
     private val clock: MonotonicClock,
+    private val bodies: AnswerBodies,
     private val onAnswer: (Upstream, ResponseMetadata, sentAtMillis: Long) -> Unit
 ) {
-    private val bodies = AnswerBodies()
-
     private val client: HttpClientAgent = vertx.createHttpClient(
         HttpClientOptions()
             .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/process/MemoryShares.kt
@@ -0,0 +1,24 @@
+package cactusfold.entry.process
+
+/**
+ * How much of a heap of [heapBytes] the bodies of each kind may take together. The rest is for the
+ * state of the process and for garbage.
+ */
+public class MemoryShares(heapBytes: Long) {
+    /** For bodies of callers' requests, from their arrival until the requests end. */
+    public val callerBodyBytes: Long = heapBytes / 4
+
+    /** For answers of upstreams to these requests while they arrive. */
+    public val answerBytes: Long = heapBytes / 6
+
+    /** For answers of the platform's store. */
+    public val storeBytes: Long = heapBytes / 6
+
+    /** For reports of runners and their answers to orders. */
+    public val reportBytes: Long = heapBytes / 36
+
+    public companion object {
+        /** Returns the shares of this process. */
+        public fun ofProcess(): MemoryShares = MemoryShares(Runtime.getRuntime().maxMemory())
+    }
+}
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -24,6 +24,7 @@
 import cactusfold.platform.WireHeaders
 import cactusfold.platform.standin.CallEnd
 import cactusfold.platform.standin.CallerConnection
+import cactusfold.ports.http.ByteBudget
 import cactusfold.ports.serving.CallerLimits
 import cactusfold.ports.serving.HeaderTranslator
 import cactusfold.ports.serving.Repeatability
@@ -127,7 +128,12 @@
             suspects = SharedSuspects(clock) {},
             promptBlocks = promptBlocks,
             crashes = CrashDetector(scope, clock, promptBlocks) { false },
-            sender = UpstreamSender(vertx, WireHeaders, clock) { _, _, _ -> },
+            sender = UpstreamSender(
+                vertx,
+                WireHeaders,
+                clock,
+                AnswerBodies(maxTotalBytes = 10_000)
+            ) { _, _, _ -> },
             translator = translator,
             retries = RetryBudgets(bounds, clock) { null },
             clock = clock,
@@ -141,7 +147,14 @@
                 StartCheck(scope, directory, clock, events, sendLimiter) { null }
             ) { 0 }
         )
-        CallerServer(vertx, HostPort("127.0.0.1", port), scope, flow, events)
+        CallerServer(
+            vertx,
+            HostPort("127.0.0.1", port),
+            scope,
+            flow,
+            events,
+            ByteBudget(BODIES_MAX_BYTES)
+        )
     }
 
     init {
@@ -210,12 +223,16 @@
                     socket.write(each)
                     Thread.sleep(pauseMillis)
                 }
-                val input = socket.getInputStream().bufferedReader()
-                val status = input.readLine().split(' ')[1]
-                generateSequence { input.readLine() }.first { it.isEmpty() }
-                "$status ${input.readLine()}"
+                readAnswer(socket)
             }
 
+        private fun readAnswer(socket: Socket): String {
+            val input = socket.getInputStream().bufferedReader()
+            val status = input.readLine().split(' ')[1]
+            generateSequence { input.readLine() }.first { it.isEmpty() }
+            return "$status ${input.readLine()}"
+        }
+
         private fun Socket.write(text: String) = getOutputStream().write(text.toByteArray())
 
         // Guards against a limit on the whole time in which a body arrives.
@@ -237,6 +254,29 @@
             assertEquals("413 body-too-large", send(List(8) { chunk }, 0))
         }
 
+        // Guards against requests whose bodies fill the memory, which were read and not answered.
+        @Test
+        fun `a body for which the bodies of other requests leave no memory is refused at once`() {
+            val first = Socket("127.0.0.1", port)
+            first.use {
+                it.write("POST /open/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4000\r\n\r\nx")
+                EntryFixture.eventually("not running") { server.running == 1 }
+                assertEquals("503 bodies-full", announce(4_000))
+                assertEquals("503 bodies-full", send(List(3) { chunk }, 0))
+                assertEquals("400 no-request-id", announce(1_000))
+            }
+            EntryFixture.eventually("still running") { server.running == 0 }
+            assertEquals("400 no-request-id", announce(4_000))
+        }
+
+        /** Sends a body of [bytes] with its length, and returns the status and reason. */
+        private fun announce(bytes: Int): String = Socket("127.0.0.1", port).use { socket ->
+            socket.soTimeout = 5_000
+            socket.write("POST /open/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: $bytes\r\n\r\n")
+            socket.write("x".repeat(bytes))
+            readAnswer(socket)
+        }
+
         // Guards against an error that is logged for each caller that leaves.
         @Test
         fun `a caller that leaves while it sends its body is recorded as having left`() {
@@ -293,6 +333,7 @@
 
     private companion object {
         const val BODY_MAX_BYTES = 4_096
+        const val BODIES_MAX_BYTES = 6_000L
 
         /** The least time after which callers abandon a stream. */
         const val PATIENCE_MILLIS = 2_000L
--- a/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
@@ -25,7 +25,12 @@
     private val upstreamVertx = Vertx.vertx()
     private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1))
     private val runner = RunnerStandin(upstreamVertx, "r", emptySet()).apply { start() }
-    private val sender = UpstreamSender(vertx, WireHeaders, MonotonicClock.SYSTEM) { _, _, _ -> }
+    private val sender = UpstreamSender(
+        vertx,
+        WireHeaders,
+        MonotonicClock.SYSTEM,
+        AnswerBodies(maxTotalBytes = 10_000_000)
+    ) { _, _, _ -> }
 
     @AfterEach
     fun close() {
--- a/entry/src/test/kotlin/cactusfold/entry/path/RepeatedRefusalTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/RepeatedRefusalTest.kt
@@ -4,6 +4,7 @@
 import cactusfold.platform.UpstreamDecoder
 import cactusfold.platform.standin.RunnerBehavior
 import cactusfold.platform.standin.RunnerStandin
+import cactusfold.ports.http.ByteBudget
 import cactusfold.ports.serving.Decoded
 import cactusfold.ports.serving.OrderAuthority
 import cactusfold.ports.serving.OrderReply
@@ -50,7 +51,7 @@
         private val entry = assertIs<Decoded.Valid<UpstreamEntry>>(
             UpstreamDecoder.entry("i-1", runner.row("draft").toBuffer().bytes)
         ).value
-        private val api = HttpRunnerApi(vertx, TIMEOUT_MILLIS)
+        private val api = HttpRunnerApi(vertx, TIMEOUT_MILLIS, ByteBudget(1_000_000))
 
         @AfterEach
         fun close() {
--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -54,8 +54,13 @@
     /** Nothing was sent, mostly because no connection could be made. */
     public data class NotSent(public val reason: String) : HttpOutcome
 
-    /** The request was sent at least in part, and no complete response arrived. */
-    public data class NoAnswer(public val reason: String) : HttpOutcome
+    /**
+     * The request was sent at least in part, and no complete response arrived.
+     *
+     * @property isTooLong whether a response was given up for its length.
+     */
+    public data class NoAnswer(public val reason: String, public val isTooLong: Boolean = false) :
+        HttpOutcome
 }
 
 /**
@@ -66,6 +71,7 @@
  *   it returns to the pool only after the response, and unresponsive connections exhaust the pool.
  * @property closesOnRefusal whether a connection that brought a refusal is closed. If not, a faulty
  *   server may write the refusal once more, which is taken for the answer to the next request.
+ * @property bodies collects the bodies of responses, within limits.
  */
 public class PlatformHttp(
     vertx: Vertx,
@@ -73,7 +79,8 @@
     private val timeoutMillis: Long,
     poolSize: Int = DEFAULT_POOL_SIZE,
     private val closesOnTimeout: Boolean = false,
-    private val closesOnRefusal: Boolean = false
+    private val closesOnRefusal: Boolean = false,
+    private val bodies: BodyCollector = BodyCollector(DEFAULT_BODY_BYTES, ByteBudget(DEFAULT_BODIES_BYTES))
 ) {
     public constructor(
         vertx: Vertx,
@@ -119,13 +126,15 @@
                         if (closesOnRefusal && response.statusCode() >= REFUSALS_FROM) {
                             connections.exclude(request.connection())
                         }
-                        response.body().map {
+                        bodies.collect(response).map {
                             HttpOutcome.Answer(response.statusCode(), it, response.headers())
                         }
                     }
                     .coAwait()
             } catch (e: CancellationException) {
                 throw e
+            } catch (e: AnswerTooLongException) {
+                HttpOutcome.NoAnswer(e.message.orEmpty(), isTooLong = true)
             } catch (e: Throwable) {
                 failureOf(sent, e.message ?: e.javaClass.simpleName)
             }
@@ -158,6 +167,10 @@
         const val DEFAULT_POOL_SIZE = 16
         const val IDLE_SECONDS = 30
 
+        /** Limits for a process that is not short of memory. */
+        const val DEFAULT_BODY_BYTES = 16 * 1024 * 1024
+        const val DEFAULT_BODIES_BYTES = 64L * 1024 * 1024
+
         /** The lowest status that refuses a request. */
         const val REFUSALS_FROM = 400
     }
--- a/ports/src/test/kotlin/cactusfold/ports/http/PlatformHttpTest.kt
+++ b/ports/src/test/kotlin/cactusfold/ports/http/PlatformHttpTest.kt
@@ -2,11 +2,16 @@
 
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.HttpServerResponse
 import java.util.concurrent.TimeUnit
+import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -19,11 +24,22 @@
         vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS)
     }
 
-    private fun client(handler: (HttpServerRequest) -> Unit): PlatformHttp {
+    private fun client(
+        bodies: BodyCollector = BodyCollector(1_000, ByteBudget(1_000)),
+        poolSize: Int = 16,
+        handler: (HttpServerRequest) -> Unit
+    ): PlatformHttp {
         val server = vertx.createHttpServer().requestHandler(handler)
         val port = server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture()
             .get(10, TimeUnit.SECONDS).actualPort()
-        return PlatformHttp(vertx, HttpTarget("127.0.0.1", port), TIMEOUT_MILLIS, poolSize = 1)
+        return PlatformHttp(
+            vertx,
+            HttpTarget("127.0.0.1", port),
+            TIMEOUT_MILLIS,
+            poolSize = poolSize,
+            closesOnTimeout = poolSize > 1,
+            bodies = bodies
+        )
     }
 
     @Nested
@@ -32,7 +48,7 @@
         @Test
         fun `a request that times out in the queue leaves its connection to others`() =
             runBlocking {
-                val http = client { request ->
+                val http = client(poolSize = 1) { request ->
                     vertx.setTimer(ANSWER_MILLIS) { request.response().end("ok") }
                 }
                 val first = async { http.send(HttpCall("GET", "/first")) }
@@ -45,7 +61,51 @@
             }
     }
 
+    @Nested
+    inner class Limits {
+        private val budget = ByteBudget(BUDGET_BYTES)
+
+        private fun endless(response: HttpServerResponse) {
+            if (response.closed()) return
+            response.write("x".repeat(PIECE_BYTES)).onSuccess { endless(response) }
+        }
+
+        private val http = client(BodyCollector(MAX_BYTES, budget)) { request ->
+            when (request.path()) {
+                "/endless" -> endless(request.response().setChunked(true))
+                "/held" -> request.response().setChunked(true).write("x".repeat(PIECE_BYTES))
+                else -> request.response().end("x".repeat(PIECE_BYTES))
+            }
+        }
+
+        // Guards against an answer without end that is kept in memory until its timeout.
+        @Test
+        fun `a body without end is given up at its limit and frees its memory`() = runBlocking {
+            repeat(10) {
+                val outcome = http.send(HttpCall("GET", "/endless"))
+                assertTrue(assertIs<HttpOutcome.NoAnswer>(outcome).isTooLong)
+            }
+            assertEquals(0, budget.usedBytes)
+            assertIs<HttpOutcome.Answer>(http.send(HttpCall("GET", "/whole")))
+            Unit
+        }
+
+        // Guards against many answers that are kept in memory, each within its limit.
+        @Test
+        fun `bodies that take too much together are given up`() = runBlocking {
+            val held = List(8) { async { http.send(HttpCall("GET", "/held", timeoutMillis = 1_000)) } }
+            val outcomes = held.awaitAll().map { assertIs<HttpOutcome.NoAnswer>(it) }
+            assertTrue(outcomes.count { it.isTooLong } in 1..7, "$outcomes")
+            // A connection that timed out is closed a moment later.
+            withTimeout(TIMEOUT_MILLIS) { while (budget.usedBytes > 0) delay(1) }
+        }
+    }
+
     private companion object {
+        const val PIECE_BYTES = 16_384
+        const val MAX_BYTES = 65_536
+        const val BUDGET_BYTES = 100_000L
+
         const val ANSWER_MILLIS = 400L
         const val TIMEOUT_MILLIS = 3_000L
     }
