What is known of a leaving upstream outlives its registration

Seen by upstreams (the users' own runs, DRAIN, 35 cases): requests reached them after they had said that they leave. Cause: that an upstream leaves was kept with its row. A row that lapsed and came back for the same start was used again at once, by the processes that had passed on the header; a departure that came before the row was ignored, and so was the header in answers to reports, orders and other requests, and for requests that had been selected before. A lapse that only the coordinator saw was announced as a departure, and excluded the upstream at others until its next start. All answers are asked for the header; whether an upstream may be used is checked right before a request is written. A departure says whether the upstream leaves or is only not registered. Evidence: EntryPathTest (lapse) got 200 for 503 on and passes now; UpstreamDirectoryTest, UpstreamSenderTest and RepeatedRefusalTest cover the other paths. That these causes are the users' 35 cases is not shown: their record names none of the requests.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -112,8 +112,11 @@
             BodyCollector(HttpTableStore.MAX_ANSWER_BYTES, ByteBudget(memory.storeBytes))
         )
     )
-    private val orders =
-        HttpRunnerApi(vertx, ORDER_TIMEOUT_MILLIS, ByteBudget(memory.reportBytes))
+    private val orders = HttpRunnerApi(
+        vertx,
+        ORDER_TIMEOUT_MILLIS,
+        ByteBudget(memory.reportBytes)
+    ) { directory.recordLeaving(it) }
 
     private var table: RouteTable? = null
     private val config =
@@ -247,6 +250,7 @@
                 WireHeaders,
                 clock,
                 AnswerBodies(maxTotalBytes = memory.answerBytes),
+                directory::recordLeaving,
                 ::handleAnswer
             ),
             translator = WireHeaders,
@@ -371,6 +375,7 @@
     /** Has all that another coordinator has to know reported again. */
     private fun reportAll() {
         limits.markUnsent()
+        directory.markDeparturesUnsent()
         ownStreams.markUnsent()
     }
 
@@ -410,7 +415,7 @@
             .addAllPromptCrashes(promptBlocks.takeUnsentCrashes())
             .addAllCompletedBlocks(promptBlocks.takeUnsentCompletions())
             .addAllUnreachable(directory.down())
-            .addAllDepartures(directory.leaving.map { it.departure })
+            .addAllDepartures(directory.takeDepartures())
             .addAllLimits(limits.takeUnsent())
             .addAllStreams(ownStreams.takeUnsent())
     }
@@ -436,9 +441,7 @@
     }
 
     private fun handleAnswer(upstream: Upstream, facts: ResponseMetadata, sentAtMillis: Long) {
-        val start = upstream.start
-        if (facts.isLeaving) directory.recordLeaving(start.id, start.startedAtEpochMillis)
-        limits.answered(start, facts.limit, sentAtMillis)
+        limits.answered(upstream.start, facts.limit, sentAtMillis)
     }
 
     private fun applyHoldings(holdings: Holdings) {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/AnswerBodies.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/AnswerBodies.kt
@@ -9,10 +9,7 @@
  * being read. An upstream may send bytes without end, on many connections at once. When all bodies
  * together are too long, the longest ones are given up, so that a short answer still arrives.
  */
-public class AnswerBodies(
-    private val maxBytes: Int = MAX_BYTES,
-    private val maxTotalBytes: Long
-) {
+public class AnswerBodies(private val maxBytes: Int = MAX_BYTES, private val maxTotalBytes: Long) {
     private val reading = mutableSetOf<Body>()
 
     private class Body {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.entry.upstream.Upstream
 import cactusfold.node.http.BodyChunkReader
 import cactusfold.node.time.MonotonicClock
@@ -110,6 +111,7 @@
  * Sends requests to upstreams over pooled HTTP/1.1 connections, without pipelining.
  *
  * @param bodies reads complete bodies, within limits.
+ * @param onLeaving called with an upstream whose answer to any request says that it is leaving.
  * @param onAnswer called with each answer of an upstream to the request that was sent to it, and
  *   when that was sent.
  */
@@ -118,6 +120,7 @@
     private val translator: HeaderTranslator,
     private val clock: MonotonicClock,
     private val bodies: AnswerBodies,
+    private val onLeaving: (UpstreamStart) -> Unit,
     private val onAnswer: (Upstream, ResponseMetadata, sentAtMillis: Long) -> Unit
 ) {
     private val client: HttpClientAgent = vertx.createHttpClient(
@@ -168,13 +171,14 @@
         }
 
         private suspend fun exchange(open: HttpClientRequest): SendEnd {
-            if (!upstreamRequest.mayWrite()) return SendEnd.Unsent
+            if (!upstream.isUsable || !upstreamRequest.mayWrite()) return SendEnd.Unsent
             val startedAtMillis = clock.nowMillis()
             upstream.silence.sendStarted(this, startedAtMillis, onSilent)
             val response = open.send(upstreamRequest.body).map { it.pause() }.coAwait()
             upstream.silence.dataReceived(clock.nowMillis())
             val facts = translator.answer(response.statusCode(), response.headers())
             val start = AnswerStart(response.statusCode(), response.headers(), facts)
+            if (facts.isLeaving) onLeaving(upstream.start)
             if (facts.id != null && facts.id != upstreamRequest.id) {
                 return SendEnd.Broken("the answer belongs to request ${facts.id}")
             }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -308,10 +308,12 @@
         dependencies.directory.takeLeaving().forEach(::announceDeparture)
     }
 
-    /** Announces a departure to all members, the first time that it is noticed. */
+    /** Announces a departure to all members; that an upstream leaves, only the first time. */
     private fun announceDeparture(departure: Departure) {
-        if (!announcedDepartures.add(departure, dependencies.clock.nowMillis())) return
-        dependencies.directory.recordDeparture(departure)
+        if (!departure.isUnregistered) {
+            if (!announcedDepartures.add(departure, dependencies.clock.nowMillis())) return
+            dependencies.directory.recordDeparture(departure)
+        }
         sessions.forEach {
             it.departures += departure
             it.wake.trySend(Unit)
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -46,16 +46,18 @@
     /** Until when the limit on requests of all VMs together was last known to be used up. */
     private var limitedUntilMillis: Long = Long.MIN_VALUE / 2
 
+    /** When the registration was last seen to be gone; null if it was there since. */
+    public var unregisteredAtMillis: Long? = null
+
     /** Whether new requests may be sent to the upstream. */
-    public val isUsable: Boolean get() = !entry.isDraining && !isLeaving
+    public val isUsable: Boolean
+        get() = !entry.isDraining && !isLeaving && unregisteredAtMillis == null
 
     /** Identifies this start of the upstream. */
     public val start: UpstreamStart get() = UpstreamStart(entry.id, entry.startedAtEpochMillis)
 
     /** Identifies this start of the upstream to other processes, once it leaves. */
-    public val departure: Departure
-        get() = Departure.newBuilder().setUpstream(entry.id)
-            .setStartedAtEpochMillis(entry.startedAtEpochMillis ?: 0).build()
+    public val departure: Departure get() = departureOf(start)
 
     /** Number of requests that this process has in flight at the upstream. */
     public var inFlight: Int = 0
@@ -185,28 +187,33 @@
         excludedUntilMillis = maxOf(excludedUntilMillis, limitedUntilMillis)
     )
 
-    private companion object {
+    public companion object {
+        /** Identifies [start] to other processes, once it leaves. */
+        public fun departureOf(start: UpstreamStart): Departure =
+            Departure.newBuilder().setUpstream(start.id)
+                .setStartedAtEpochMillis(start.startedAtEpochMillis ?: 0).build()
+
         /** Maximum lag of announcements behind the coordinator: one interval plus one poll. */
-        const val ANNOUNCEMENT_LAG_MILLIS = 3_000L
+        private const val ANNOUNCEMENT_LAG_MILLIS = 3_000L
 
         /** Weight of a new measurement in the moving average of the latency. */
-        const val LATENCY_WEIGHT = 0.2
+        private const val LATENCY_WEIGHT = 0.2
 
         /** Backoff after a failed send; doubled for consecutive failures. */
-        const val FAILURE_BACKOFF_MILLIS = 250L
-        const val MAX_FAILURE_DOUBLINGS = 4
+        private const val FAILURE_BACKOFF_MILLIS = 250L
+        private const val MAX_FAILURE_DOUBLINGS = 4
 
         /** Backoff after a refusal for lack of capacity. */
-        const val FULL_BACKOFF_MILLIS = 40L
+        private const val FULL_BACKOFF_MILLIS = 40L
 
         /** Many times the pauses within an engine's answer and the latency of a plain service. */
-        const val MIN_SILENT_MILLIS = 500.0
+        private const val MIN_SILENT_MILLIS = 500.0
 
         /** Multiple of the usual latency without data after which the upstream counts as silent. */
-        const val SILENCE_FACTOR = 4
+        private const val SILENCE_FACTOR = 4
 
         /** Backoff after a refused connection; doubled for consecutive failures. */
-        const val DOWN_MILLIS = 1_000L
-        const val MAX_DOWN_DOUBLINGS = 1
+        private const val DOWN_MILLIS = 1_000L
+        private const val MAX_DOWN_DOUBLINGS = 1
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.upstream
 
 import cactusfold.decisions.Rendezvous
+import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.decisions.routing.ReplicaChoice
 import cactusfold.entry.process.EventLog
 import cactusfold.node.time.MonotonicClock
@@ -33,6 +34,8 @@
     private val listeners = mutableListOf<() -> Unit>()
     private val missingSinceMillis = HashMap<String, Long>()
     private val departed = mutableSetOf<Departure>()
+    private val leavingStarts = LeavingStarts()
+    private val unreported = mutableSetOf<UpstreamStart>()
     private var storeFailedAtMillis = Long.MIN_VALUE / 2
 
     /** Number of times that an upstream joined, left or restarted, as seen by this process. */
@@ -73,7 +76,7 @@
 
     /** Returns the upstreams that are leaving, and those removed since the last call. */
     public fun takeLeaving(): Set<Departure> {
-        val leaving = upstreams.values.filterNot { it.isUsable }
+        val leaving = upstreams.values.filter { it.isLeaving || it.entry.isDraining }
             .mapTo(mutableSetOf()) { it.departure }
         leaving += departed
         departed.clear()
@@ -147,27 +150,46 @@
         return (untilMillis - clock.nowMillis()).takeIf { it > 0 }
     }
 
-    /** Records that the start of an upstream at [startedAtEpochMillis] is leaving. */
-    public fun recordLeaving(id: String, startedAtEpochMillis: Long?) {
-        val upstream = upstreams[id] ?: return
-        if (upstream.isLeaving ||
-            upstream.entry.startedAtEpochMillis != startedAtEpochMillis
-        ) {
-            return
-        }
+    /** Records that [start] has said that it is leaving, whether it is registered now or not. */
+    public fun recordLeaving(start: UpstreamStart) {
+        if (start !in leavingStarts) unreported += start
+        markLeaving(start)
+    }
+
+    private fun markLeaving(start: UpstreamStart) {
+        leavingStarts.add(start, clock.nowMillis())
+        val upstream = upstreams[start.id]?.takeIf { it.start == start && !it.isLeaving } ?: return
         upstream.isLeaving = true
-        events.write("upstream-leaving", "upstream" to id)
+        events.write("upstream-leaving", "upstream" to start.id)
         changed()
     }
 
     /** Records a [departure] that another process was told of. */
-    public fun recordDeparture(departure: Departure): Unit = recordLeaving(
-        departure.upstream,
-        departure.startedAtEpochMillis.takeIf { it > 0 }
-    )
+    public fun recordDeparture(departure: Departure) {
+        val start =
+            UpstreamStart(departure.upstream, departure.startedAtEpochMillis.takeIf { it > 0 })
+        if (!departure.isUnregistered) return markLeaving(start)
+        val upstream = upstreams[start.id]?.takeIf { it.start == start } ?: return
+        upstream.unregisteredAtMillis = clock.nowMillis()
+        changed()
+        markOutdated()
+    }
 
-    /** The upstreams that have said that they are leaving and are still registered. */
-    public val leaving: List<Upstream> get() = upstreams.values.filter { it.isLeaving }
+    /** Has all that is known of leaving upstreams returned by the next [takeDepartures]. */
+    public fun markDeparturesUnsent() {
+        unreported += leavingStarts.all
+    }
+
+    /**
+     * Returns the upstreams that have said that they are leaving: those that are registered, and
+     * the others since the last call.
+     */
+    public fun takeDepartures(): Set<Departure> {
+        val leaving = upstreams.values.filter { it.isLeaving }.mapTo(mutableSetOf()) { it.start }
+        leaving += unreported
+        unreported.clear()
+        return leaving.mapTo(mutableSetOf(), Upstream::departureOf)
+    }
 
     /** Periodically notifies requests at silent upstreams, until cancelled. */
     public suspend fun watchSilence() {
@@ -190,6 +212,7 @@
         var era: Long? = null
         while (true) {
             isOutdated = false
+            val readFromMillis = clock.nowMillis()
             when (val result = read(position)) {
                 is FeedResult.Changes -> if (era != null && result.era != era) {
                     // Rows that the store has lost are written again by their upstreams.
@@ -200,6 +223,7 @@
                 } else {
                     era = result.era
                     if (position == null) replaceAll(result.rows) else result.rows.forEach(::apply)
+                    confirmRegistered(readFromMillis)
                     position = result.position
                     isKnown = true
                     changed()
@@ -252,11 +276,22 @@
         }
     }
 
+    /** Ends what was heard of missing registrations before the rows were read that are there. */
+    private fun confirmRegistered(readFromMillis: Long) {
+        for (upstream in upstreams.values) {
+            val unregisteredAtMillis = upstream.unregisteredAtMillis ?: continue
+            if (unregisteredAtMillis < readFromMillis) upstream.unregisteredAtMillis = null
+        }
+    }
+
     private fun applyAnnouncement(entry: UpstreamEntry) {
         missingSinceMillis.remove(entry.id)
         val known = upstreams[entry.id]
-        if (known == null || known.entry.startedAtEpochMillis != entry.startedAtEpochMillis) {
-            upstreams[entry.id] = Upstream(entry)
+        val start = UpstreamStart(entry.id, entry.startedAtEpochMillis)
+        if (entry.isDraining) leavingStarts.add(start, clock.nowMillis())
+        if (known == null || known.start != start) {
+            known?.unregisteredAtMillis = clock.nowMillis()
+            upstreams[entry.id] = Upstream(entry).also { it.isLeaving = start in leavingStarts }
             revision++
             lastJoinedMillis = clock.nowMillis()
             events.write("upstream-new", "upstream" to entry.id, "service" to entry.service)
@@ -296,7 +331,8 @@
     private fun drop(id: String) {
         missingSinceMillis.remove(id)
         val upstream = upstreams.remove(id) ?: return
-        departed += upstream.departure
+        upstream.unregisteredAtMillis = clock.nowMillis()
+        departed += upstream.departure.toBuilder().setIsUnregistered(true).build()
         revision++
         events.write("upstream-gone", "upstream" to id)
     }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -132,7 +132,8 @@
                 vertx,
                 WireHeaders,
                 clock,
-                AnswerBodies(maxTotalBytes = 10_000)
+                AnswerBodies(maxTotalBytes = 10_000),
+                {}
             ) { _, _, _ -> },
             translator = translator,
             retries = RetryBudgets(bounds, clock) { null },
@@ -259,7 +260,9 @@
         fun `a body for which the bodies of other requests leave no memory is refused at once`() {
             val first = Socket("127.0.0.1", port)
             first.use {
-                it.write("POST /open/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4000\r\n\r\nx")
+                it.write(
+                    "POST /open/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4000\r\n\r\nx"
+                )
                 EntryFixture.eventually("not running") { server.running == 1 }
                 assertEquals("503 bodies-full", announce(4_000))
                 assertEquals("503 bodies-full", send(List(3) { chunk }, 0))
@@ -272,7 +275,9 @@
         /** Sends a body of [bytes] with its length, and returns the status and reason. */
         private fun announce(bytes: Int): String = Socket("127.0.0.1", port).use { socket ->
             socket.soTimeout = 5_000
-            socket.write("POST /open/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: $bytes\r\n\r\n")
+            socket.write(
+                "POST /open/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: $bytes\r\n\r\n"
+            )
             socket.write("x".repeat(bytes))
             readAnswer(socket)
         }
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryPathTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryPathTest.kt
@@ -153,6 +153,19 @@
             }
         }
 
+        // Guards against a departure that is forgotten with the registration, which may come back.
+        @Test
+        fun `an upstream that left gets no requests after its registration lapsed`() {
+            desk.behavior = RunnerBehavior.LEAVES
+            assertEquals(200, fixture.caller.call("/look/x").statusCode())
+            fixture.store.remove("servers", "i-3")
+            Thread.sleep(LAPSE_MILLIS)
+            fixture.operator.register("i-3", desk, "desk")
+            Thread.sleep(LAPSE_MILLIS)
+            repeat(4) { assertEquals(503, fixture.caller.call("/look/x").statusCode()) }
+            assertEquals(1, desk.ran.size)
+        }
+
         @Test
         fun `an upstream that asks for a pause is sent nothing, and callers learn its length`() {
             desk.behavior = RunnerBehavior.ASKS_FOR_PAUSE
@@ -278,4 +291,9 @@
             assertEquals(0, desk.ran.size)
         }
     }
+
+    private companion object {
+        /** Longer than a process takes to read the upstreams' rows. */
+        const val LAPSE_MILLIS = 1_000L
+    }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/path/RepeatedRefusalTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/RepeatedRefusalTest.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.path
 
+import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.platform.HttpRunnerApi
 import cactusfold.platform.UpstreamDecoder
 import cactusfold.platform.standin.RunnerBehavior
@@ -51,7 +52,8 @@
         private val entry = assertIs<Decoded.Valid<UpstreamEntry>>(
             UpstreamDecoder.entry("i-1", runner.row("draft").toBuffer().bytes)
         ).value
-        private val api = HttpRunnerApi(vertx, TIMEOUT_MILLIS, ByteBudget(1_000_000))
+        private val leaving = mutableListOf<UpstreamStart>()
+        private val api = HttpRunnerApi(vertx, TIMEOUT_MILLIS, ByteBudget(1_000_000), leaving::add)
 
         @AfterEach
         fun close() {
@@ -70,6 +72,16 @@
             assertEquals(OrderReply.Accepted, order())
         }
 
+        // Guards against a departure that only reports and orders would have told of.
+        @Test
+        fun `answers to orders and reports also say that their runner leaves`() {
+            runner.behavior = RunnerBehavior.LEAVES
+            runBlocking(eventLoop) { api.report(entry) }
+            order()
+            assertEquals(2, leaving.size)
+            assertEquals(setOf(UpstreamStart("i-1", entry.startedAtEpochMillis)), leaving.toSet())
+        }
+
         // As in the process: a response that is awaited on another thread can be lost.
         private fun order(): OrderReply = runBlocking(eventLoop) {
             api.order(entry, RunnerOrder.Load("m"), OrderAuthority("vm1", 1), 0) { true }
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamDirectoryTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamDirectoryTest.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.upstream
 
+import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.entry.process.EventLog
 import cactusfold.node.time.MonotonicClock
 import io.vertx.core.json.JsonArray
@@ -76,6 +77,79 @@
         }
     }
 
+    @Nested
+    inner class LeavingUpstreams {
+        private val start = UpstreamStart("u", FIRST_START)
+
+        // Guards against a departure that is forgotten while the registration lapses.
+        @Test
+        fun `an upstream that said that it leaves is not used after its row lapsed`() = following {
+            feed.put("u", row())
+            awaitRead()
+            directory.recordLeaving(start)
+            assertEquals(emptyList(), usable())
+            feed.put("u", null)
+            awaitRead()
+            feed.put("u", row())
+            awaitRead()
+            assertEquals(emptyList(), usable())
+        }
+
+        // As above, for an upstream that was draining, and a store restored from an older copy.
+        @Test
+        fun `an upstream that was draining is not used after its row came back ready`() =
+            following {
+                feed.put("u", row("draining"))
+                awaitRead()
+                feed.put("u", null)
+                awaitRead()
+                feed.put("u", row())
+                awaitRead()
+                assertEquals(emptyList(), usable())
+            }
+
+        // Guards against a departure that is ignored since it is known before the registration.
+        @Test
+        fun `an upstream is not used if its departure is known before its row`() = following {
+            directory.recordDeparture(Upstream.departureOf(start))
+            feed.put("u", row())
+            awaitRead()
+            assertEquals(emptyList(), usable())
+        }
+
+        @Test
+        fun `the next start under the id of an upstream that left is used`() = following {
+            feed.put("u", row())
+            awaitRead()
+            directory.recordLeaving(start)
+            feed.put("u", row(startedAt = FIRST_START + 1))
+            awaitRead()
+            assertEquals(listOf("u"), usable())
+        }
+
+        // Guards against a lapse, heard of by others, that excludes an upstream until it restarts.
+        @Test
+        fun `an upstream whose row another process missed is used once its row was read`() =
+            following {
+                feed.put("u", row())
+                awaitRead()
+                val departure = directory.find("u")!!.departure.toBuilder()
+                directory.recordDeparture(departure.setIsUnregistered(true).build())
+                assertEquals(emptyList(), usable())
+                awaitRead()
+                assertEquals(listOf("u"), usable())
+            }
+
+        @Test
+        fun `a departure is reported also if its upstream is not registered`() {
+            directory.recordLeaving(start)
+            assertEquals(setOf(Upstream.departureOf(start)), directory.takeDepartures())
+            assertEquals(emptySet(), directory.takeDepartures())
+            directory.markDeparturesUnsent()
+            assertEquals(setOf(Upstream.departureOf(start)), directory.takeDepartures())
+        }
+    }
+
     private companion object {
         const val FIRST_START = 1_700_000_000_000
         const val TIMEOUT_MILLIS = 10_000L
--- a/ports/src/main/kotlin/cactusfold/ports/http/BodyCollector.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/BodyCollector.kt
@@ -26,7 +26,10 @@
         response.endHandler { promise.tryComplete(body) }
         response.handler { chunk ->
             val isOpen = !promise.future().isComplete
-            if (isOpen && body.length() + chunk.length() <= maxBytes && share.tryTake(chunk.length())) {
+            if (isOpen &&
+                body.length() + chunk.length() <= maxBytes &&
+                share.tryTake(chunk.length())
+            ) {
                 body.appendBuffer(chunk)
             } else if (isOpen) {
                 promise.fail(AnswerTooLongException("the answer is too long"))
--- a/ports/src/test/kotlin/cactusfold/ports/http/PlatformHttpTest.kt
+++ b/ports/src/test/kotlin/cactusfold/ports/http/PlatformHttpTest.kt
@@ -93,7 +93,8 @@
         // Guards against many answers that are kept in memory, each within its limit.
         @Test
         fun `bodies that take too much together are given up`() = runBlocking {
-            val held = List(8) { async { http.send(HttpCall("GET", "/held", timeoutMillis = 1_000)) } }
+            val held =
+                List(8) { async { http.send(HttpCall("GET", "/held", timeoutMillis = 1_000)) } }
             val outcomes = held.awaitAll().map { assertIs<HttpOutcome.NoAnswer>(it) }
             assertTrue(outcomes.count { it.isTooLong } in 1..7, "$outcomes")
             // A connection that timed out is closed a moment later.
