An answer is taken for that to a request only if it names the request

Cause: an answer without an id was taken for that to the next request of its connection; a request that was sent again over the same connection could get the second copy of its first answer; in a body that ends with its connection, a copy of another answer was passed on, head and all. Change: an answer without an id is accepted only on a connection that has carried no other request, which is not used again. A connection never carries the same request twice. A status line in a body without a length, or in place of an event, breaks the answer there; ids of events have to increase. Vert.x's own line about a failed connection, which named no request, is no longer written as an error.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -98,11 +98,13 @@
                 val check = checkFirst()
                 if (check is StreamCheck.Unsound) return check
             }
+            if (!position.increasesBy(splitter.completedIds)) return OUT_OF_ORDER
             position.sent(splitter.completedIds)
             eventCount += splitter.eventCount - countBefore
             send(leadingComments.appendBuffer(complete))
             leadingComments = Buffer.buffer()
         }
+        if (splitter.isForeign) return FOREIGN
         val heldBytes = splitter.partial.length() + leadingComments.length()
         return if (heldBytes > MAX_EVENT_BYTES) TOO_LONG else StreamCheck.Sound
     }
@@ -184,6 +186,7 @@
     }
 
     private companion object {
+        val FOREIGN = StreamCheck.Unsound("another answer follows in the stream")
         val TOO_LONG = StreamCheck.Unsound("an event is too long")
         val OUT_OF_ORDER = StreamCheck.Unsound("the stream does not go on after its last event")
         val INSIDE_EVENT = StreamCheck.Unsound("the stream ended inside an event")
--- a/entry/src/main/kotlin/cactusfold/entry/callers/SseEventSplitter.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/SseEventSplitter.kt
@@ -17,12 +17,19 @@
     public var eventCount: Int = 0
         private set
 
+    /** Whether the head of another answer stood in place of an event, and the stream ends there. */
+    public var isForeign: Boolean = false
+        private set
+
     /** Bytes of an event that is not complete yet. */
     public val partial: Buffer get() = rest
 
     /** Adds [piece] and returns the events that it completes; empty when there are none. */
     public fun add(piece: Buffer): Buffer {
-        val all = if (rest.length() == 0) piece else rest.copy().appendBuffer(piece)
+        val received = if (rest.length() == 0) piece else rest.copy().appendBuffer(piece)
+        val foreignFrom = ForeignAnswer.lineIn(received)
+        isForeign = foreignFrom >= 0
+        val all = if (isForeign) received.slice(0, foreignFrom) else received
         val end = endOfLastEvent(all)
         if (end == 0) {
             rest = all
--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPosition.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPosition.kt
@@ -28,6 +28,12 @@
         return if (countsByOne == true) step == 1L else step > 0
     }
 
+    /** Returns whether [ids] increase, from that of the last event that was sent. */
+    public fun increasesBy(ids: List<String>): Boolean =
+        (listOfNotNull(lastEventId) + ids).zipWithNext().all { (last, next) ->
+            step(last, next)?.let { it > 0 } ?: (last != next)
+        }
+
     /** Records that events with [ids] were sent. */
     public fun sent(ids: List<String>) {
         for (id in ids) {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -15,6 +15,7 @@
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpClosedException
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
@@ -153,12 +154,14 @@
         private val onSilent: () -> Unit
     ) {
         private var request: HttpClientRequest? = null
+        private var isFirst = false
         private var isComplete = false
         private var firstPieceAtMillis: Long? = null
 
         suspend fun run(): SendEnd = try {
-            val open = connections.open(options())
-            request = open
+            val opened = connections.open(options())
+            isFirst = opened.isFirst
+            val open = opened.request.also { request = it }
             open.authority(HostAndPort.authority(upstreamRequest.host, -1))
             exchange(open)
         } catch (e: CancellationException) {
@@ -179,25 +182,40 @@
             val facts = translator.answer(response.statusCode(), response.headers())
             val start = AnswerStart(response.statusCode(), response.headers(), facts)
             if (facts.isLeaving) onLeaving(upstream.start)
-            if (facts.id != null && facts.id != upstreamRequest.id) {
-                return SendEnd.Broken("the answer belongs to request ${facts.id}")
-            }
+            mismatch(facts, open.connection())?.let { return SendEnd.Broken(it) }
             onAnswer(upstream, facts, startedAtMillis)
             facts.pauseMillis?.let { upstream.recordPause(it, clock.nowMillis()) }
             if (facts.wasNotExecuted) return notRun(response, start)
             val isSuccess = start.status in SUCCESS
             if (isSuccess && !facts.isSealed) return SendEnd.Broken("an answer without a seal")
             upstream.recordAnswer(facts.load)
+            // The request may be sent again, and must not get this answer a second time.
+            if (start.status >= SERVER_ERROR) connections.exclude(open.connection())
             if (isSuccess && upstreamRequest.isStream && sink != null) {
                 if (facts.isEventStream) return relay(response, start, sink, startedAtMillis)
                 if (sink.isContinued) return SendEnd.Broken("the answer is no event stream")
             }
             upstream.recordLatency(clock.nowMillis() - startedAtMillis)
             val body = bodies.read(response) ?: return SendEnd.Broken("the answer is too long")
+            if (ForeignAnswer.isDelimitedByClose(response.headers()) && ForeignAnswer.isIn(body)) {
+                return SendEnd.Broken("another answer follows")
+            }
             isComplete = true
             return SendEnd.Whole(start, body)
         }
 
+        /**
+         * Returns why an answer with [facts] cannot be taken for that to this request, or null. One
+         * that names no request is accepted on a connection that has carried no other, and only
+         * there.
+         */
+        private fun mismatch(facts: ResponseMetadata, connection: HttpConnection): String? = when {
+            facts.id == upstreamRequest.id -> null
+            facts.id != null -> "the answer belongs to request ${facts.id}"
+            !isFirst -> "the answer names no request"
+            else -> null.also { connections.exclude(connection) }
+        }
+
         private suspend fun notRun(response: HttpClientResponse, start: AnswerStart): SendEnd {
             connections.exclude(response.request().connection())
             // The connection is closed if the rest of the answer is not worth reading.
@@ -224,12 +242,11 @@
                 val check = sink.write(piece)
                 if (check is StreamCheck.Unsound) return SendEnd.Broken(check.reason)
             }
-            isComplete = true
             return when (val check = sink.checkEnd()) {
                 // The upstream may have crashed: the end of a connection can be the end of an
                 // answer.
                 is StreamCheck.Unsound -> SendEnd.Broken(check.reason, closedNow())
-                StreamCheck.Sound -> SendEnd.Streamed
+                StreamCheck.Sound -> SendEnd.Streamed.also { isComplete = true }
             }
         }
 
@@ -258,5 +275,6 @@
         const val CONNECT_TIMEOUT_MILLIS = 500
         const val KEEP_ALIVE_SECONDS = 30
         const val MAX_CONNECTIONS_PER_UPSTREAM = 256
+        const val SERVER_ERROR = 500
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/SseEventSplitterTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/SseEventSplitterTest.kt
@@ -1,7 +1,9 @@
 package cactusfold.entry.callers
 
+import cactusfold.platform.standin.ScriptedUpstream
 import io.vertx.core.buffer.Buffer
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 
@@ -39,6 +41,40 @@
         }
     }
 
+    @Nested
+    inner class OtherAnswers {
+        private val head = ScriptedUpstream.answer("id: 1\ndata: x\n\n", id = "b")
+
+        // Guards against events of another caller, from an answer that was written once more.
+        @Test
+        fun `events end where the head of another answer begins`() {
+            assertEquals("id: 1\ndata: a\n\n", add("id: 1\ndata: a\n\n$head"))
+            assertTrue(splitter.isForeign)
+            assertEquals(listOf("1"), splitter.completedIds)
+        }
+
+        // As above, for any two pieces in which the bytes may arrive.
+        @Test
+        fun `events end there wherever the stream is cut in two`() {
+            val text = "id: 1\ndata: a\n\n$head"
+            for (cut in 1 until text.length) {
+                val splitter = SseEventSplitter()
+                var returned = splitter.add(Buffer.buffer(text.take(cut))).toString()
+                if (!splitter.isForeign) {
+                    returned += splitter.add(Buffer.buffer(text.drop(cut))).toString()
+                }
+                assertTrue(splitter.isForeign, "cut at $cut")
+                assertEquals("id: 1\ndata: a\n\n", returned, "cut at $cut")
+            }
+        }
+
+        @Test
+        fun `data that mentions the protocol is passed on`() {
+            val text = "id: 1\ndata: HTTP/1.1 200 OK\r\n\r\n"
+            assertEquals(text, add(text))
+        }
+    }
+
     @Nested
     inner class AllCuts {
         private val bodies = listOf("\n", "\r\n").flatMap { end ->
--- a/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
@@ -25,6 +25,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -74,6 +75,117 @@
         runBlocking(vertx.orCreateContext.dispatcher()) { test(scripted) }
     }
 
+    @Nested
+    inner class BytesWithoutEnd {
+        private val head = answer("", isDelimited = false)
+        private val chunked =
+            head.removeSuffix("\r\n") + "Transfer-Encoding: chunked\r\n\r\n"
+
+        // Guards against bytes outside of a body that are kept until the memory is full.
+        @Test
+        fun `a head, a chunk size or a trailer without end breaks the answer at once`() {
+            val filler = "x".repeat(1_000)
+            val scripts = listOf(
+                Scripted("", endless = filler),
+                Scripted("HTTP/1.1 200 $filler", endless = filler),
+                Scripted("HTTP/1.1 200 OK\r\nA: ", endless = filler),
+                Scripted("HTTP/1.1 200 OK\r\n", endless = "A: $filler\r\n"),
+                Scripted(head, endless = filler),
+                Scripted(chunked, endless = filler),
+                Scripted("${chunked}0\r\n", endless = "A: $filler\r\n")
+            )
+            for (script in scripts) {
+                withUpstream({ script }) {
+                    val end = withTimeout(TIMEOUT_MILLIS) { send(upstream(it.port)) }
+                    assertIs<SendEnd.Broken>(end, script.text)
+                }
+            }
+        }
+
+        // As above; such an answer may go on, and ends with the time limit of its request.
+        @Test
+        fun `informational answers without end do not hold up other requests`() =
+            withUpstream({ Scripted("", endless = "HTTP/1.1 100 Continue\r\n\r\n") }) {
+                val endless = launch { send(upstream(it.port)) }
+                repeat(20) {
+                    assertIs<SendEnd.Whole>(withTimeout(TIMEOUT_MILLIS) { send() })
+                }
+                endless.cancel()
+            }
+    }
+
+    @Nested
+    inner class AnswersOfOtherRequests {
+        /** Waits until the pool has the connection back. */
+        private suspend fun awaitRecycled() = delay(RECYCLE_MILLIS)
+
+        // Guards against a late answer without an id that is taken for that to the next request.
+        @Test
+        fun `an answer without an id is not accepted on a connection that carried another`() =
+            withUpstream({ Scripted(answer("x", id = if (it == 1) "a" else null)) }) {
+                assertIs<SendEnd.Whole>(send(upstream(it.port)))
+                awaitRecycled()
+                val end = assertIs<SendEnd.Broken>(send(upstream(it.port), "b"))
+                assertEquals("the answer names no request", end.reason)
+            }
+
+        // As above, for a refusal, after which the request would be sent once more.
+        @Test
+        fun `a refusal without an id is not accepted on a connection that carried another`() =
+            withUpstream(
+                {
+                    val refusal = answer("", id = null, status = 503, isExecuted = false)
+                    Scripted(if (it == 1) answer("x") else refusal)
+                }
+            ) {
+                assertIs<SendEnd.Whole>(send(upstream(it.port)))
+                awaitRecycled()
+                val end = assertIs<SendEnd.Broken>(send(upstream(it.port), "b"))
+                assertEquals("the answer names no request", end.reason)
+            }
+
+        @Test
+        fun `an upstream that never names requests gets a connection for each`() =
+            withUpstream({ Scripted(answer("x", id = null)) }) {
+                repeat(3) { _ ->
+                    assertIs<SendEnd.Whole>(send(upstream(it.port)))
+                    awaitRecycled()
+                }
+                assertEquals(3, it.connections.get())
+            }
+
+        // Guards against a second copy of a failure that answers the same request, sent again.
+        @Test
+        fun `a request that failed is not sent again over the same connection`() =
+            withUpstream({ Scripted(answer("x", status = 500)) }) {
+                repeat(3) { _ ->
+                    assertIs<SendEnd.Whole>(send(upstream(it.port)))
+                    awaitRecycled()
+                }
+                assertEquals(3, it.connections.get())
+            }
+
+        // Guards against a body with another caller's answer behind it.
+        @Test
+        fun `an answer without a length is broken if another one follows`() {
+            for (copy in listOf(answer("other", "b"), "HTTP/1.1 200", "HTTP/1.1 503 Full\r\nCac")) {
+                val body = answer("own", isDelimited = false)
+                withUpstream({ Scripted(body + copy, closes = true) }) {
+                    assertIs<SendEnd.Broken>(send(upstream(it.port)), copy)
+                }
+            }
+        }
+
+        @Test
+        fun `an answer without a length that mentions the protocol is whole`() {
+            val body = "see HTTP/1.1 and HTTP/1.1 200 in the text, or HTTP/1.0 2 and HTTP"
+            withUpstream({ Scripted(answer(body, isDelimited = false), closes = true) }) {
+                val whole = assertIs<SendEnd.Whole>(send(upstream(it.port)))
+                assertEquals(body, whole.body.toString())
+            }
+        }
+    }
+
     @Nested
     inner class LeavingUpstreams {
         // Guards against a departure that is overlooked, as its answer belongs to no request here.
@@ -114,5 +226,7 @@
         /** As many as the pool has for one upstream. */
         const val CONNECTIONS = 256
         const val CONNECT_MILLIS = 2_000L
+        const val TIMEOUT_MILLIS = 5_000L
+        const val RECYCLE_MILLIS = 100L
     }
 }
--- a/ports/src/main/kotlin/cactusfold/ports/http/KeptConnections.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/KeptConnections.kt
@@ -8,30 +8,50 @@
 import java.util.Collections
 import java.util.WeakHashMap
 import kotlinx.coroutines.CancellationException
+import org.apache.logging.log4j.LogManager
+
+/**
+ * A request that was opened on a connection.
+ *
+ * @property isFirst whether the connection has carried no request before. If it has, a faulty
+ *   server may still write an answer to one of these.
+ */
+public class OpenRequest(public val request: HttpClientRequest, public val isFirst: Boolean)
 
 /** Opens requests on the pooled connections of [client]. */
 public class KeptConnections(private val client: HttpClientAgent) {
-    private val excluded: MutableSet<HttpConnection> =
+    private val excluded = connectionSet()
+    private val used = connectionSet()
+
+    private fun connectionSet(): MutableSet<HttpConnection> =
         Collections.synchronizedSet(Collections.newSetFromMap(WeakHashMap()))
 
     /**
-     * Has no further request use [connection], because it brought a refusal: a faulty server may
-     * write that once more, and it would be taken for the answer to the next request.
+     * Has no further request use [connection], because its last answer may be written once more by
+     * a faulty server, and would be taken for the answer to the next request.
      */
     public fun exclude(connection: HttpConnection) {
         excluded += connection
     }
 
     /** Opens a request on a connection that is not excluded. */
-    public suspend fun open(options: RequestOptions): HttpClientRequest {
+    public suspend fun open(options: RequestOptions): OpenRequest {
         while (true) {
             val request = acquire(options)
-            if (request.connection() !in excluded) return request
+            val connection = request.connection()
+            if (connection !in excluded) return OpenRequest(request, isFirst(connection))
             discard(request)
-            request.connection().close()
+            connection.close()
         }
     }
 
+    private fun isFirst(connection: HttpConnection): Boolean {
+        if (!used.add(connection)) return false
+        // The request in progress fails with the same error, and is logged with its context.
+        connection.exceptionHandler { log.debug("a connection failed: {}", it.message) }
+        return true
+    }
+
     private suspend fun acquire(options: RequestOptions): HttpClientRequest {
         val connecting = client.request(options)
         try {
@@ -47,4 +67,8 @@
         request.exceptionHandler { }
         request.reset()
     }
+
+    private companion object {
+        val log = LogManager.getLogger(KeptConnections::class.java)
+    }
 }
--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -80,7 +80,8 @@
     poolSize: Int = DEFAULT_POOL_SIZE,
     private val closesOnTimeout: Boolean = false,
     private val closesOnRefusal: Boolean = false,
-    private val bodies: BodyCollector = BodyCollector(DEFAULT_BODY_BYTES, ByteBudget(DEFAULT_BODIES_BYTES))
+    private val bodies: BodyCollector =
+        BodyCollector(DEFAULT_BODY_BYTES, ByteBudget(DEFAULT_BODIES_BYTES))
 ) {
     public constructor(
         vertx: Vertx,
@@ -113,7 +114,7 @@
         val requestTimeoutMillis = call.timeoutMillis ?: timeoutMillis
         val outcome = withTimeoutOrNull(requestTimeoutMillis) {
             try {
-                val request = connections.open(optionsOf(call))
+                val request = connections.open(optionsOf(call)).request
                 open = request
                 if (!shouldSend()) {
                     request.reset()
