The pause that an upstream asked for outlives its registration

Cause: the same as for departures: the time until which an upstream asked to be sent nothing was kept with its row, so a row that lapsed and came back ended the pause. Evidence: UpstreamDirectoryTest, a new test.

--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -35,6 +35,9 @@
     private val missingSinceMillis = HashMap<String, Long>()
     private val departed = mutableSetOf<Departure>()
     private val leavingStarts = LeavingStarts()
+
+    /** Until when starts without a registration have asked to be sent nothing. */
+    private val pausedUntilMillis = HashMap<UpstreamStart, Long>()
     private val unreported = mutableSetOf<UpstreamStart>()
     private var storeFailedAtMillis = Long.MIN_VALUE / 2
 
@@ -291,7 +294,10 @@
         if (entry.isDraining) leavingStarts.add(start, clock.nowMillis())
         if (known == null || known.start != start) {
             known?.unregisteredAtMillis = clock.nowMillis()
-            upstreams[entry.id] = Upstream(entry).also { it.isLeaving = start in leavingStarts }
+            upstreams[entry.id] = Upstream(entry).also {
+                it.isLeaving = start in leavingStarts
+                resumePause(it)
+            }
             revision++
             lastJoinedMillis = clock.nowMillis()
             events.write("upstream-new", "upstream" to entry.id, "service" to entry.service)
@@ -332,11 +338,23 @@
         missingSinceMillis.remove(id)
         val upstream = upstreams.remove(id) ?: return
         upstream.unregisteredAtMillis = clock.nowMillis()
+        if (upstream.isPaused(clock.nowMillis())) {
+            pausedUntilMillis[upstream.start] = upstream.pausedUntilMillis
+        }
         departed += upstream.departure.toBuilder().setIsUnregistered(true).build()
         revision++
         events.write("upstream-gone", "upstream" to id)
     }
 
+    /** Has the pause go on that the start of [upstream] asked for before its row lapsed. */
+    private fun resumePause(upstream: Upstream) {
+        val nowMillis = clock.nowMillis()
+        pausedUntilMillis.values.removeIf { it <= nowMillis }
+        pausedUntilMillis.remove(upstream.start)?.let {
+            upstream.recordPause(it - nowMillis, nowMillis)
+        }
+    }
+
     private companion object {
         /** Added to the cost of an upstream in another availability zone. */
         const val ZONE_CROSSING_MILLIS = 1.0
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamDirectoryTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamDirectoryTest.kt
@@ -6,6 +6,8 @@
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -140,6 +142,23 @@
                 assertEquals(listOf("u"), usable())
             }
 
+        // Guards against a pause that is forgotten while the registration lapses.
+        @Test
+        fun `the pause that an upstream asked for goes on after its row lapsed`() = following {
+            feed.put("u", row())
+            awaitRead()
+            val untilMillis = clock.nowMillis() + 60_000
+            directory.find("u")!!.recordPause(60_000, clock.nowMillis())
+            feed.put("u", null)
+            awaitRead()
+            feed.put("u", row())
+            awaitRead()
+            assertTrue(directory.find("u")!!.isPaused(untilMillis - 1))
+            feed.put("u", row(startedAt = FIRST_START + 1))
+            awaitRead()
+            assertFalse(directory.find("u")!!.isPaused(clock.nowMillis()))
+        }
+
         @Test
         fun `a departure is reported also if its upstream is not registered`() {
             directory.recordLeaving(start)
