--- a/entry/src/test/kotlin/cactusfold/entry/path/PlannedStopTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/PlannedStopTest.kt
@@ -69,6 +69,46 @@
         }
     }
 
+    // Guards against requests that are taken late in the time to stop and cut at its end.
+    @Test
+    fun `requests that come late in the time to stop are answered`() {
+        for (stopMillis in listOf(3_000L, 4_000L, 8_000L)) assertLateAnswered(stopMillis)
+    }
+
+    /** Checks long requests, and a body that is still arriving, shortly before refusals begin. */
+    private fun assertLateAnswered(stopMillis: Long) {
+        EntryFixture(stopMillis).use { fixture ->
+            val desk = fixture.runner("i-1", "desk")
+            fixture.start()
+            desk.answerDelayMillis = 20_000
+            val connections = List(4) { CallerConnection(fixture.callers) }
+            val stop = CompletableFuture.runAsync { fixture.stop() }
+            Thread.sleep(LATE_MILLIS)
+            val long = connections.take(2).map { connection ->
+                connection.send("/book/x")
+                CompletableFuture.supplyAsync { connection.receive() }
+            }
+            val slow = connections.drop(2).map { connection ->
+                CompletableFuture.supplyAsync {
+                    connection.send("/book/x", bodyPauseMillis = 400)
+                    connection.receive()
+                }
+            }
+            val isAtTimeLimit = LATE_MILLIS + TIMEOUT_MILLIS < stopMillis * 5 / 6
+            val mayHaveRun = if (isAtTimeLimit) {
+                CallEnd.Answered(504, "timed-out\n", closes = true)
+            } else {
+                CallEnd.Answered(502, "stopping\n", closes = true)
+            }
+            assertEquals(listOf(mayHaveRun, mayHaveRun), long.map { it.get() }, "$stopMillis ms")
+            val refused = CallEnd.Answered(503, "stopping\n", closes = true)
+            assertEquals(listOf(refused, refused), slow.map { it.get() }, "$stopMillis ms")
+            assertEquals(2, desk.ran.size)
+            stop.get()
+            connections.forEach(CallerConnection::close)
+        }
+    }
+
     // Guards against a repeated SIGTERM that ends a process while it still drains.
     @Test
     fun `a repeated stop does not end the process before requests in progress are answered`() {
@@ -122,6 +162,14 @@
         }
     }
 
+    private companion object {
+        /** Shortly before requests are refused, if the time to stop is long enough. */
+        const val LATE_MILLIS = 2_200L
+
+        /** Time limit of the routes. */
+        const val TIMEOUT_MILLIS = 4_000L
+    }
+
     private fun callAsync(
         call: () -> HttpResponse<String>
     ): CompletableFuture<HttpResponse<String>> = CompletableFuture.supplyAsync(call)
--- a/entry/src/test/kotlin/cactusfold/entry/soak/EntryJvm.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/EntryJvm.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.entry.path.FreePorts
 import cactusfold.platform.standin.CallerStandin
+import java.io.File
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -25,7 +26,7 @@
         val settings = DIRECTORY.resolve("$name-$vm.ini")
         Files.writeString(settings, settings(storePort, stopMillis))
         val command = listOf(Path.of(System.getProperty("java.home"), "bin", "java").toString()) +
-            JVM_OPTIONS + listOf("-cp", System.getProperty("java.class.path")) +
+            JVM_OPTIONS + listOf("-cp", CLASS_PATH) +
             listOf("cactusfold.entry.EntryMainKt", "--config", settings.toString())
         process = ProcessBuilder(command).redirectErrorStream(true)
             .redirectOutput(log.toFile()).start()
@@ -80,8 +81,16 @@
     fun terminate(): Unit = process.destroy()
 
     /** Sends SIGHUP. */
-    fun hangup() {
-        ProcessBuilder("kill", "-HUP", "${process.pid()}").inheritIO().start().waitFor()
+    fun hangup(): Unit = signal("HUP")
+
+    /** Has the process stand still until [resume]. */
+    fun pause(): Unit = signal("STOP")
+
+    /** Ends a [pause]. */
+    fun resume(): Unit = signal("CONT")
+
+    private fun signal(name: String) {
+        ProcessBuilder("kill", "-$name", "${process.pid()}").inheritIO().start().waitFor()
     }
 
     /** Whether the process is gone within [timeoutMillis]. */
@@ -98,10 +107,20 @@
             "--add-modules",
             "jdk.incubator.foreign",
             "--enable-native-access=ALL-UNNAMED",
-            "-Xmx64m",
+            "-Xmx36m",
+            "-Xmn8m",
+            "-Xss256k",
             "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1"
+            "-XX:TieredStopAtLevel=1",
+            "-Dio.netty.maxDirectMemory=16777216",
+            "-Dio.netty.allocator.numDirectArenas=1",
+            "-Dio.netty.allocator.numHeapArenas=0"
         )
+
+        /** As deployed: with data binding, JSON is read by another parser. */
+        val CLASS_PATH: String = System.getProperty("java.class.path")
+            .split(File.pathSeparator).filterNot { "jackson-databind" in it }
+            .joinToString(File.pathSeparator)
         const val MILLIS_PER_SECOND = 1_000.0
         const val START_MILLIS = 20_000L
         const val CHECK_MILLIS = 50L
--- a/entry/src/test/kotlin/cactusfold/entry/soak/PlannedWorkSoakTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/PlannedWorkSoakTest.kt
@@ -10,7 +10,8 @@
 /**
  * Random planned work on entry processes that serve callers: SIGTERM once or more often, SIGHUP and
  * changes of the configuration, which overlap. Upstreams limit their requests, repeat refusals, and
- * crash and return with another software version; callers take up the streams that break off. Runs
+ * crash and return with another software version; callers take up the streams that break off. Others
+ * write rows that cannot be read, send bytes without end, and leave while their rows lapse. Runs
  * each of the [Seeds] once for all tests.
  */
 class PlannedWorkSoakTest {
@@ -48,6 +49,14 @@
             check(Rule.WITHIN_LIMIT)
     }
 
+    @Nested
+    inner class LeavingUpstreams {
+        // Guards against a departure that is forgotten while the registration lapses.
+        @Test
+        fun `an upstream that said that it leaves gets no more requests`() =
+            check(Rule.NOT_AFTER_LEAVING)
+    }
+
     private companion object {
         const val DEFAULT_SEEDS = 16
         const val CONCURRENT_RUNS = 4
--- a/entry/src/test/kotlin/cactusfold/entry/soak/ProcessRules.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/ProcessRules.kt
@@ -50,7 +50,7 @@
             val isStackTrace = line.isEmpty() ||
                 line.startsWith("\tat ") ||
                 line == "java.lang.IllegalStateException"
-            isLeftOut = LATE_CONNECTION in line || (isLeftOut && isStackTrace)
+            isLeftOut = LATE_CONNECTIONS.any { it in line } || (isLeftOut && isStackTrace)
             if (!isLeftOut) kept += line
         }
         return kept
@@ -68,7 +68,13 @@
     private companion object {
         /** Only tells a late exit from none. */
         const val GRACE_MILLIS = 5_000L
-        const val LATE_CONNECTION = "WARN Failed to register an accepted channel"
+
+        /** The same warning as text and as a JSON object, in which its stack trace is a field. */
+        val LATE_CONNECTIONS = listOf(
+            "WARN Failed to register an accepted channel",
+            "\"level\":\"WARN\",\"logger\":\"ServerBootstrap\"," +
+                "\"message\":\"Failed to register an accepted channel"
+        )
         val ERRORS = setOf("ERROR", "FATAL")
         const val INCUBATOR_WARNING = "WARNING: Using incubator modules: jdk.incubator.foreign"
     }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/RejoinedStreamsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/RejoinedStreamsTest.kt
@@ -2,13 +2,6 @@
 
 import cactusfold.entry.path.PlatformFixture
 import cactusfold.platform.standin.AnswerShape
-import cactusfold.platform.standin.CallEnd
-import cactusfold.platform.standin.CallerConnection
-import java.io.IOException
-import java.util.concurrent.ConcurrentLinkedQueue
-import java.util.concurrent.TimeUnit
-import kotlin.concurrent.thread
-import kotlin.random.Random
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import org.junit.jupiter.api.Test
@@ -28,10 +21,7 @@
 
     @Test
     fun `the events of each stream follow one another`() {
-        val wrong = run.streams.filterNot { stream ->
-            stream.events.withIndex().all { (i, event) -> event.id == i + 1 }
-        }
-        assertEquals(emptyList(), wrong)
+        assertEquals(emptyList(), run.streams.filterNot { it.isConsecutive })
     }
 
     // Guards against keeping the rule by refusing all streams.
@@ -53,7 +43,7 @@
         assertEquals(emptyList(), old.filter { it.wentOnIn(Phase.RETIRED) })
     }
 
-    private fun assertGoOn(streams: List<Stream>, leastTakenUp: Int) {
+    private fun assertGoOn(streams: List<CalledStream<Phase>>, leastTakenUp: Int) {
         val wentOn = streams.count { it.hasGoneOn }
         val refusals = streams.filterNot { it.hasGoneOn }.map { it.refusals.toSet() }
         println("$wentOn of ${streams.size} streams went on; refused: $refusals")
@@ -63,31 +53,6 @@
 
     private enum class Phase { CRASHES, RETURN, RETIRED }
 
-    private data class Event(val id: Int, val version: String, val phase: Phase)
-
-    private class Stream {
-        val events = mutableListOf<Event>()
-        val refusals = mutableListOf<String>()
-        var takenUpIn: Phase? = null
-        var eventsBefore = 0
-
-        val versions get() = events.mapTo(mutableSetOf()) { it.version }
-        val hasGoneOn get() = events.size > eventsBefore
-
-        fun wentOnIn(phase: Phase) =
-            hasGoneOn && events.drop(eventsBefore).any { it.phase == phase }
-
-        fun add(body: String, phase: Phase) {
-            for (block in body.split("\n\n").filter { "\ndata: " in it }) {
-                val id = block.substringAfter("id: ").substringBefore('\n').toInt()
-                val version = block.substringAfter("data: ").substringBefore(' ')
-                events += Event(id, version, phase)
-            }
-        }
-
-        override fun toString() = "${events.map { "${it.id} ${it.version}" }} $takenUpIn $refusals"
-    }
-
     private class Run {
         private val platform = PlatformFixture()
         private val runners = listOf("v1", "v1", "v2", "v2").mapIndexed { i, version ->
@@ -97,7 +62,6 @@
                 returnMillis = CRASH_MILLIS / 2
             }
         }
-        val streams = ConcurrentLinkedQueue<Stream>()
 
         @Volatile
         private var phase = Phase.CRASHES
@@ -105,22 +69,25 @@
         @Volatile
         private var fleet = emptyList<EntryJvm>()
 
-        @Volatile
-        private var isOver = false
+        private val callers = StreamCallers(EVENTS, { fleet }) { phase }
+        val streams get() = callers.streams
 
         init {
             platform.runner("d-1", "desk")
-            platform.operator.timeoutMillis = TIMEOUT_MILLIS
+            platform.operator.timeoutMillis = StreamCallers.TIMEOUT_MILLIS
             platform.operator.configure(1, listOf("key-1"))
             platform.use { serve() }
         }
 
-        fun takenUpIn(phase: Phase): List<Stream> = streams.filter { it.takenUpIn == phase }
+        fun takenUpIn(phase: Phase): List<CalledStream<Phase>> = streams.filter {
+            it.takenUpIn ==
+                phase
+        }
 
         private fun serve() {
             try {
                 startFleet()
-                val callers = List(CALLERS) { i -> thread { callUntilOver(Random(i)) } }
+                callers.start(CALLERS)
                 crashRunners()
                 replaceCoordinator()
                 crashRunners()
@@ -133,11 +100,10 @@
                 retire()
                 startFleet()
                 Thread.sleep(CRASH_MILLIS * runners.size)
-                isOver = true
-                callers.forEach(Thread::join)
+                callers.end()
             } finally {
-                isOver = true
                 killFleet()
+                callers.end()
             }
         }
 
@@ -177,51 +143,6 @@
             runner.crash()
             platform.store.remove("servers", "e-$i")
         }
-
-        private fun callUntilOver(random: Random) {
-            while (!isOver) {
-                val stream = Stream()
-                val id = attempt(stream, random, null) ?: continue
-                if (stream.events.isEmpty()) continue
-                streams += stream
-                if (stream.events.size < EVENTS) takeUp(stream, id, random)
-            }
-        }
-
-        private fun takeUp(stream: Stream, id: String, random: Random) {
-            stream.eventsBefore = stream.events.size
-            val untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETURN_MILLIS)
-            while (!isOver && stream.events.size < EVENTS && System.nanoTime() < untilNanos) {
-                attempt(stream, random, id to stream.events.last().id) ?: continue
-                stream.takenUpIn = phase
-            }
-        }
-
-        /** Returns the id of an attempt at any process; null if that did not accept it. */
-        private fun attempt(stream: Stream, random: Random, resumes: Pair<String?, Int>?): String? {
-            val end: CallEnd
-            val id: String
-            try {
-                CallerConnection(fleet.random(random).callersPort).use {
-                    id = it.send("/draft/x", "warm", TIMEOUT_MILLIS, resumes = resumes)
-                    end = it.receive()
-                }
-            } catch (_: IOException) {
-                // The process is down.
-                Thread.sleep(PAUSE_MILLIS)
-                return null
-            }
-            when (end) {
-                is CallEnd.Cut -> stream.add(end.body, phase)
-                is CallEnd.Answered -> if (end.status == OK) {
-                    stream.add(end.body, phase)
-                } else {
-                    stream.refusals += end.body.trim()
-                    Thread.sleep(PAUSE_MILLIS)
-                }
-            }
-            return id
-        }
     }
 
     private companion object {
@@ -236,12 +157,6 @@
         const val CRASH_MILLIS = 800L
         const val RETIRED_MILLIS = 600_000L
 
-        /** Time for which a caller tries to get the rest of its stream. */
-        const val RETURN_MILLIS = 20_000L
-        const val TIMEOUT_MILLIS = 15_000L
-        const val PAUSE_MILLIS = 100L
-        const val OK = 200
-
         val run: Run by lazy { Run() }
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
@@ -68,6 +68,10 @@
     /** As [restarts]. */
     val refusals: List<RepeatedRefusals> = drawRefusals(Random(seed + REFUSAL_SEEDS))
 
+    /** As [restarts]. */
+    val foreign: ForeignFaults =
+        ForeignFaults(Random(seed + FOREIGN_SEEDS), -leadMillis, stopMillis)
+
     /** When a caller leaves its streams, with draws of its own. */
     fun leaving(caller: Int): Random = Random(seed + LEAVING_SEEDS + caller)
 
@@ -118,7 +122,8 @@
 
     override fun toString(): String = "stopMillis=$stopMillis beside=$beside " +
         "loadMillis=$loadMillis callers=${callers.size} leadMillis=$leadMillis initial=$initial " +
-        "work=$work limits=$limits restarts=$restarts refusals=$refusals"
+        "work=$work limits=$limits restarts=$restarts refusals=$refusals " +
+        "foreign=($foreign)"
 
     companion object {
         /** The software versions of the engines, in the order in which they start. */
@@ -128,6 +133,7 @@
         private const val RESTART_SEEDS = 2_000_000
         private const val REFUSAL_SEEDS = 3_000_000
         private const val LEAVING_SEEDS = 4_000_000
+        private const val FOREIGN_SEEDS = 5_000_000
         private val LIMITS = listOf("0", "0.5", "1", "4", "20", "1, 30", "none")
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakReport.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakReport.kt
@@ -8,7 +8,8 @@
     TIMELY_EXIT,
     SURVIVES_HANGUP,
     CLEAN_OUTPUT,
-    WITHIN_LIMIT
+    WITHIN_LIMIT,
+    NOT_AFTER_LEAVING
 }
 
 /** A broken rule; [kind] groups equal ones. */
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakRun.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakRun.kt
@@ -33,6 +33,9 @@
     private lateinit var limits: LimitRules
     private lateinit var runners: Map<String, RunnerStandin>
 
+    /** When a runner began to say that it leaves; null before that. */
+    private var leavesAtNanos: Long? = null
+
     /** When the first SIGTERM was sent. */
     var terminatedAtNanos: Long = 0
         private set
@@ -83,8 +86,11 @@
         val rules = ProcessRules(plan)
         val changing = listOf(
             thread { changeLimits() },
-            thread { restartEngines() }
-        ) + plan.refusals.map { thread { repeatRefusals(it) } }
+            thread { restartEngines() },
+            thread { writeForeignRows() },
+            thread { plan.foreign.leaving?.let(::leave) }
+        ) + plan.refusals.map { thread { repeatRefusals(it) } } +
+            plan.foreign.endless.map { thread { answerWithoutEnd(it) } }
         for ((atMillis, work) in plan.work) {
             sleepUntil(terminatedAtNanos + TimeUnit.MILLISECONDS.toNanos(atMillis))
             if (atMillis > 0 && !entry.isAlive) break
@@ -107,7 +113,9 @@
             rules.checkExit(beside, terminatedAtNanos)
             rules.checkOutput(beside)
         }
-        return RequestRules(this, entry.output()).report(rules.violations + limits.violations())
+        return RequestRules(this, entry.output()).report(
+            rules.violations + limits.violations() + leavingViolations()
+        )
     }
 
     private fun changeLimits() {
@@ -147,6 +155,59 @@
         runner.behavior = RunnerBehavior.NORMAL
     }
 
+    private fun writeForeignRows() {
+        val plannedAtNanos = terminatedAtNanos
+        for (row in plan.foreign.rows.sortedBy { it.atMillis }) {
+            sleepUntil(plannedAtNanos + TimeUnit.MILLISECONDS.toNanos(row.atMillis))
+            platform.store.put("servers", row.key, row.value)
+        }
+    }
+
+    private fun answerWithoutEnd(endless: EndlessAnswers) {
+        val plannedAtNanos = terminatedAtNanos
+        val runner = runners.getValue(endless.runner)
+        sleepUntil(plannedAtNanos + TimeUnit.MILLISECONDS.toNanos(endless.fromMillis))
+        runner.setEndless(endless.inReports, true)
+        sleepUntil(plannedAtNanos + TimeUnit.MILLISECONDS.toNanos(endless.untilMillis))
+        runner.setEndless(endless.inReports, false)
+    }
+
+    private fun RunnerStandin.setEndless(inReports: Boolean, isEndless: Boolean) {
+        if (inReports) reportsWithoutEnd = isEndless else answersWithoutEnd = isEndless
+    }
+
+    private fun leave(leaving: Leaving) {
+        val plannedAtNanos = terminatedAtNanos
+        val runner = runners.getValue(leaving.runner)
+        sleepUntil(plannedAtNanos + TimeUnit.MILLISECONDS.toNanos(leaving.atMillis))
+        leavesAtNanos = System.nanoTime()
+        runner.behavior = RunnerBehavior.LEAVES
+        for (lapsesAtMillis in leaving.lapsesAtMillis) {
+            sleepUntil(plannedAtNanos + TimeUnit.MILLISECONDS.toNanos(lapsesAtMillis))
+            platform.store.remove("servers", leaving.runner)
+            Thread.sleep(LAPSE_MILLIS)
+            platform.operator.register(leaving.runner, runner, "desk")
+        }
+    }
+
+    /** Requests to a runner that the processes had been told of that it leaves. */
+    private fun leavingViolations(): List<Violation> {
+        val leaving = plan.foreign.leaving ?: return emptyList()
+        val saidFromNanos = leavesAtNanos ?: return emptyList()
+        val requests = runners.getValue(leaving.runner).arrivals
+            .filter { it.path.startsWith("/book/") || it.path.startsWith("/look/") }
+            .map { it.atNanos }.filter { it >= saidFromNanos }
+        val toldNanos = requests.minOrNull() ?: return emptyList()
+        // Another process is told by the coordinator, which may be the one that stops.
+        val allowedMillis = if (plan.beside == Beside.NONE) DRAIN_MILLIS else CONTACT_MILLIS
+        val late = requests.map { TimeUnit.NANOSECONDS.toMillis(it - toldNanos) }
+            .filter { it > allowedMillis }
+        if (late.isEmpty()) return emptyList()
+        return listOf(
+            Violation(Rule.NOT_AFTER_LEAVING, "after it said that it leaves", "$late ms after")
+        )
+    }
+
     private fun perform(work: PlannedWork, entry: EntryJvm) = when (work) {
         is PlannedWork.Configure -> work.write(platform)
         PlannedWork.Hangup -> entry.hangup()
@@ -220,6 +281,13 @@
             }
 
         const val SMALL_BUFFER_BYTES = 16_384
+        const val LAPSE_MILLIS = 900L
+
+        /** The users' bound on requests after a process has passed on that a runner leaves. */
+        const val DRAIN_MILLIS = 2_000L
+
+        /** That bound, and the time that a change of the coordinator takes for others. */
+        const val CONTACT_MILLIS = 5_000L
         const val MAX_LEAVE_MILLIS = 2_000L
     }
 }
