A response that arrives before its caller awaits it is no longer lost

Seen: calls from threads other than the event loop (router, controller, command line, their tests) ended without an answer now and then: "claim_unavailable", SubmitResult.Unavailable, most often beside load. Cause: PlatformHttp awaited the response after it had sent the request. A response that came before was handed over after its body had passed; reading that failed with an IllegalStateException. Change: the response's handlers are set before the request is sent.

--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -121,17 +121,17 @@
                     return@withTimeoutOrNull HttpOutcome.NotSent("canceled before sending")
                 }
                 sent = true
-                // The body is requested on the event loop; later, its first chunk may be lost.
-                request.send(Buffer.buffer(call.body))
-                    .compose { response ->
-                        if (closesOnRefusal && response.statusCode() >= REFUSALS_FROM) {
-                            connections.exclude(request.connection())
-                        }
-                        bodies.collect(response).map {
-                            HttpOutcome.Answer(response.statusCode(), it, response.headers())
-                        }
+                // The response may arrive before this thread goes on, and its body be lost.
+                val answer = request.response().compose { response ->
+                    if (closesOnRefusal && response.statusCode() >= REFUSALS_FROM) {
+                        connections.exclude(request.connection())
                     }
-                    .coAwait()
+                    bodies.collect(response).map {
+                        HttpOutcome.Answer(response.statusCode(), it, response.headers())
+                    }
+                }
+                request.end(Buffer.buffer(call.body))
+                answer.coAwait()
             } catch (e: CancellationException) {
                 throw e
             } catch (e: AnswerTooLongException) {
--- a/ports/src/test/kotlin/cactusfold/ports/http/PlatformHttpTest.kt
+++ b/ports/src/test/kotlin/cactusfold/ports/http/PlatformHttpTest.kt
@@ -7,6 +7,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
@@ -61,6 +62,20 @@
             }
     }
 
+    @Nested
+    inner class Threads {
+        // Guards against a response that is lost, as it arrives before its caller awaits it.
+        @Test
+        fun `each call from a thread of its own gets its answer`() = runBlocking(Dispatchers.IO) {
+            val http = client { it.response().end("ok") }
+            val calls = List(CALLERS) {
+                async { List(CALLS) { http.send(HttpCall("GET", "/x")) } }
+            }
+            val outcomes = calls.awaitAll().flatten()
+            assertEquals(emptyList(), outcomes.filterNot { it is HttpOutcome.Answer })
+        }
+    }
+
     @Nested
     inner class Limits {
         private val budget = ByteBudget(BUDGET_BYTES)
@@ -103,6 +118,8 @@
     }
 
     private companion object {
+        const val CALLERS = 8
+        const val CALLS = 500
         const val PIECE_BYTES = 16_384
         const val MAX_BYTES = 65_536
         const val BUDGET_BYTES = 100_000L
