--- a/entry/src/main/kotlin/cactusfold/entry/process/TaskSupervisor.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/process/TaskSupervisor.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.process
 
 import io.micrometer.core.instrument.MeterRegistry
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.coroutines.CoroutineContext
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -19,6 +20,12 @@
  * same data, so one that ended for it would not be alone.
  */
 public class TaskSupervisor(context: CoroutineContext, private val metrics: MeterRegistry) {
+    private val unreported = AtomicLong()
+
+    init {
+        metrics.gauge("cactusfold.task.failures.unreported", unreported)
+    }
+
     /** The scope of the tasks; what fails in it otherwise is logged and counted too. */
     public val scope: CoroutineScope = CoroutineScope(
         context + SupervisorJob() + CoroutineExceptionHandler { _, cause -> report(UNNAMED, cause) }
@@ -29,7 +36,7 @@
         scope.launch {
             while (true) {
                 attempt(name, task)
-                delay(RESTART_DELAY_MILLIS)
+                attempt(name) { delay(RESTART_DELAY_MILLIS) }
             }
         }
     }
@@ -37,7 +44,7 @@
     /** Runs [task] until it ends without a failure. */
     public fun complete(name: String, task: suspend () -> Unit) {
         scope.launch {
-            while (!attempt(name, task)) delay(RESTART_DELAY_MILLIS)
+            while (!attempt(name, task)) attempt(name) { delay(RESTART_DELAY_MILLIS) }
         }
     }
 
@@ -52,8 +59,13 @@
     }
 
     private fun report(name: String, cause: Throwable) {
-        metrics.counter(FAILURES, "task", name).increment()
-        log.error("task {} failed", name, cause)
+        try {
+            metrics.counter(FAILURES, "task", name).increment()
+            log.error("task {} failed", name, cause)
+        } catch (_: Throwable) {
+            // Without memory a failure can only be counted, and the task has to go on all the same.
+            unreported.incrementAndGet()
+        }
     }
 
     private companion object {
--- a/entry/src/test/kotlin/cactusfold/entry/process/TaskSupervisorTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/process/TaskSupervisorTest.kt
@@ -1,5 +1,7 @@
 package cactusfold.entry.process
 
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Meter
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -44,6 +46,26 @@
         fun `a task that ends with an exception is restarted and counted`() =
             assertRestarted(IllegalStateException())
 
+        // As above, for an error that cannot be reported either.
+        @Test
+        fun `a task whose failure cannot be reported is restarted`() = runBlocking {
+            val full = object : SimpleMeterRegistry() {
+                override fun newCounter(id: Meter.Id): Counter = throw OutOfMemoryError("full")
+            }
+            val supervisor = TaskSupervisor(coroutineContext, full)
+            val restarted = CompletableDeferred<Unit>()
+            var runs = 0
+            supervisor.keepRunning("t") {
+                if (++runs == 1) throw OutOfMemoryError("full")
+                restarted.complete(Unit)
+                awaitCancellation()
+            }
+            withTimeout(TIMEOUT_MILLIS) { restarted.await() }
+            supervisor.scope.cancel()
+            val unreported = full.find("cactusfold.task.failures.unreported").gauge()
+            assertEquals(1.0, unreported?.value())
+        }
+
         // As above, for a cancellation of something else than the task.
         @Test
         fun `a task that ends with a cancellation from elsewhere is restarted and counted`() =
