A read of the rows confirms only rows that it shows

An upstream that the coordinator missed was used again after any read, also while its row was missing there too, within the time that rows have to return after an outage; and a notice in the millisecond in which a read begins held until the next one, 10 s later at most. Change: notices and reads are ordered by the number of the read, and a missing row confirms nothing. Pauses that are over are forgotten when rows go, not only when they come. Evidence: UpstreamDirectoryTest (row missing after an outage) fails without the condition and passes with it.

--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -46,12 +46,15 @@
     /** Until when the limit on requests of all VMs together was last known to be used up. */
     private var limitedUntilMillis: Long = Long.MIN_VALUE / 2
 
-    /** When the registration was last seen to be gone; null if it was there since. */
-    public var unregisteredAtMillis: Long? = null
+    /**
+     * The number of the last read of the rows that had begun when the registration was heard of or
+     * seen to be gone; null if it was there since.
+     */
+    public var unregisteredInRead: Long? = null
 
     /** Whether new requests may be sent to the upstream. */
     public val isUsable: Boolean
-        get() = !entry.isDraining && !isLeaving && unregisteredAtMillis == null
+        get() = !entry.isDraining && !isLeaving && unregisteredInRead == null
 
     /** Identifies this start of the upstream. */
     public val start: UpstreamStart get() = UpstreamStart(entry.id, entry.startedAtEpochMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -40,6 +40,7 @@
     private val pausedUntilMillis = HashMap<UpstreamStart, Long>()
     private val unreported = mutableSetOf<UpstreamStart>()
     private var storeFailedAtMillis = Long.MIN_VALUE / 2
+    private var readsBegun = 0L
 
     /** Number of times that an upstream joined, left or restarted, as seen by this process. */
     public var revision: Long = 0
@@ -173,7 +174,7 @@
             UpstreamStart(departure.upstream, departure.startedAtEpochMillis.takeIf { it > 0 })
         if (!departure.isUnregistered) return markLeaving(start)
         val upstream = upstreams[start.id]?.takeIf { it.start == start } ?: return
-        upstream.unregisteredAtMillis = clock.nowMillis()
+        upstream.unregisteredInRead = readsBegun
         changed()
         markOutdated()
     }
@@ -215,7 +216,7 @@
         var era: Long? = null
         while (true) {
             isOutdated = false
-            val readFromMillis = clock.nowMillis()
+            readsBegun++
             when (val result = read(position)) {
                 is FeedResult.Changes -> if (era != null && result.era != era) {
                     // Rows that the store has lost are written again by their upstreams.
@@ -226,7 +227,7 @@
                 } else {
                     era = result.era
                     if (position == null) replaceAll(result.rows) else result.rows.forEach(::apply)
-                    confirmRegistered(readFromMillis)
+                    confirmRegistered()
                     position = result.position
                     isKnown = true
                     changed()
@@ -279,11 +280,13 @@
         }
     }
 
-    /** Ends what was heard of missing registrations before the rows were read that are there. */
-    private fun confirmRegistered(readFromMillis: Long) {
-        for (upstream in upstreams.values) {
-            val unregisteredAtMillis = upstream.unregisteredAtMillis ?: continue
-            if (unregisteredAtMillis < readFromMillis) upstream.unregisteredAtMillis = null
+    /** Ends what was heard, before this read began, of missing rows that are there. */
+    private fun confirmRegistered() {
+        for ((id, upstream) in upstreams) {
+            val heardInRead = upstream.unregisteredInRead ?: continue
+            if (heardInRead < readsBegun && id !in missingSinceMillis) {
+                upstream.unregisteredInRead = null
+            }
         }
     }
 
@@ -293,7 +296,7 @@
         val start = UpstreamStart(entry.id, entry.startedAtEpochMillis)
         if (entry.isDraining) leavingStarts.add(start, clock.nowMillis())
         if (known == null || known.start != start) {
-            known?.unregisteredAtMillis = clock.nowMillis()
+            known?.unregisteredInRead = readsBegun
             upstreams[entry.id] = Upstream(entry).also {
                 it.isLeaving = start in leavingStarts
                 resumePause(it)
@@ -337,7 +340,8 @@
     private fun drop(id: String) {
         missingSinceMillis.remove(id)
         val upstream = upstreams.remove(id) ?: return
-        upstream.unregisteredAtMillis = clock.nowMillis()
+        upstream.unregisteredInRead = readsBegun
+        pausedUntilMillis.values.removeIf { it <= clock.nowMillis() }
         if (upstream.isPaused(clock.nowMillis())) {
             pausedUntilMillis[upstream.start] = upstream.pausedUntilMillis
         }
@@ -349,7 +353,6 @@
     /** Has the pause go on that the start of [upstream] asked for before its row lapsed. */
     private fun resumePause(upstream: Upstream) {
         val nowMillis = clock.nowMillis()
-        pausedUntilMillis.values.removeIf { it <= nowMillis }
         pausedUntilMillis.remove(upstream.start)?.let {
             upstream.recordPause(it - nowMillis, nowMillis)
         }
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamDirectoryTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamDirectoryTest.kt
@@ -142,6 +142,23 @@
                 assertEquals(listOf("u"), usable())
             }
 
+        // Guards against a read that confirms a row which it shows to be missing.
+        @Test
+        fun `an upstream whose row is missing is not used, also within the time after an outage`() =
+            following {
+                feed.put("u", row())
+                awaitRead()
+                feed.isDown = true
+                awaitRead()
+                feed.isDown = false
+                feed.put("u", null)
+                awaitRead()
+                val departure = directory.find("u")!!.departure.toBuilder()
+                directory.recordDeparture(departure.setIsUnregistered(true).build())
+                awaitRead()
+                assertEquals(emptyList(), usable())
+            }
+
         // Guards against a pause that is forgotten while the registration lapses.
         @Test
         fun `the pause that an upstream asked for goes on after its row lapsed`() = following {
