A new coordinator announces the departures that it knows itself

Cause: by reading. Members report what they know to a new coordinator, but a process that becomes one kept what it had learned of starts without a registration to itself. And a member that takes no notices collected each lapse of a row again, now that lapses are announced each time. Change: the process reports all that it knows to itself when it takes the lease; the news of a session are a set.

--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -360,6 +360,8 @@
     private fun handleLeaseAcquired(fence: Long) {
         holdingsByRunner.clear()
         announcedDepartures.clear()
+        // What this process has told an earlier coordinator is news for its own members.
+        dependencies.directory.markDeparturesUnsent()
         dependencies.rates.start(fence)
         dependencies.loads.start()
     }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSession.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSession.kt
@@ -17,7 +17,7 @@
     val pending = LinkedHashMap<String, Holdings>()
     val forecasts = mutableListOf<Forecast>()
     val suspects = mutableListOf<SuspectReport>()
-    val departures = mutableListOf<Departure>()
+    val departures = linkedSetOf<Departure>()
     val crashes = LinkedHashMap<String, PromptCrash>()
     val completedBlocks = LinkedHashMap<String, CompletedBlock>()
     val limits = LinkedHashMap<UpstreamStart, UpstreamLimit>()
