A request that the process resets is no longer logged as an error without its context

Cause: Vert.x logs the failure of a request that is reset before its end, and of an answer that is reset before its body is read, if they have no handler. Change: both have one. The outcome is logged with its context, as before (send-failed).

--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -23,6 +23,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
+import org.apache.logging.log4j.LogManager
 
 /**
  * A request in the form in which it is sent to an upstream.
@@ -177,7 +178,7 @@
             if (!upstream.isUsable || !upstreamRequest.mayWrite()) return SendEnd.Unsent
             val startedAtMillis = clock.nowMillis()
             upstream.silence.sendStarted(this, startedAtMillis, onSilent)
-            val response = open.send(upstreamRequest.body).map { it.pause() }.coAwait()
+            val response = open.send(upstreamRequest.body).map(::held).coAwait()
             upstream.silence.dataReceived(clock.nowMillis())
             val facts = translator.answer(response.statusCode(), response.headers())
             val start = AnswerStart(response.statusCode(), response.headers(), facts)
@@ -204,6 +205,11 @@
             return SendEnd.Whole(start, body)
         }
 
+        /** Keeps [response] until its body is read; it may be given up and reset before. */
+        private fun held(response: HttpClientResponse): HttpClientResponse =
+            response.exceptionHandler { log.debug("an answer was given up: {}", it.message) }
+                .pause()
+
         /**
          * Returns why an answer with [facts] cannot be taken for that to this request, or null. One
          * that names no request is accepted on a connection that has carried no other, and only
@@ -276,5 +282,6 @@
         const val KEEP_ALIVE_SECONDS = 30
         const val MAX_CONNECTIONS_PER_UPSTREAM = 256
         const val SERVER_ERROR = 500
+        val log = LogManager.getLogger(UpstreamSender::class.java)
     }
 }
--- a/ports/src/main/kotlin/cactusfold/ports/http/KeptConnections.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/KeptConnections.kt
@@ -39,7 +39,11 @@
         while (true) {
             val request = acquire(options)
             val connection = request.connection()
-            if (connection !in excluded) return OpenRequest(request, isFirst(connection))
+            if (connection !in excluded) {
+                // A request that is reset fails with its outcome; else this is logged as an error.
+                request.exceptionHandler { log.debug("a request ended: {}", it.message) }
+                return OpenRequest(request, isFirst(connection))
+            }
             discard(request)
             connection.close()
         }
