An error in the request of a caller who has left is logged

Cause: such ends count as the caller's leaving without a log line, which is right for exceptions of a closed connection and hides a lack of memory or stack. Two constants say where they come from. Evidence: the tests of the server pass; the case has none of its own.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -60,7 +60,7 @@
                 throw e
             }
         } catch (e: Throwable) {
-            if (reply.isClosed) return recordEnd("caller-left")
+            if (reply.isClosed && e is Exception) return recordEnd("caller-left")
             failed(e)
         }
         finish(outcome)
--- a/entry/src/main/kotlin/cactusfold/entry/process/MemoryShares.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/process/MemoryShares.kt
@@ -5,7 +5,7 @@
  * state of the process and for garbage.
  */
 public class MemoryShares(heapBytes: Long) {
-    /** For bodies of callers' requests, from their arrival until the requests end. */
+    /** For bodies of callers' requests until the requests end: two of the largest, as deployed. */
     public val callerBodyBytes: Long = heapBytes / 4
 
     /** For answers of upstreams to these requests while they arrive. */
--- a/ports/src/main/kotlin/cactusfold/ports/json/BoundedJson.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/json/BoundedJson.kt
@@ -14,6 +14,7 @@
     /** Several times the depth of any document of the platform. */
     public const val MAX_DEPTH: Int = 64
 
+    /** Several times the digits of any number that is not out of range. */
     private const val MAX_NUMBER_CHARS = 100
 
     private val factory: JsonFactory = JsonFactory.builder().streamReadConstraints(
