--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -20,6 +20,7 @@
 import cactusfold.entry.fleet.CoordinatorLeaseManager
 import cactusfold.entry.fleet.CoordinatorPace
 import cactusfold.entry.fleet.FleetCoordinator
+import cactusfold.entry.fleet.MemberMessages
 import cactusfold.entry.fleet.MemberRegistration
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.process.MemoryShares
@@ -48,7 +49,6 @@
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamLimits
 import cactusfold.entry.upstream.UpstreamPolling
-import cactusfold.entry.upstream.UpstreamsRevision
 import cactusfold.node.peer.PeerClients
 import cactusfold.node.peer.PeerServer
 import cactusfold.node.time.MonotonicClock
@@ -63,9 +63,6 @@
 import cactusfold.ports.serving.ResponseMetadata
 import cactusfold.ports.serving.ServingConfig
 import cactusfold.protocol.entry.FleetNotice
-import cactusfold.protocol.entry.Holdings
-import cactusfold.protocol.entry.MemberReport
-import cactusfold.protocol.entry.RunnerUse
 import cactusfold.protocol.entry.StoredHold
 import cactusfold.protocol.entry.StoredMember
 import cactusfold.settings.schema.HostPort
@@ -73,8 +70,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.core.internal.VertxInternal
-import kotlinx.collections.immutable.toImmutableMap
-import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.Job
@@ -179,6 +174,17 @@
     private val streamTables = StreamTables(store, store, events)
     private val recordedVersions = RecordedVersions(events)
     private val ownStreams = OwnStreams(clock, recordedVersions) { coordinatorClient.wake() }
+    private val messages = MemberMessages(
+        memberRow,
+        directory,
+        waits,
+        suspects,
+        promptBlocks,
+        limits,
+        recordedVersions,
+        ownStreams,
+        clock
+    )
     private val fleetStreams: FleetStreams = FleetStreams(
         streamTables,
         lease,
@@ -213,7 +219,7 @@
             peers,
             clock,
             events,
-            ::buildReport,
+            messages::report,
             ::reportAll,
             ::handleNotice,
             config::confirmed
@@ -399,42 +405,8 @@
         else -> null
     }
 
-    private fun buildReport(): MemberReport.Builder {
-        val uses = directory.usable.flatMap { upstream ->
-            upstream.uses.map { (use, count) ->
-                RunnerUse.newBuilder().setRunner(upstream.entry.id).setModel(use.model)
-                    .setAdapter(use.adapter.orEmpty()).setInFlight(count).build()
-            }
-        }
-        return MemberReport.newBuilder()
-            .setVm(settings.vm)
-            .setBoot(memberRow.boot)
-            .addAllDemands(waits.takeDemands())
-            .addAllUses(uses)
-            .addAllSuspects(suspects.takeUnsent())
-            .addAllPromptCrashes(promptBlocks.takeUnsentCrashes())
-            .addAllCompletedBlocks(promptBlocks.takeUnsentCompletions())
-            .addAllUnreachable(directory.down())
-            .addAllDepartures(directory.takeDepartures())
-            .addAllLimits(limits.takeUnsent())
-            .addAllStreams(ownStreams.takeUnsent())
-    }
-
     private fun handleNotice(notice: FleetNotice) {
-        if (notice.holdingsCount > 0) {
-            notice.holdingsList.forEach(::applyHoldings)
-            directory.changed()
-        }
-        notice.departuresList.forEach(directory::recordDeparture)
-        if (notice.upstreamsRevision > 0) {
-            directory.announced(UpstreamsRevision(notice.fence, notice.upstreamsRevision))
-        }
-        notice.forecastsList.forEach(waits::forecast)
-        notice.suspectsList.forEach(suspects::reported)
-        notice.promptCrashesList.forEach(promptBlocks::reported)
-        notice.completedBlocksList.forEach(promptBlocks::reported)
-        notice.limitsList.forEach { limits.heard(it, "coordinator") }
-        notice.versionsList.forEach(recordedVersions::heard)
+        messages.apply(notice)
         if (notice.versionsList.any { it.needsReports }) coordinatorClient.wake()
         rateLimiter.heard()
         sendLimiter.heard()
@@ -444,11 +416,6 @@
         limits.answered(upstream.start, facts.limit, sentAtMillis)
     }
 
-    private fun applyHoldings(holdings: Holdings) {
-        val models = holdings.modelsList.associate { it.model to it.adaptersList.toImmutableSet() }
-        directory.find(holdings.runner)?.holds(models.toImmutableMap(), clock.nowMillis())
-    }
-
     private companion object {
         /** Timeout of a call to the store, which normally takes a few milliseconds. */
         const val STORE_TIMEOUT_MILLIS = 1_000L
