A lapse that others saw does not make a version gone

While a member had only heard that a registration was missing, it counted the upstream's software version as gone, if there was no other of it, and refused streams of it for good (stream-version-gone), though the row may be there. Change: until the rows were read again the version counts as serving, and such streams wait as for a version that is busy. Evidence: UpstreamDirectoryTest asks for it; by the former code isServing is the presence of a usable upstream, which the same test shows to be absent at that moment.

--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -52,9 +52,11 @@
      */
     public var unregisteredInRead: Long? = null
 
+    /** Whether this start of the upstream receives no requests any more. */
+    public val isGoing: Boolean get() = entry.isDraining || isLeaving
+
     /** Whether new requests may be sent to the upstream. */
-    public val isUsable: Boolean
-        get() = !entry.isDraining && !isLeaving && unregisteredInRead == null
+    public val isUsable: Boolean get() = !isGoing && unregisteredInRead == null
 
     /** Identifies this start of the upstream. */
     public val start: UpstreamStart get() = UpstreamStart(entry.id, entry.startedAtEpochMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -67,9 +67,14 @@
         .filter { it.entry.service == service }
         .mapTo(mutableSetOf()) { it.entry.softwareVersion }
 
-    /** Whether an upstream of [service] and [softwareVersion] may receive requests. */
-    public fun isServing(service: String, softwareVersion: String): Boolean = usable.any {
-        it.entry.service == service && it.entry.softwareVersion == softwareVersion
+    /**
+     * Whether an upstream of [service] and [softwareVersion] may receive requests, now or after the
+     * rows were read again.
+     */
+    public fun isServing(service: String, softwareVersion: String): Boolean = upstreams.values.any {
+        it.entry.service == service &&
+            it.entry.softwareVersion == softwareVersion &&
+            !it.isGoing
     }
 
     /** Returns the ids of upstreams to which connections failed recently. */
@@ -80,7 +85,7 @@
 
     /** Returns the upstreams that are leaving, and those removed since the last call. */
     public fun takeLeaving(): Set<Departure> {
-        val leaving = upstreams.values.filter { it.isLeaving || it.entry.isDraining }
+        val leaving = upstreams.values.filter { it.isGoing }
             .mapTo(mutableSetOf()) { it.departure }
         leaving += departed
         departed.clear()
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamDirectoryTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamDirectoryTest.kt
@@ -138,8 +138,12 @@
                 val departure = directory.find("u")!!.departure.toBuilder()
                 directory.recordDeparture(departure.setIsUnregistered(true).build())
                 assertEquals(emptyList(), usable())
+                // Else streams of its version would be refused for good.
+                assertTrue(directory.isServing("s", "v1"))
                 awaitRead()
                 assertEquals(listOf("u"), usable())
+                directory.recordLeaving(start)
+                assertFalse(directory.isServing("s", "v1"))
             }
 
         // Guards against a read that confirms a row which it shows to be missing.
