request-ended tells the status that was read and whether the connection was kept

Cause: the log could not tell a status that was read wrongly from one that the system changed, nor a kept connection from a new one, and so none of the incident's hypotheses from another. Change: the line has upstream_status and kept. No logic is changed.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -175,6 +175,8 @@
             "path" to request.path(),
             "model" to facts.model,
             "outcome" to outcome,
+            "upstream_status" to reply.lastStart?.status,
+            "kept" to reply.lastStart?.isFirst?.not(),
             "took_ms" to tookMillis,
             "first_ms" to firstPieceMillis,
             "events" to reply.eventCount.takeIf { firstPieceMillis != null },
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -42,6 +42,10 @@
     /** Status and headers of a stream of which no event has been sent yet. */
     private var pendingStart: AnswerStart? = null
 
+    /** Status and headers of the last upstream's answer; null if none arrived. */
+    public var lastStart: AnswerStart? = null
+        private set
+
     /** Whether a part of the response has been sent, so that no other can take its place. */
     public val hasBegun: Boolean get() = response.headWritten()
 
@@ -69,6 +73,7 @@
     }
 
     override fun begin(start: AnswerStart) {
+        lastStart = start
         // A stream that is resumed at another upstream keeps the status and headers of the first.
         splitter = SseEventSplitter()
         leadingComments = Buffer.buffer()
@@ -154,6 +159,7 @@
 
     /** Relays an upstream's complete answer. */
     public fun relayAnswer(answer: SendEnd.Whole) {
+        lastStart = answer.start
         setHead(answer.start.status, translator.towardsCaller(answer.start.headers))
         sent = response.end(answer.body)
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -43,11 +43,16 @@
 
 private val SUCCESS = 200..299
 
-/** Status and headers of an upstream's answer. */
+/**
+ * Status and headers of an upstream's answer.
+ *
+ * @property isFirst whether the connection had carried no request before.
+ */
 public class AnswerStart(
     public val status: Int,
     public val headers: MultiMap,
-    public val facts: ResponseMetadata
+    public val facts: ResponseMetadata,
+    public val isFirst: Boolean = true
 )
 
 /** How sending a request to one upstream ended. */
@@ -181,7 +186,7 @@
             val response = open.send(upstreamRequest.body).map(::held).coAwait()
             upstream.silence.dataReceived(clock.nowMillis())
             val facts = translator.answer(response.statusCode(), response.headers())
-            val start = AnswerStart(response.statusCode(), response.headers(), facts)
+            val start = AnswerStart(response.statusCode(), response.headers(), facts, isFirst)
             if (facts.isLeaving) onLeaving(upstream.start)
             mismatch(facts, open.connection())?.let { return SendEnd.Broken(it) }
             onAnswer(upstream, facts, startedAtMillis)
