A part of another head no longer becomes the head of an answer

What callers saw: a sealed success with the body of their upstream's failure, or the other way round; refused orders were recorded as accepted. Cause: a late copy of an answer stopped within its head and the connection stayed open. The codec joined it with the head of the next answer: the status of the copy, the id, seal and length of the answer. Part of a head is no message, so an idle connection that got one was used again. Change: all clients of upstreams and of the store use one codec. Whatever arrives while no request is in progress takes the connection out of service. Why it works: the head of an answer begins with its status line, so a part before it always leaves that line in a place where none may be.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -5,17 +5,16 @@
 import cactusfold.node.http.BodyChunkReader
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.http.KeptConnections
+import cactusfold.ports.http.ResponseRules
 import cactusfold.ports.serving.HeaderTranslator
 import cactusfold.ports.serving.ResponseMetadata
 import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
-import io.vertx.core.http.HttpClientAgent
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpClosedException
-import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
@@ -130,17 +129,17 @@
     private val onLeaving: (UpstreamStart) -> Unit,
     private val onAnswer: (Upstream, ResponseMetadata, sentAtMillis: Long) -> Unit
 ) {
-    private val client: HttpClientAgent = vertx.createHttpClient(
+    private val connections = KeptConnections(
+        vertx,
         HttpClientOptions()
             .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
             .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
             .setTcpNoDelay(true)
             .setDecompressionSupported(false),
-        PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_UPSTREAM).setMaxWaitQueueSize(0)
+        PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_UPSTREAM).setMaxWaitQueueSize(0),
+        ResponseRules(translator.requestIdHeader)
     )
 
-    private val connections = KeptConnections(client)
-
     /**
      * Sends [upstreamRequest] to [upstream]. Cancellation closes the connection.
      *
@@ -188,7 +187,7 @@
             val facts = translator.answer(response.statusCode(), response.headers())
             val start = AnswerStart(response.statusCode(), response.headers(), facts, isFirst)
             if (facts.isLeaving) onLeaving(upstream.start)
-            mismatch(facts, open.connection())?.let { return SendEnd.Broken(it) }
+            mismatch(facts)?.let { return SendEnd.Broken(it) }
             onAnswer(upstream, facts, startedAtMillis)
             facts.pauseMillis?.let { upstream.recordPause(it, clock.nowMillis()) }
             if (facts.wasNotExecuted) return notRun(response, start)
@@ -220,11 +219,11 @@
          * that names no request is accepted on a connection that has carried no other, and only
          * there.
          */
-        private fun mismatch(facts: ResponseMetadata, connection: HttpConnection): String? = when {
+        private fun mismatch(facts: ResponseMetadata): String? = when {
             facts.id == upstreamRequest.id -> null
             facts.id != null -> "the answer belongs to request ${facts.id}"
             !isFirst -> "the answer names no request"
-            else -> null.also { connections.exclude(connection) }
+            else -> null
         }
 
         private suspend fun notRun(response: HttpClientResponse, start: AnswerStart): SendEnd {
--- a/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
@@ -2,23 +2,15 @@
 
 import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.entry.upstream.Upstream
-import cactusfold.node.time.MonotonicClock
-import cactusfold.platform.WireHeaders
 import cactusfold.platform.standin.RunnerStandin
 import cactusfold.platform.standin.ScriptedUpstream
 import cactusfold.platform.standin.ScriptedUpstream.Companion.answer
 import cactusfold.platform.standin.ScriptedUpstream.Scripted
-import cactusfold.ports.serving.UpstreamEntry
 import io.vertx.core.Vertx
-import io.vertx.core.VertxOptions
-import io.vertx.core.buffer.Buffer
-import io.vertx.core.http.HttpMethod
 import io.vertx.kotlin.coroutines.dispatcher
 import java.util.concurrent.TimeUnit
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
-import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
@@ -32,48 +24,27 @@
 
 class UpstreamSenderTest {
     private val upstreamVertx = Vertx.vertx()
-    private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1))
     private val runner = RunnerStandin(upstreamVertx, "r", emptySet()).apply { start() }
     private val leaving = mutableListOf<UpstreamStart>()
-    private val sender = UpstreamSender(
-        vertx,
-        WireHeaders,
-        MonotonicClock.SYSTEM,
-        AnswerBodies(maxTotalBytes = 10_000_000),
-        leaving::add
-    ) { _, _, _ -> }
+    private val fixture = UpstreamFixture(leaving::add)
 
     @AfterEach
     fun close() {
-        for (each in listOf(vertx, upstreamVertx)) {
-            each.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS)
-        }
+        fixture.close()
+        upstreamVertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS)
     }
 
-    private fun upstream(port: Int) = Upstream(
-        UpstreamEntry(
-            "r", "s", "127.0.0.1", port, "z", 4, false, 1, null,
-            persistentMapOf(), persistentSetOf(), persistentSetOf(), "v1"
-        )
-    )
+    private fun upstream(port: Int) = fixture.upstream(port)
 
     private suspend fun send(): SendEnd =
         send(upstream(runner.row("s").getString("address").substringAfter(':').toInt()))
 
-    private suspend fun send(to: Upstream, id: String = "a"): SendEnd {
-        val headers = RunnerStandin.requestHeaders(id)
-        val body = Buffer.buffer("{}")
-        val request = UpstreamRequest(id, HttpMethod.POST, "/x", "h", headers, body, false)
-        return sender.send(to, request, null) {}
-    }
+    private suspend fun send(to: Upstream, id: String = "a"): SendEnd = fixture.send(to, id)
 
-    /** Runs [test] on the event loop, with an upstream that answers as [answer] says. */
     private fun withUpstream(
         answer: (number: Int) -> Scripted,
         test: suspend CoroutineScope.(ScriptedUpstream) -> Unit
-    ) = ScriptedUpstream(answer).use { scripted ->
-        runBlocking(vertx.orCreateContext.dispatcher()) { test(scripted) }
-    }
+    ) = fixture.withUpstream(answer, test)
 
     @Nested
     inner class BytesWithoutEnd {
@@ -212,7 +183,7 @@
     // Guards against connections that are lost to the pool for good.
     @Test
     fun `callers that leave while their upstream is being connected leave no connection behind`() {
-        val end = runBlocking(vertx.orCreateContext.dispatcher()) {
+        val end = runBlocking(fixture.vertx.orCreateContext.dispatcher()) {
             repeat(CONNECTIONS) {
                 launch(start = CoroutineStart.UNDISPATCHED) { send() }.cancel()
             }
--- a/ports/src/main/kotlin/cactusfold/ports/http/KeptConnections.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/KeptConnections.kt
@@ -1,12 +1,13 @@
 package cactusfold.ports.http
 
+import io.vertx.core.Vertx
 import io.vertx.core.http.HttpClientAgent
+import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpConnection
+import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
-import java.util.Collections
-import java.util.WeakHashMap
 import kotlinx.coroutines.CancellationException
 import org.apache.logging.log4j.LogManager
 
@@ -18,42 +19,47 @@
  */
 public class OpenRequest(public val request: HttpClientRequest, public val isFirst: Boolean)
 
-/** Opens requests on the pooled connections of [client]. */
-public class KeptConnections(private val client: HttpClientAgent) {
-    private val excluded = connectionSet()
-    private val used = connectionSet()
-
-    private fun connectionSet(): MutableSet<HttpConnection> =
-        Collections.synchronizedSet(Collections.newSetFromMap(WeakHashMap()))
+/**
+ * Opens requests on pooled HTTP/1.1 connections, which are withdrawn as soon as [rules] or bytes that
+ * nobody asked for show that the response to the next request might be another one.
+ */
+public class KeptConnections(
+    vertx: Vertx,
+    options: HttpClientOptions,
+    pool: PoolOptions,
+    rules: ResponseRules
+) {
+    private val client: HttpClientAgent = vertx.httpClientBuilder()
+        .with(options)
+        .with(pool)
+        .withConnectHandler { connection ->
+            ConnectionState.attach(connection, rules)
+            // The request in progress fails with the same error, and is logged with its context.
+            connection.exceptionHandler { log.debug("a connection failed: {}", it.message) }
+        }
+        .build()
 
-    /**
-     * Has no further request use [connection], because its last answer may be written once more by
-     * a faulty server, and would be taken for the answer to the next request.
-     */
-    public fun exclude(connection: HttpConnection) {
-        excluded += connection
-    }
+    /** Has no further request use [connection], which is closed after the response in progress. */
+    public fun exclude(connection: HttpConnection): Unit = ConnectionState.of(connection).withdraw()
 
-    /** Opens a request on a connection that is not excluded. */
+    /** Opens a request on a connection that was not withdrawn. */
     public suspend fun open(options: RequestOptions): OpenRequest {
         while (true) {
             val request = acquire(options)
-            val connection = request.connection()
-            if (connection !in excluded) {
+            val connection = ConnectionState.of(request.connection())
+            if (connection.isReusable) {
                 // A request that is reset fails with its outcome; else this is logged as an error.
                 request.exceptionHandler { log.debug("a request ended: {}", it.message) }
-                return OpenRequest(request, isFirst(connection))
+                return OpenRequest(request, connection.recordRequest())
             }
             discard(request)
-            connection.close()
+            request.connection().close()
         }
     }
 
-    private fun isFirst(connection: HttpConnection): Boolean {
-        if (!used.add(connection)) return false
-        // The request in progress fails with the same error, and is logged with its context.
-        connection.exceptionHandler { log.debug("a connection failed: {}", it.message) }
-        return true
+    /** Closes all connections. */
+    public fun close() {
+        client.close()
     }
 
     private suspend fun acquire(options: RequestOptions): HttpClientRequest {
--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -4,7 +4,6 @@
 import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
-import io.vertx.core.http.HttpClientAgent
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpMethod
@@ -91,17 +90,17 @@
         poolSize: Int = DEFAULT_POOL_SIZE
     ) : this(vertx, HttpTarget(host, port), timeoutMillis, poolSize)
 
-    private val client: HttpClientAgent = vertx.createHttpClient(
+    private val connections = KeptConnections(
+        vertx,
         HttpClientOptions()
             .setConnectTimeout(timeoutMillis.toInt())
             .setIdleTimeout(IDLE_SECONDS)
             .setIdleTimeoutUnit(TimeUnit.SECONDS)
             .setKeepAliveTimeout(IDLE_SECONDS / 2),
-        PoolOptions().setHttp1MaxSize(poolSize)
+        PoolOptions().setHttp1MaxSize(poolSize),
+        ResponseRules()
     )
 
-    private val connections = KeptConnections(client)
-
     /**
      * Sends [call] and returns its outcome.
      *
@@ -146,9 +145,7 @@
     }
 
     /** Closes all connections. */
-    public fun close() {
-        client.close()
-    }
+    public fun close(): Unit = connections.close()
 
     private fun failureOf(sent: Boolean, reason: String): HttpOutcome =
         if (sent) HttpOutcome.NoAnswer(reason) else HttpOutcome.NotSent(reason)
--- /dev/null
+++ b/ports/src/main/kotlin/cactusfold/ports/http/ResponseRules.kt
@@ -0,0 +1,40 @@
+package cactusfold.ports.http
+
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
+
+/**
+ * Decides what the head of a response shows about the response and its connection.
+ *
+ * @property nameHeader the header in which servers name the request that they answer; null if they
+ *   do not.
+ */
+public data class ResponseRules(public val nameHeader: String? = null) {
+    /** Returns why [response] cannot be the head of one response; null if it can. */
+    internal fun faultOf(response: HttpResponse): String? {
+        val status = response.status()
+        val names = nameHeader?.let(response.headers()::getAll).orEmpty()
+        return when {
+            status.code() !in STATUSES -> "the status ${status.code()} does not exist"
+            status.codeClass() == HttpStatusClass.INFORMATIONAL && status !in INTERIM ->
+                "the interim status ${status.code()} was not asked for"
+            STATUS_LINE.containsMatchIn(status.reasonPhrase()) ->
+                "the reason phrase holds another status line"
+            names.size > 1 -> "the response names ${names.size} requests"
+            else -> response.headers().asSequence()
+                .firstOrNull { STATUS_LINE.containsMatchIn(it.value) }
+                ?.let { "the header ${it.key} holds another status line" }
+        }
+    }
+
+    /** Whether a connection that brought [response] may carry a further request. */
+    internal fun allowsReuse(response: HttpResponse): Boolean =
+        nameHeader == null || response.headers().contains(nameHeader)
+
+    private companion object {
+        val STATUSES = 100..599
+        val INTERIM = setOf(HttpResponseStatus.CONTINUE, HttpResponseStatus.EARLY_HINTS)
+        val STATUS_LINE = Regex("""HTTP/\d\.\d +\d""")
+    }
+}
--- a/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
@@ -90,6 +90,9 @@
 
 /** Translates between the headers of callers and upstreams and the metadata of requests. */
 public interface HeaderTranslator {
+    /** The header in which an upstream's response names the request that it answers. */
+    public val requestIdHeader: String
+
     /** Decodes the headers of a caller's request. */
     public fun call(headers: MultiMap): RequestMetadata
 
