A connection that brought a failure is taken out of service at the head of the answer

Cause: the sender excluded such a connection after it had awaited the answer. The codec may give the connection back to the pool before, as soon as the last byte was read. Change: ResponseRules decides at the head, within the codec. A connection whose answer was not accepted, such as a stream that is not whole although its framing is, is excluded before the request may be sent again.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -137,7 +137,7 @@
             .setTcpNoDelay(true)
             .setDecompressionSupported(false),
         PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_UPSTREAM).setMaxWaitQueueSize(0),
-        ResponseRules(translator.requestIdHeader)
+        ResponseRules(translator.requestIdHeader, closesOnFailure = true)
     )
 
     /**
@@ -175,7 +175,13 @@
             failure(e)
         } finally {
             upstream.silence.sendEnded(this)
-            if (!isComplete) request?.reset()
+            // The request may be sent again, and must not get a second copy of this answer.
+            if (!isComplete) {
+                request?.let {
+                    connections.exclude(it.connection())
+                    it.reset()
+                }
+            }
         }
 
         private suspend fun exchange(open: HttpClientRequest): SendEnd {
@@ -194,8 +200,6 @@
             val isSuccess = start.status in SUCCESS
             if (isSuccess && !facts.isSealed) return SendEnd.Broken("an answer without a seal")
             upstream.recordAnswer(facts.load)
-            // The request may be sent again, and must not get this answer a second time.
-            if (start.status >= SERVER_ERROR) connections.exclude(open.connection())
             if (isSuccess && upstreamRequest.isStream && sink != null) {
                 if (facts.isEventStream) return relay(response, start, sink, startedAtMillis)
                 if (sink.isContinued) return SendEnd.Broken("the answer is no event stream")
@@ -227,7 +231,6 @@
         }
 
         private suspend fun notRun(response: HttpClientResponse, start: AnswerStart): SendEnd {
-            connections.exclude(response.request().connection())
             // The connection is closed if the rest of the answer is not worth reading.
             isComplete = bodies.read(response) != null
             return SendEnd.NotRun("status ${start.status}", start.status)
@@ -285,7 +288,6 @@
         const val CONNECT_TIMEOUT_MILLIS = 500
         const val KEEP_ALIVE_SECONDS = 30
         const val MAX_CONNECTIONS_PER_UPSTREAM = 256
-        const val SERVER_ERROR = 500
         val log = LogManager.getLogger(UpstreamSender::class.java)
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -136,6 +137,17 @@
                 assertEquals(3, it.connections.get())
             }
 
+        // Guards against a second copy of a failure that answers another caller's request, which
+        // got the connection before it was taken out of service.
+        @Test
+        fun `a connection that brought a failure carries no other request`() =
+            withUpstream({ Scripted(answer("x", status = 500)) }) { scripted ->
+                val to = upstream(scripted.port)
+                val senders = List(SENDERS) { launch { repeat(SENDS) { send(to) } } }
+                senders.joinAll()
+                assertEquals(SENDERS * SENDS, scripted.connections.get())
+            }
+
         // Guards against a body with another caller's answer behind it.
         @Test
         fun `an answer without a length is broken if another one follows`() {
@@ -199,5 +211,7 @@
         const val CONNECT_MILLIS = 2_000L
         const val TIMEOUT_MILLIS = 5_000L
         const val RECYCLE_MILLIS = 100L
+        const val SENDERS = 20
+        const val SENDS = 50
     }
 }
--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -68,8 +68,7 @@
  * @property defaultTarget null if each request states its target.
  * @property closesOnTimeout whether the connection of a request that timed out is closed. If not,
  *   it returns to the pool only after the response, and unresponsive connections exhaust the pool.
- * @property closesOnRefusal whether a connection that brought a refusal is closed. If not, a faulty
- *   server may write the refusal once more, which is taken for the answer to the next request.
+ * @param rules what a response shows about its connection.
  * @property bodies collects the bodies of responses, within limits.
  */
 public class PlatformHttp(
@@ -78,7 +77,7 @@
     private val timeoutMillis: Long,
     poolSize: Int = DEFAULT_POOL_SIZE,
     private val closesOnTimeout: Boolean = false,
-    private val closesOnRefusal: Boolean = false,
+    rules: ResponseRules = ResponseRules(),
     private val bodies: BodyCollector =
         BodyCollector(DEFAULT_BODY_BYTES, ByteBudget(DEFAULT_BODIES_BYTES))
 ) {
@@ -98,7 +97,7 @@
             .setIdleTimeoutUnit(TimeUnit.SECONDS)
             .setKeepAliveTimeout(IDLE_SECONDS / 2),
         PoolOptions().setHttp1MaxSize(poolSize),
-        ResponseRules()
+        rules
     )
 
     /**
@@ -122,9 +121,6 @@
                 sent = true
                 // The response may arrive before this thread goes on, and its body be lost.
                 val answer = request.response().compose { response ->
-                    if (closesOnRefusal && response.statusCode() >= REFUSALS_FROM) {
-                        connections.exclude(request.connection())
-                    }
                     bodies.collect(response).map {
                         HttpOutcome.Answer(response.statusCode(), it, response.headers())
                     }
@@ -168,8 +164,5 @@
         /** Limits for a process that is not short of memory. */
         const val DEFAULT_BODY_BYTES = 16 * 1024 * 1024
         const val DEFAULT_BODIES_BYTES = 64L * 1024 * 1024
-
-        /** The lowest status that refuses a request. */
-        const val REFUSALS_FROM = 400
     }
 }
--- a/ports/src/main/kotlin/cactusfold/ports/http/ResponseRules.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/ResponseRules.kt
@@ -9,8 +9,14 @@
  *
  * @property nameHeader the header in which servers name the request that they answer; null if they
  *   do not.
+ * @property closesOnFailure whether a connection that brought a response that is no success carries
+ *   no further request. If it does, a faulty server may write the response once more, and that is
+ *   taken for the response to the next request.
  */
-public data class ResponseRules(public val nameHeader: String? = null) {
+public data class ResponseRules(
+    public val nameHeader: String? = null,
+    public val closesOnFailure: Boolean = false
+) {
     /** Returns why [response] cannot be the head of one response; null if it can. */
     internal fun faultOf(response: HttpResponse): String? {
         val status = response.status()
@@ -29,12 +35,15 @@
     }
 
     /** Whether a connection that brought [response] may carry a further request. */
-    internal fun allowsReuse(response: HttpResponse): Boolean =
-        nameHeader == null || response.headers().contains(nameHeader)
+    internal fun allowsReuse(response: HttpResponse): Boolean {
+        if (closesOnFailure && response.status().code() >= FAILURES_FROM) return false
+        return nameHeader == null || response.headers().contains(nameHeader)
+    }
 
     private companion object {
         val STATUSES = 100..599
         val INTERIM = setOf(HttpResponseStatus.CONTINUE, HttpResponseStatus.EARLY_HINTS)
+        const val FAILURES_FROM = 400
         val STATUS_LINE = Regex("""HTTP/\d\.\d +\d""")
     }
 }
