The answer to HEAD ends with its head; more forms of a status line end a body

Two faults that the review of the strict codec found. HEAD: the codec did not know the method of the request and waited for a body of the stated length until the deadline. Bodies: a copy behind a body without a length passed as a part of it if its reason phrase had a hyphen or its status line ended without a carriage return, in a trial of the review. Both end the body now, two more cases of the existing test.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/ForeignAnswer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/ForeignAnswer.kt
@@ -12,6 +12,7 @@
     private val version = "HTTP/1.".toByteArray()
     private const val NEWLINE = '\n'.code.toByte()
     private const val SPACE = ' '.code.toByte()
+    private const val DASH = '-'.code.toByte()
     private const val RETURN = '\r'.code.toByte()
 
     /** Length of `HTTP/1.1 200`. */
@@ -61,8 +62,8 @@
         if (!text.substring(version.size + 1).matches(STATUS)) return false
         for (i in end until body.length()) {
             val byte = body.getByte(i)
-            if (byte == RETURN) return true
-            if (byte != SPACE && !byte.toInt().toChar().isLetter()) return false
+            if (byte == RETURN || byte == NEWLINE) return true
+            if (byte != SPACE && byte != DASH && !byte.toInt().toChar().isLetter()) return false
         }
         return true
     }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamFixture.kt
@@ -40,10 +40,10 @@
 
     suspend fun send(to: ScriptedUpstream, id: String = "a"): SendEnd = send(upstream(to.port), id)
 
-    suspend fun send(to: Upstream, id: String): SendEnd {
+    suspend fun send(to: Upstream, id: String, method: HttpMethod = HttpMethod.POST): SendEnd {
         val headers = RunnerStandin.requestHeaders(id)
         val body = Buffer.buffer("{}")
-        val request = UpstreamRequest(id, HttpMethod.POST, "/x", "h", headers, body, false)
+        val request = UpstreamRequest(id, method, "/x", "h", headers, body, false)
         return sender.send(to, request, null) {}
     }
 
--- a/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/UpstreamSenderTest.kt
@@ -7,6 +7,7 @@
 import cactusfold.platform.standin.ScriptedUpstream.Companion.answer
 import cactusfold.platform.standin.ScriptedUpstream.Scripted
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
 import io.vertx.kotlin.coroutines.dispatcher
 import java.util.concurrent.TimeUnit
 import kotlin.test.assertEquals
@@ -47,6 +48,16 @@
         test: suspend CoroutineScope.(ScriptedUpstream) -> Unit
     ) = fixture.withUpstream(answer, test)
 
+    // Guards against a codec that waits for the body whose length is stated in answer to a HEAD.
+    @Test
+    fun `the answer to a HEAD request ends with its head`() =
+        withUpstream({ Scripted(answer("12345").removeSuffix("12345")) }) {
+            val end = withTimeout(TIMEOUT_MILLIS) {
+                fixture.send(upstream(it.port), "a", HttpMethod.HEAD)
+            }
+            assertIs<SendEnd.Whole>(end)
+        }
+
     @Nested
     inner class BytesWithoutEnd {
         private val head = answer("", isDelimited = false)
@@ -151,7 +162,14 @@
         // Guards against a body with another caller's answer behind it.
         @Test
         fun `an answer without a length is broken if another one follows`() {
-            for (copy in listOf(answer("other", "b"), "HTTP/1.1 200", "HTTP/1.1 503 Full\r\nCac")) {
+            val copies = listOf(
+                answer("other", "b"),
+                "HTTP/1.1 200",
+                "HTTP/1.1 503 Full\r\nCac",
+                "HTTP/1.1 203 Non-Authoritative Information\r\nCac",
+                "HTTP/1.1 200 OK\nCac"
+            )
+            for (copy in copies) {
                 val body = answer("own", isDelimited = false)
                 withUpstream({ Scripted(body + copy, closes = true) }) {
                     assertIs<SendEnd.Broken>(send(upstream(it.port)), copy)
--- a/ports/src/main/kotlin/cactusfold/ports/http/StrictClientCodec.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/StrictClientCodec.kt
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
@@ -35,13 +37,22 @@
     HttpRequestEncoder()
 ) {
     override fun write(ctx: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
-        if (message is HttpRequest) exchange.isInProgress = true
+        if (message is HttpRequest) exchange.begin(message.method())
         super.write(ctx, message, promise)
     }
 
     private class ExchangeState {
         /** Whether a request was written whose response has not ended. */
         var isInProgress = false
+
+        /** Whether that request asks for the head of a response alone. */
+        var isHead = false
+            private set
+
+        fun begin(method: HttpMethod) {
+            isInProgress = true
+            isHead = method == HttpMethod.HEAD
+        }
     }
 
     private class Decoder(
@@ -49,8 +60,12 @@
         private val connection: ConnectionState,
         private val rules: ResponseRules
     ) : HttpResponseDecoder(HttpDecoderConfig().setValidateHeaders(true)) {
+        /** Whether the last head was an interim one, whose end is not that of the response. */
         private var isInterim = false
 
+        override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+            exchange.isHead || super.isContentAlwaysEmpty(message)
+
         override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
             if (!exchange.isInProgress) {
                 dropUnsolicited(ctx, buffer)
