A connection that was taken out of service no longer cuts the answer in progress

Cause: the 60 s until such a connection is closed count from the head of the answer. Change: the limit is an hour, since the request bounds its answer. No test: it would take as long as the limit.

--- a/ports/src/main/kotlin/cactusfold/ports/http/ConnectionState.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/ConnectionState.kt
@@ -31,8 +31,8 @@
     }
 
     companion object {
-        /** Bounds how long a response that arrived completely may take to be read. */
-        private const val CLOSE_TIMEOUT_SECONDS = 60L
+        /** Longer than any response in progress, which its request bounds. */
+        private const val CLOSE_TIMEOUT_SECONDS = 3_600L
         private val key = AttributeKey.valueOf<ConnectionState>(ConnectionState::class.java.name)
 
         /** Follows [connection] from now on, with a codec that applies [rules]. */
