Soak: upstreams write a late copy of some answers, and answers must be those of their runs

Some runs answer 500. Signals also come in series. New rules: OWN_ANSWER (status, body and id are those of a run of the request) and TRUE_ORDER (an order recorded as accepted was accepted). A stream may be cut after a copy on its own connection only.

--- a/entry/src/test/kotlin/cactusfold/entry/soak/ForeignFaults.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/ForeignFaults.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.soak
 
+import cactusfold.platform.standin.LateCopies
 import kotlin.random.Random
 
 /** A row of another writer in the table of upstreams. */
@@ -16,6 +17,21 @@
 /** From [atMillis] on a [runner] says that it leaves; its row lapses at [lapsesAtMillis] and returns. */
 data class Leaving(val atMillis: Long, val runner: String, val lapsesAtMillis: List<Long>)
 
+/** Upstreams that fail now and then, and write some of their answers once more. */
+class CopyPlan(private val random: Random) {
+    private val oneIn = random.nextInt(1, 5)
+    private val failsOneIn = random.nextInt(3, 20)
+
+    /** Returns the copies of one upstream. */
+    fun of(): LateCopies = LateCopies(Random(random.nextLong()), oneIn)
+
+    /** Whether the next answer is a failure. */
+    @Synchronized
+    fun fails(): Boolean = random.nextInt(failsOneIn) == 0
+
+    override fun toString(): String = "copies=1 in $oneIn failures=1 in $failsOneIn"
+}
+
 /**
  * Faults of others during a run, with times as in [SoakPlan.work] and draws of their own: what a
  * process reads must neither end its tasks nor fill its memory, nor be forgotten too soon.
--- a/entry/src/test/kotlin/cactusfold/entry/soak/PlannedWorkSoakTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/PlannedWorkSoakTest.kt
@@ -10,9 +10,10 @@
 /**
  * Random planned work on entry processes that serve callers: SIGTERM once or more often, SIGHUP and
  * changes of the configuration, which overlap. Upstreams limit their requests, repeat refusals, and
- * crash and return with another software version; callers take up the streams that break off. Others
- * write rows that cannot be read, send bytes without end, and leave while their rows lapse. Runs
- * each of the [Seeds] once for all tests.
+ * crash and return with another software version; callers take up the streams that break off.
+ * Others write rows that cannot be read, send bytes without end, and leave while their rows lapse.
+ * All upstreams write some answers once more, late or in part. Runs each of the [Seeds] once for
+ * all tests.
  */
 class PlannedWorkSoakTest {
     @Nested
@@ -28,6 +29,26 @@
         fun `an answer that looks complete is complete`() = check(Rule.COMPLETE)
     }
 
+    @Nested
+    inner class LateCopies {
+        // Guards against a success where the upstream had failed, and against answers of others.
+        @Test
+        fun `an answer is the one that a run of its request gave`() = check(Rule.OWN_ANSWER)
+
+        // Guards against keeping these rules by upstreams that do not write copies.
+        @Test
+        fun `upstreams write copies, and callers get successes and failures of runs`() {
+            assertTrue(reports.sumOf { it.copies } > reports.size)
+            for (end in listOf("200", "500")) {
+                assertTrue(reports.any { (it.ends[end] ?: 0) > 0 }, "no answer $end")
+            }
+        }
+
+        // Guards against orders that are refused and recorded as accepted.
+        @Test
+        fun `an order that counts as accepted was accepted`() = check(Rule.TRUE_ORDER)
+    }
+
     @Nested
     inner class Processes {
         @Test
@@ -85,7 +106,9 @@
         private fun summarize(reports: List<SoakReport>) {
             val ends = reports.flatMap { it.ends.entries }.groupBy({ it.key }, { it.value })
                 .mapValues { it.value.sum() }
-            println("${reports.size} seeds of planned work; requests by their end: $ends")
+            val copies = reports.sumOf { it.copies }
+            println("${reports.size} seeds of planned work; $copies copies of answers")
+            println("Requests by their end: $ends")
         }
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/RequestRules.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/RequestRules.kt
@@ -30,7 +30,8 @@
             }
             ends.merge(end, 1, Int::plus)
         }
-        return SoakReport(plan, violations, ends)
+        val copies = run.platform.runners.sumOf { it.lateCopies?.written?.get() ?: 0 }
+        return SoakReport(plan, violations, ends, copies)
     }
 
     private fun judge(call: SentCall): Verdict {
@@ -39,10 +40,18 @@
         return when (val end = call.end) {
             is CallEnd.Answered -> when {
                 tookMillis > SILENT_MILLIS -> broken(Rule.ANSWERED, "answered too late")
+                end.id != null && end.id != call.id ->
+                    broken(Rule.OWN_ANSWER, "the answer to another request")
+                end.status == OK && ran.none { it.gave(end, call) } ->
+                    broken(Rule.OWN_ANSWER, "a success that no run gave")
                 end.status == OK && !call.plan.isComplete(end.body) ->
                     broken(Rule.COMPLETE, "incomplete answer")
                 end.status in REFUSALS && ran.isNotEmpty() ->
                     broken(Rule.TRUE_REFUSAL, "refused but ran")
+                end.status !in ANSWERS && ran.any { it.gave(end, call) } ->
+                    Verdict.Sound(named("${end.status}", call))
+                end.status !in ANSWERS && ran.isNotEmpty() ->
+                    broken(Rule.OWN_ANSWER, "a failure ${end.status} that no run gave")
                 end.status !in ANSWERS -> broken(Rule.ANSWERED, "status ${end.status}")
                 else -> Verdict.Sound(named("${end.status}", call))
             }
@@ -55,6 +64,8 @@
                     Verdict.Sound("cut while the upstream worked in the last sixth")
                 call.plan.model != null && ran.any(::endedInCrash) ->
                     Verdict.Sound(named("cut by a crash", call))
+                call.plan.model != null && ran.any { it.isSpoilt } ->
+                    Verdict.Sound(named("cut by a copy", call))
                 ran.isNotEmpty() -> broken(Rule.ANSWERED, "cut after it ran")
                 // The kernel resets a connection that is closed with bytes that were not read.
                 end.reason == RESET && isLeftUnread(call) -> Verdict.Sound("cut, not read")
@@ -67,6 +78,11 @@
     private fun named(end: String, call: SentCall) =
         if (call.plan.resumed == null) end else "taken up: $end"
 
+    /** Whether this run gave [answer]; a stream, which has its own rule, may be of several runs. */
+    private fun ExecutedRequest.gave(answer: CallEnd.Answered, call: SentCall) =
+        status == answer.status &&
+            (body == answer.body || (call.plan.model != null && status == OK))
+
     /** Whether the engine of [ran] crashed; others of its version need not be there. */
     private fun endedInCrash(ran: ExecutedRequest): Boolean {
         val endedAtNanos = ran.endedAtNanos ?: return false
@@ -94,10 +110,13 @@
 
     private fun describe(call: SentCall): String {
         val runs = executions[call.id].orEmpty().joinToString { ran ->
-            "${sinceTermMillis(ran.startedAtNanos)}..${ran.endedAtNanos?.let(::sinceTermMillis)}"
+            "${sinceTermMillis(ran.startedAtNanos)}..${ran.endedAtNanos?.let(::sinceTermMillis)}" +
+                " ${ran.status} ${ran.body?.take(SHOWN)}"
         }
         val end = when (val end = call.end) {
-            is CallEnd.Answered -> "${end.status} with ${end.body.length} characters"
+            is CallEnd.Answered ->
+                "${end.status} to ${end.id} with ${end.body.length} characters: " +
+                    end.body.take(SHOWN)
             is CallEnd.Cut -> "cut: ${end.reason}"
         }
         val lines = output.filter { call.id in it }.joinToString("") { "\n    $it" }
@@ -112,6 +131,9 @@
 
     private companion object {
         const val OK = 200
+
+        /** Enough of a body to tell whose it is. */
+        const val SHOWN = 60
         val REFUSALS = setOf(429, 503)
 
         /** An answer of an upstream, a refusal, "may have run" and "timed out". */
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakPlan.kt
@@ -52,7 +52,8 @@
     val initial: PlannedWork.Configure = configure(1, routes = 0)
 
     /** Planned work, with its time in milliseconds after the first SIGTERM. */
-    val work: List<Pair<Long, PlannedWork>> = draw().sortedBy { it.first }
+    val work: List<Pair<Long, PlannedWork>> =
+        (draw() + drawSeries(Random(seed + SERIES_SEEDS))).sortedBy { it.first }
 
     /**
      * Limits that runners state, with times as in [work]. They have draws of their own, so that the
@@ -72,6 +73,9 @@
     val foreign: ForeignFaults =
         ForeignFaults(Random(seed + FOREIGN_SEEDS), -leadMillis, stopMillis)
 
+    /** As [restarts]. */
+    val copies: CopyPlan = CopyPlan(Random(seed + COPY_SEEDS))
+
     /** When a caller leaves its streams, with draws of its own. */
     fun leaving(caller: Int): Random = Random(seed + LEAVING_SEEDS + caller)
 
@@ -110,6 +114,18 @@
         changes.forEachIndexed { i, at -> add(at to configure(i + 2, routes = i + 1)) }
     }
 
+    /** Signals that come close to each other, with draws of their own. */
+    private fun drawSeries(random: Random): List<Pair<Long, PlannedWork>> = buildList {
+        repeat(random.nextInt(3)) {
+            val fromMillis = random.nextLong(-leadMillis, stopMillis)
+            repeat(random.nextInt(2, 6)) {
+                val atMillis = fromMillis + random.nextLong(SERIES_MILLIS)
+                val isStop = atMillis > 0 && random.nextBoolean()
+                add(atMillis to if (isStop) PlannedWork.Terminate else PlannedWork.Hangup)
+            }
+        }
+    }
+
     private fun anyTime(): Long = random.nextLong(-leadMillis, stopMillis)
 
     private fun configure(version: Int, routes: Int) = PlannedWork.Configure(
@@ -123,7 +139,7 @@
     override fun toString(): String = "stopMillis=$stopMillis beside=$beside " +
         "loadMillis=$loadMillis callers=${callers.size} leadMillis=$leadMillis initial=$initial " +
         "work=$work limits=$limits restarts=$restarts refusals=$refusals " +
-        "foreign=($foreign)"
+        "foreign=($foreign) copies=($copies)"
 
     companion object {
         /** The software versions of the engines, in the order in which they start. */
@@ -134,6 +150,9 @@
         private const val REFUSAL_SEEDS = 3_000_000
         private const val LEAVING_SEEDS = 4_000_000
         private const val FOREIGN_SEEDS = 5_000_000
+        private const val COPY_SEEDS = 6_000_000
+        private const val SERIES_SEEDS = 7_000_000
+        private const val SERIES_MILLIS = 300L
         private val LIMITS = listOf("0", "0.5", "1", "4", "20", "1, 30", "none")
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakReport.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakReport.kt
@@ -3,6 +3,8 @@
 /** What a run must keep. */
 enum class Rule {
     ANSWERED,
+    OWN_ANSWER,
+    TRUE_ORDER,
     TRUE_REFUSAL,
     COMPLETE,
     TIMELY_EXIT,
@@ -15,11 +17,15 @@
 /** A broken rule; [kind] groups equal ones. */
 class Violation(val rule: Rule, val kind: String, val details: String)
 
-/** Result of one run; [ends] counts how requests ended. */
+/**
+ * Result of one run; [ends] counts how requests ended, and [copies] the answers that were written
+ * once more.
+ */
 class SoakReport(
     val plan: SoakPlan,
     val violations: List<Violation>,
-    val ends: Map<String, Int> = emptyMap()
+    val ends: Map<String, Int>,
+    val copies: Int
 ) {
     fun describe(rule: Rule): String? = violations.filter { it.rule == rule }
         .takeIf { it.isNotEmpty() }
--- a/entry/src/test/kotlin/cactusfold/entry/soak/SoakRun.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/SoakRun.kt
@@ -52,7 +52,8 @@
         limits = LimitRules(runners)
         platform.runners.forEach {
             it.loadMillis = plan.loadMillis
-            it.shapeOf = CallPlan::shapeOf
+            it.shapeOf = { request -> CallPlan.shapeOf(request).copy(fails = plan.copies.fails()) }
+            it.lateCopies = plan.copies.of()
         }
         plan.initial.write(platform)
         val beside = if (plan.beside == Beside.COORDINATES) serving("beside") else null
@@ -106,15 +107,18 @@
         callers.forEach(Thread::join)
         changing.forEach(Thread::join)
         rules.checkOutput(entry)
+        val orders = OrderRules(runners)
+        orders.check(entry)
         if (beside != null) {
             rules.checkAlive(beside)
             val terminatedAtNanos = System.nanoTime()
             beside.terminate()
             rules.checkExit(beside, terminatedAtNanos)
             rules.checkOutput(beside)
+            orders.check(beside)
         }
         return RequestRules(this, entry.output()).report(
-            rules.violations + limits.violations() + leavingViolations()
+            rules.violations + orders.violations + limits.violations() + leavingViolations()
         )
     }
 
