Router: a part of another head no longer becomes the head of an answer

Cause: the router's client of upstreams was one of its own and had the fault that the clients of the entry process had: a part of a head was joined with the next answer, so a failure got the status of a success and the other way round. A connection that brought a failure stayed in use. Change: it uses KeptConnections, which withdraws connections after failures and after bytes that nobody asked for. Upstreams of the router need not name the request, so no header is required for that. UpstreamClient takes the settings of upstreams only, for its test. Not run: the tests of local, and a whole build.

--- a/router/src/main/kotlin/cactusfold/router/Router.kt
+++ b/router/src/main/kotlin/cactusfold/router/Router.kt
@@ -36,7 +36,7 @@
     private val isStopped = AtomicBoolean()
     private val running = RunningRequests()
     private val upstreams = Upstreams(core.clock)
-    private val client = UpstreamClient(vertx, settings)
+    private val client = UpstreamClient(vertx, settings.upstreams)
     private val suspects = Suspects(core)
     private val claims = ClaimManager(core)
     private val lanes = Lanes(
--- a/router/src/main/kotlin/cactusfold/router/forward/UpstreamClient.kt
+++ b/router/src/main/kotlin/cactusfold/router/forward/UpstreamClient.kt
@@ -1,11 +1,12 @@
 package cactusfold.router.forward
 
 import cactusfold.node.http.BodyChunkReader
-import cactusfold.router.RouterSettings
+import cactusfold.ports.http.KeptConnections
+import cactusfold.ports.http.ResponseRules
+import cactusfold.router.UpstreamSettings
 import cactusfold.router.lane.Target
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
-import io.vertx.core.http.HttpClientAgent
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
@@ -71,15 +72,17 @@
 }
 
 /** HTTP client for upstreams. Event streams go to a sink; other responses are buffered. */
-public class UpstreamClient(vertx: Vertx, settings: RouterSettings) {
-    private val limits = settings.upstreams
-    private val client: HttpClientAgent = vertx.createHttpClient(
+public class UpstreamClient(vertx: Vertx, private val limits: UpstreamSettings) {
+    private val connections = KeptConnections(
+        vertx,
         HttpClientOptions()
             .setConnectTimeout(limits.connectTimeoutMillis)
             .setIdleTimeout(limits.idleTimeoutMillis.toInt())
             .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
             .setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
-        PoolOptions().setHttp1MaxSize(limits.connectionsMax)
+        PoolOptions().setHttp1MaxSize(limits.connectionsMax),
+        // Upstreams need not name the request, and a response without a name says nothing.
+        ResponseRules(closesOnFailure = true)
     )
 
     /** Sends [attempt] to [target]. Cancellation resets the request so that the upstream stops. */
@@ -101,7 +104,7 @@
 
     /** Closes all connections. */
     public fun close() {
-        client.close()
+        connections.close()
     }
 
     private inner class Exchange(
@@ -114,7 +117,7 @@
         private val startedNanos = System.nanoTime()
 
         suspend fun run(): AttemptResult {
-            val open = client.request(options()).coAwait()
+            val open = connections.open(options()).request
             request = open
             val response = open.send(attempt.body).map { it.pause() }.coAwait()
             val firstByteMillis = (System.nanoTime() - startedNanos) / NANOS_PER_MILLI
