An answer to HEAD has no body, whatever length it states

Found while the router was moved to the common client. All clients that use the codec were concerned. Change: the codec keeps whether the request in progress asks for a head only. Evidence: a test in UpstreamClientTest got no answer before, and passes after, beside its tests of torn heads. Not run: a whole build and the style check on this commit.

--- a/ports/src/main/kotlin/cactusfold/ports/http/StrictClientCodec.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/StrictClientCodec.kt
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
@@ -35,13 +37,19 @@
     HttpRequestEncoder()
 ) {
     override fun write(ctx: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
-        if (message is HttpRequest) exchange.isInProgress = true
+        if (message is HttpRequest) {
+            exchange.isInProgress = true
+            exchange.isHead = message.method() == HttpMethod.HEAD
+        }
         super.write(ctx, message, promise)
     }
 
     private class ExchangeState {
         /** Whether a request was written whose response has not ended. */
         var isInProgress = false
+
+        /** Whether it asks for a head only, which may state the length of a body all the same. */
+        var isHead = false
     }
 
     private class Decoder(
@@ -68,6 +76,9 @@
             }
         }
 
+        override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+            exchange.isHead || super.isContentAlwaysEmpty(message)
+
         private fun inspect(response: HttpResponse) {
             isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
             if (response.decoderResult().isSuccess) {
--- a/router/src/test/kotlin/cactusfold/router/forward/UpstreamClientTest.kt
+++ b/router/src/test/kotlin/cactusfold/router/forward/UpstreamClientTest.kt
@@ -81,13 +81,16 @@
 
     private fun answer(status: Int) = "${head(status)}Content-Length: 4\r\n\r\nbody"
 
-    private suspend fun send(to: Upstream, sink: StreamSink? = null): AttemptResult {
-        val attempt = Attempt("a", HttpMethod.GET, "/x", emptyList(), Buffer.buffer())
-        return client.send(to.target, attempt, sink)
+    private suspend fun send(to: Upstream, method: HttpMethod = HttpMethod.GET): AttemptResult {
+        val attempt = Attempt("a", method, "/x", emptyList(), Buffer.buffer())
+        return client.send(to.target, attempt, null)
     }
 
     /** Returns the last results of upstreams that write [answersOf] each of [parts]. */
-    private fun results(parts: List<String>, answersOf: (String) -> List<String>) = runBlocking(eventLoop) {
+    private fun results(
+        parts: List<String>,
+        answersOf: (String) -> List<String>
+    ): List<Pair<String, AttemptResult>> = runBlocking(eventLoop) {
         parts.chunked(CONCURRENT).flatMap { some ->
             some.map { part ->
                 async {
@@ -170,6 +173,17 @@
             assertEquals(3, connectionsOf(500))
     }
 
+    @Nested
+    inner class HeadRequests {
+        // Guards against an answer to HEAD whose body is awaited, which it never has.
+        @Test
+        fun `an answer to HEAD that states a length has no body`() = runBlocking(eventLoop) {
+            Upstream(List(2) { answer(200).removeSuffix("body") } + "").use { upstream ->
+                repeat(2) { assertEquals(200, statusOf(send(upstream, HttpMethod.HEAD))) }
+            }
+        }
+    }
+
     private companion object {
         const val CONCURRENT = 32
         const val RECYCLE_MILLIS = 30L
