--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -282,6 +282,7 @@
     )
     private val status = StatusServer(vertx, metrics, ::unreadyReason)
     private var isStopping = false
+    private val configured = CompletableDeferred<Unit>()
     private val stopped = CompletableDeferred<Unit>()
 
     /** Whether the number of members is known, which the process needs to spend its token share. */
@@ -295,6 +296,7 @@
         events.write("process-start", "zone" to settings.zone, "peer" to peerAddress.toString())
         coordinator.onLocalNotice = ::handleNotice
         directory.listen(coordinator::announceLeaving)
+        directory.listen(fleetStreams::wake)
         registerGauges()
         tasks.keepRunning("configuration") { config.run() }
         tasks.keepRunning("upstreams") { directory.run() }
@@ -313,7 +315,7 @@
             sendLimiter.registered(registration.wasRegistered)
         }
         status.start(settings.ready, HostPort(settings.address, settings.metricsPort))
-        while (config.current == null) delay(CONFIG_CHECK_INTERVAL_MILLIS)
+        configured.await()
         if (isStopping) return
         callers.start(config.current!!.limits)
         events.write("process-serving", "config" to config.current?.version)
@@ -373,6 +375,8 @@
         table = RouteTable(next)
         rates.configured()
         coordinator.wakeMembers()
+        fleetStreams.wake()
+        configured.complete(Unit)
     }
 
     private fun resumableServices(): ResumableServices =
@@ -429,6 +433,5 @@
         const val LEASE_MARGIN_MILLIS = 250L
 
         const val DRAIN_CHECK_INTERVAL_MILLIS = 20L
-        const val CONFIG_CHECK_INTERVAL_MILLIS = 10L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
@@ -3,7 +3,9 @@
 import cactusfold.entry.process.EventLog
 import cactusfold.node.time.MonotonicClock
 import io.vertx.core.http.HttpConnection
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 
 /**
  * The open connections of callers. A connection is closed when it has had no request in progress
@@ -18,6 +20,7 @@
     private val idleTimeoutMillis: () -> Long
 ) {
     private val states = HashMap<HttpConnection, ConnectionState>()
+    private val activity = Channel<Unit>(Channel.CONFLATED)
 
     /** A request until its answer has been sent; [id] is null if the caller stated none. */
     public class OpenRequest internal constructor(internal val id: String?) {
@@ -47,6 +50,7 @@
     public fun opened(connection: HttpConnection) {
         states[connection] = ConnectionState(clock.nowMillis())
         connection.closeHandler { states -= connection }
+        activity.trySend(Unit)
     }
 
     /** Records that the request with [id] has begun on [connection]. */
@@ -55,6 +59,7 @@
         states[connection]?.let {
             it.requests += request
             it.isExpiring = false
+            activity.trySend(Unit)
         }
         return request
     }
@@ -71,15 +76,27 @@
         state.idleSinceMillis = clock.nowMillis()
     }
 
-    /** Closes idle connections periodically, until cancelled. */
+    /** Closes idle connections and cuts unread answers, until cancelled. */
     public suspend fun watch() {
         while (true) {
+            if (states.isEmpty()) {
+                activity.receive()
+            } else if (inProgress == 0) {
+                withTimeoutOrNull(quietMillis()) { activity.receive() }
+            }
             delay(CHECK_INTERVAL_MILLIS)
             closeIdle()
             cutUnread()
         }
     }
 
+    /** How long no connection expires without a request, as far as the timeout stays the same. */
+    private fun quietMillis(): Long {
+        val firstIdleMillis = states.values.minOf { it.idleSinceMillis }
+        return (firstIdleMillis + idleTimeoutMillis() - clock.nowMillis())
+            .coerceIn(0, MAX_QUIET_MILLIS)
+    }
+
     /** Cuts answers of which their callers read nothing, since these occupy memory. */
     internal fun cutUnread() {
         val nowMillis = clock.nowMillis()
@@ -115,5 +132,8 @@
 
     private companion object {
         const val CHECK_INTERVAL_MILLIS = 500L
+
+        /** A configuration with a shorter timeout takes effect within this time. */
+        const val MAX_QUIET_MILLIS = 5_000L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -364,11 +364,13 @@
         dependencies.directory.markDeparturesUnsent()
         dependencies.rates.start(fence)
         dependencies.loads.start()
+        dependencies.streams.wake()
     }
 
     private fun handleLeaseLost(fence: Long) {
         releasedFence = maxOf(releasedFence, fence)
         dependencies.loads.stop()
+        dependencies.streams.wake()
         sessions.forEach { it.wake.trySend(Unit) }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/FleetStreams.kt
@@ -15,7 +15,9 @@
 import cactusfold.protocol.entry.StreamAnswer
 import cactusfold.protocol.entry.StreamRequest
 import java.util.Locale
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 
 /**
  * The streams of the fleet and the software versions at which they began, while this process is the
@@ -34,6 +36,7 @@
     private val onRead: () -> Unit,
     private val onChange: (ServiceVersions) -> Unit
 ) {
+    private val wake = Channel<Unit>(Channel.CONFLATED)
     private val records = HashMap<String, StoredRecord>()
     private val rows = mutableListOf<StreamRow>()
     private val unwritten = LinkedHashMap<String, BoundStream>()
@@ -57,11 +60,30 @@
     /** Keeps the tables up to date while this process is the coordinator, until cancelled. */
     public suspend fun run() {
         while (true) {
-            if (lease.isCoordinator) step() else forget()
-            delay(STEP_MILLIS)
+            if (lease.isCoordinator) {
+                step()
+                delay(STEP_MILLIS)
+                withTimeoutOrNull(nextStepMillis()) { wake.receive() }
+            } else {
+                forget()
+                // A lease that expired while its renewal is on the way may become valid again.
+                if (lease.fence == 0L) wake.receive() else delay(STEP_MILLIS)
+            }
         }
     }
 
+    /** Has a change of the lease, the configuration, the upstreams or the streams acted on. */
+    public fun wake() {
+        wake.trySend(Unit)
+    }
+
+    /** How long nothing has to be done unless something changes. */
+    private fun nextStepMillis(): Long = when {
+        !isRead -> 0
+        unwritten.isEmpty() -> EXPIRY_CHECK_MILLIS
+        else -> (writtenAtMillis + WRITE_INTERVAL_MILLIS - clock.nowMillis()).coerceAtLeast(0)
+    }
+
     private fun forget() {
         readFence = null
         records.clear()
@@ -176,6 +198,7 @@
             ledger = ledger.with(stream.id, reported)
             if (before == null || before.origin != stream.origin) unwritten[stream.id] = stream
         }
+        if (streams.isNotEmpty()) wake()
     }
 
     /** Returns where the stream began that [request] is about. */
@@ -196,9 +219,12 @@
     }
 
     private companion object {
-        /** Interval between two looks at the registered versions. */
+        /** Changes are collected for this long. */
         const val STEP_MILLIS = 50L
 
+        /** Interval of checks for what expires; streams and versions are kept for many seconds. */
+        const val EXPIRY_CHECK_MILLIS = 1_000L
+
         /**
          * Interval between two writes of streams; those of the last one are lost with the power.
          */
--- a/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
@@ -10,6 +10,7 @@
 public class RecordedVersions(private val events: EventLog) {
     private val services = HashMap<String, ServiceVersions>()
     private var announcements = 0L
+    private var isRead = false
 
     /** Whether streams of [service] may begin at [softwareVersion]. */
     public fun contains(service: String, softwareVersion: String): Boolean =
@@ -35,15 +36,15 @@
     }
 
     /**
-     * Reads the recorded versions from the store with [readRecords] while [isConnected] says that
-     * no coordinator announces them, until cancelled.
+     * Reads the recorded versions from the store with [readRecords] once, and again while
+     * [isConnected] says that no coordinator announces them, until cancelled.
      */
     public suspend fun follow(
         readRecords: suspend () -> Map<String, StoredRecord>?,
         isConnected: () -> Boolean
     ) {
         while (true) {
-            if (services.isEmpty() || !isConnected()) read(readRecords)
+            if (!isRead || !isConnected()) read(readRecords)
             delay(READ_INTERVAL_MILLIS)
         }
     }
@@ -51,6 +52,7 @@
     internal suspend fun read(readRecords: suspend () -> Map<String, StoredRecord>?) {
         val announcementsBefore = announcements
         val records = readRecords() ?: return
+        isRead = true
         // What the coordinator has announced meanwhile may be newer, and is not announced again.
         if (announcements != announcementsBefore) return
         for ((service, stored) in records) {
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/SilenceMonitor.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/SilenceMonitor.kt
@@ -12,9 +12,16 @@
     private val pending = LinkedHashMap<Any, PendingSend>()
     private var receivedAtMillis = Long.MIN_VALUE / 2
 
+    /** Called when a send begins while none is outstanding. */
+    public var onFirstPending: () -> Unit = {}
+
+    /** Whether answers are outstanding. */
+    public val isPending: Boolean get() = pending.isNotEmpty()
+
     /** Records that [send] was sent; [onSilent] is called while the upstream counts as silent. */
     public fun sendStarted(send: Any, nowMillis: Long, onSilent: () -> Unit) {
         pending[send] = PendingSend(nowMillis, onSilent)
+        if (pending.size == 1) onFirstPending()
     }
 
     /** Restarts the measurement: data arrived, or none could be read until now. */
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -26,6 +26,7 @@
     private val polling: () -> UpstreamPolling
 ) {
     private val wake = Channel<Unit>(Channel.CONFLATED)
+    private val pendingWake = Channel<Unit>(Channel.CONFLATED)
     private var announcedRevision: UpstreamsRevision? = null
     private var isOutdated = true
 
@@ -200,10 +201,14 @@
         return leaving.mapTo(mutableSetOf(), Upstream::departureOf)
     }
 
-    /** Periodically notifies requests at silent upstreams, until cancelled. */
+    /** Notifies requests at silent upstreams while any are outstanding, until cancelled. */
     public suspend fun watchSilence() {
         var checkedAtMillis = clock.nowMillis()
         while (true) {
+            if (upstreams.values.none { it.silence.isPending }) {
+                pendingWake.receive()
+                checkedAtMillis = clock.nowMillis()
+            }
             delay(SILENCE_CHECK_MILLIS)
             val nowMillis = clock.nowMillis()
             // After a suspension of this process, data that arrived meanwhile is still unread.
@@ -304,6 +309,7 @@
             known?.unregisteredInRead = readsBegun
             upstreams[entry.id] = Upstream(entry).also {
                 it.isLeaving = start in leavingStarts
+                it.silence.onFirstPending = { pendingWake.trySend(Unit) }
                 resumePause(it)
             }
             revision++
--- a/settings/src/main/kotlin/cactusfold/settings/ini/IniText.kt
+++ b/settings/src/main/kotlin/cactusfold/settings/ini/IniText.kt
@@ -28,6 +28,7 @@
         if (duplicate != null) {
             return IniResult.Malformed(duplicate.line, "${duplicate.name} is given twice")
         }
+        PlainIni.valuesOf(text)?.let { return IniResult.Parsed(IniDocument(it, lines)) }
         val ini = INIConfiguration()
         try {
             ini.read(StringReader(text))
@@ -37,7 +38,7 @@
         return IniResult.Parsed(IniDocument(valuesOf(ini), lines))
     }
 
-    private fun valuesOf(ini: INIConfiguration): Map<String, Map<String, String>> =
+    internal fun valuesOf(ini: INIConfiguration): Map<String, Map<String, String>> =
         ini.sections.associate { name ->
             val section = ini.getSection(name)
             val keys = section.keys.asSequence().toList()
