The boot clock reads CLOCK_BOOTTIME again

A suspension of a VM would not be counted, and its leases would last too long. Change: clock_gettime by a foreign call as before, with the module that it needs.

--- a/entry/src/test/kotlin/cactusfold/entry/soak/EntryJvm.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/EntryJvm.kt
@@ -104,6 +104,9 @@
     private companion object {
         val DIRECTORY: Path = Path.of("target", "soak")
         val JVM_OPTIONS = listOf(
+            "--add-modules",
+            "jdk.incubator.foreign",
+            "--enable-native-access=ALL-UNNAMED",
             "-Xmx36m",
             "-Xmn8m",
             "-Xss256k",
