--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadQueue.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadQueue.kt
@@ -18,8 +18,7 @@
         .filter { it.loadsFromStore }
         .map { maxOf(nowMillis, it.loadedAtMillis - overheadMillis) }
         .toMutableList()
-    private val runnerFreeAtMillis = view.runners
-        .associate { it.id to if (it.isBusy) maxOf(nowMillis, it.loadedAtMillis) else nowMillis }
+    private val runnerFreeAtMillis = view.runners.associate { it.id to freeAtMillis(it) }
         .toMutableMap()
 
     init {
@@ -27,6 +26,17 @@
         while (storeFreeAtMillis.size < slots) storeFreeAtMillis += nowMillis
     }
 
+    /**
+     * Returns when [runner] should take the next order. A load that should have ended, by its store
+     * or because its report is late, is expected to end soon.
+     */
+    private fun freeAtMillis(runner: RunnerState): Long = when {
+        runner.loading != null -> maxOf(nowMillis + MIN_REMAINING_MILLIS, runner.loadedAtMillis)
+        runner.isBusy -> maxOf(nowMillis, runner.loadedAtMillis, runner.freeAtMillis)
+        runner.adapterOrders > 0 -> maxOf(nowMillis, runner.freeAtMillis)
+        else -> nowMillis
+    }
+
     /** Records a load that starts now. */
     fun began(runner: String, source: WeightSource, loadMillis: Long) {
         runnerFreeAtMillis[runner] = nowMillis + loadMillis + overheadMillis
@@ -64,4 +74,9 @@
         storeFreeAtMillis.remove(storeFreeAtMillis.min())
         storeFreeAtMillis += untilMillis
     }
+
+    private companion object {
+        /** Longer than the interval at which an overdue load is checked. */
+        const val MIN_REMAINING_MILLIS = 200L
+    }
 }
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ModelArrivals.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ModelArrivals.kt
@@ -4,6 +4,7 @@
 public class ModelArrivals {
     private val recent = DecayingRates(RECENT_MILLIS)
     private val longTerm = DecayingRates(LONG_TERM_MILLIS)
+    private val longTermByPriority = HashMap<Int, DecayingRates>()
 
     /** Adds [count] requests for [model]. */
     public fun arrived(model: String, count: Int, nowMillis: Long) {
@@ -11,6 +12,12 @@
         longTerm.add(model, count, nowMillis)
     }
 
+    /** Adds the [priority] of [count] requests that [arrived]. */
+    public fun arrivedAt(priority: Int, model: String, count: Int, nowMillis: Long) {
+        longTermByPriority.getOrPut(priority) { DecayingRates(LONG_TERM_MILLIS) }
+            .add(model, count, nowMillis)
+    }
+
     /** Returns the recent requests per second by model. */
     public fun recentPerSecond(nowMillis: Long): Map<String, Double> = recent.perSecond(nowMillis)
 
@@ -18,6 +25,17 @@
     public fun longTermPerSecond(nowMillis: Long): Map<String, Double> =
         longTerm.perSecond(nowMillis)
 
+    /** Returns the long-term requests per second by model and priority. */
+    public fun longTermByPriority(nowMillis: Long): Map<String, Map<Int, Double>> {
+        val byModel = HashMap<String, MutableMap<Int, Double>>()
+        for ((priority, rates) in longTermByPriority) {
+            for ((model, perSecond) in rates.perSecond(nowMillis)) {
+                byModel.getOrPut(model) { HashMap() }[priority] = perSecond
+            }
+        }
+        return byModel
+    }
+
     private companion object {
         /** Time constant of the recent rate: shorter than demand takes to shift to other models. */
         const val RECENT_MILLIS = 5_000.0
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ModelRefusals.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ModelRefusals.kt
@@ -26,6 +26,12 @@
     /** Returns the number of refusals of [model] since its last load. */
     public fun count(model: String): Int = refusedByModel[model]?.count ?: 0
 
+    /** Returns the refusals by model. Those older than [RETENTION_MILLIS] are forgotten. */
+    public fun counts(nowMillis: Long): Map<String, Int> {
+        refusedByModel.values.removeIf { nowMillis - it.atMillis > RETENTION_MILLIS }
+        return refusedByModel.mapValues { (_, refusals) -> refusals.count }
+    }
+
     /** Resets the counts of all models. */
     public fun clear() {
         refusedByModel.clear()
@@ -34,5 +40,8 @@
     private companion object {
         /** Longer than refused demand remains in the reports of the entry processes. */
         const val REPORT_RETENTION_MILLIS = 600L
+
+        /** Twice the time constant of long-term arrivals. */
+        const val RETENTION_MILLIS = 120_000L
     }
 }
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -1,7 +1,9 @@
 package cactusfold.decisions.residency
 
+import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.persistentListOf
 
 /**
  * A model's memory size and its load time from each weight source.
@@ -60,6 +62,8 @@
  * @property requestsPerSecond requests that the runner accepts from all VMs together; null if it
  *   states no limit.
  * @property softwareVersion the version of the runner's software.
+ * @property freeAtMillis when a runner without a pending load that is busy, or has adapter orders,
+ *   is expected to take the next order; 0 if that is not known.
  */
 public data class RunnerState(
     public val id: String,
@@ -75,7 +79,8 @@
     public val inFlight: ImmutableMap<String, Int>,
     public val lastUsedMillis: ImmutableMap<String, Long>,
     public val requestsPerSecond: Double? = null,
-    public val softwareVersion: String = ""
+    public val softwareVersion: String = "",
+    public val freeAtMillis: Long = 0
 ) {
     /** Returns the source from which the runner would load the weights of [model]. */
     public fun sourceOf(model: String): WeightSource = when (model) {
@@ -94,6 +99,7 @@
  * @property deadlineAtMillis latest deadline among the requests.
  * @property softwareVersion the only version whose runners can serve the requests, which continue
  *   streams that began there; null for any.
+ * @property byPriority the waiting requests by priority, the most urgent first.
  */
 public data class ModelDemand(
     public val model: String,
@@ -102,7 +108,8 @@
     public val targetAtMillis: Long,
     public val deadlineAtMillis: Long,
     public val refusedSinceLoad: Int = 0,
-    public val softwareVersion: String? = null
+    public val softwareVersion: String? = null,
+    public val byPriority: ImmutableList<PriorityDemand> = persistentListOf()
 ) {
     /** Returns whether [runner] can serve the requests once it has the model. */
     public fun accepts(runner: RunnerState): Boolean =
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -1,5 +1,7 @@
 package cactusfold.decisions.residency
 
+import kotlinx.collections.immutable.toImmutableList
+
 /**
  * Input of the planner: the state of one service at one point in time.
  *
@@ -9,6 +11,10 @@
  * @property adapterUsedMillis by runner, when each pair of a model and its adapter was last used.
  * @property storeLoadsAllowed loads from the weight store that may start now.
  * @property lastJoinedMillis when a runner last became known for the first time.
+ * @property usesPriorities whether the service's callers have different priorities. If not, loads
+ *   are ordered by callers served per load time only.
+ * @property arrivalsByPriority long-term arrival rate by model and priority.
+ * @property refusals refused callers by model since the model's last load.
  */
 public data class ResidencyView(
     public val bounds: RunnerBounds,
@@ -18,7 +24,10 @@
     public val longTermArrivalsPerSecond: Map<String, Double>,
     public val adapterUsedMillis: Map<String, Map<Pair<String, String>, Long>>,
     public val storeLoadsAllowed: Int,
-    public val lastJoinedMillis: Long
+    public val lastJoinedMillis: Long,
+    public val usesPriorities: Boolean = false,
+    public val arrivalsByPriority: Map<String, Map<Int, Double>> = emptyMap(),
+    public val refusals: Map<String, Int> = emptyMap()
 )
 
 /**
@@ -27,9 +36,7 @@
  * A model that requests wait for is loaded where it is ready soonest. Loads are ordered by callers
  * served per load time, where a caller served within its target counts more than one served late.
  * Callers that leave before the load is done count too, as an estimate of those who follow them.
- *
- * Eviction minimizes the expected waiting time: models with other replicas go first, then the model
- * whose absence costs least by its arrival rate and the time to load it again.
+ * Where priorities differ, [LoadOrder] weighs them. [EvictionChoice] decides what is evicted.
  */
 public class ResidencyPlanner {
     /** Returns the orders to send now and the forecasts for waiting requests. */
@@ -43,8 +50,12 @@
     val source: WeightSource,
     val evicted: List<String>,
     val loadMillis: Long,
-    val costMillisPerSecond: Double
-)
+    val costMillisPerSecond: Double,
+    val drainMillis: Long
+) {
+    /** Time until the weights are read, including the requests that have to end before. */
+    val totalMillis: Long = drainMillis + loadMillis
+}
 
 private class Planning(private val view: ResidencyView, private val nowMillis: Long) {
     private val bounds = view.bounds
@@ -62,9 +73,10 @@
     private var remainingStoreStarts = view.storeLoadsAllowed
     private val replicas = view.runners.flatMap { it.served.keys }.groupingBy { it }
         .eachCount().toMutableMap()
-    private val inFlightByModel = view.runners.flatMap { it.inFlight.entries }
-        .groupingBy { it.key }.fold(0) { sum, entry -> sum + entry.value }
     private val waitingCost = WaitingCost(view, times, replicas)
+    private val loadOrder = LoadOrder(view, nowMillis, times, waitingCost)
+    private val evictions = EvictionChoice(view, times, waitingCost, replicas, wanted)
+    private val adapterRoom = AdapterRoom(view, nowMillis, evictions)
 
     fun run(): ResidencyPlan {
         val (present, absent) = view.demands.filter { it.waiting > 0 }.partition { demand ->
@@ -75,7 +87,11 @@
         loadAbsent(unbound)
         loadAtVersions(bound)
         addReplicas()
-        if (steps.isEmpty()) preload()
+        if (view.usesPriorities) {
+            preloadExpected()
+        } else if (steps.isEmpty()) {
+            preload()
+        }
         return ResidencyPlan(steps, tooLate, readyAtMillisByModel, blocked, atVersions)
     }
 
@@ -110,11 +126,7 @@
             if (loadedAt > demand.deadlineAtMillis) tooLate += demand.model
             readyAtMillisByModel[demand.model] = loadedAt
         }
-        val ordered = merged.sortedWith(
-            compareByDescending<ModelDemand> { benefitOf(it) / times.fastestLoadMillis(it.model) }
-                .thenBy { it.deadlineAtMillis }
-        )
-        for (demand in ordered) {
+        for (demand in loadOrder.sorted(merged)) {
             val candidate = bestCandidate(demand)?.takeUnless(::isLocalLoadSooner)
             val isInTime = candidate != null && readyAtMillis(candidate) <= demand.deadlineAtMillis
             if (candidate != null && (isInTime || paysForLaterCallers(demand, candidate))) {
@@ -156,19 +168,12 @@
     private fun mayOrder(runner: RunnerState): Boolean =
         !runner.isBusy && runner.adapterOrders == 0 && runner.id !in orderedRunners
 
-    /** Benefit of a load: the callers served, weighted lower if it would miss their target. */
-    private fun benefitOf(demand: ModelDemand): Double =
-        expectedCallers(demand) * if (canMeetTarget(demand)) 1.0 else LATE_WEIGHT
-
-    /** Callers that a load would serve: waiting, refused, or expected to arrive during the load. */
-    private fun expectedCallers(demand: ModelDemand): Double =
-        demand.waiting + demand.refusedSinceLoad + waitingCost.arrivalsDuringLoad(demand.model)
-
     /** Whether a load that is too late for all waiting requests pays off for later callers. */
     private fun paysForLaterCallers(demand: ModelDemand, candidate: Candidate): Boolean {
         if (demand.refusedSinceLoad >= STARVATION_REFUSALS) return true
         val cost = bounds.models[demand.model] ?: return false
-        val hasLaterCallers = waitingCost.arrivalsDuringLoad(demand.model) >= MIN_LATER_CALLERS
+        val hasLaterCallers = waitingCost.arrivalsDuringLoad(demand.model) >=
+            LoadOrder.MIN_LATER_CALLERS
         return hasLaterCallers && waitingCost.ofAbsence(cost) > candidate.costMillisPerSecond
     }
 
@@ -176,20 +181,17 @@
         adapter = null,
         waiting = demands.sumOf { it.waiting },
         targetAtMillis = demands.minOf { it.targetAtMillis },
-        deadlineAtMillis = demands.maxOf { it.deadlineAtMillis }
+        deadlineAtMillis = demands.maxOf { it.deadlineAtMillis },
+        byPriority = PriorityDemand.mergeAll(demands.flatMap { it.byPriority }).toImmutableList()
     )
 
-    private fun canMeetTarget(demand: ModelDemand): Boolean =
-        nowMillis + times.fastestLoadMillis(demand.model) + bounds.overheadMillis <=
-            demand.targetAtMillis
-
     private fun readyAtMillis(candidate: Candidate): Long =
-        nowMillis + candidate.loadMillis + bounds.overheadMillis
+        nowMillis + candidate.totalMillis + bounds.overheadMillis
 
     private fun bestCandidate(demand: ModelDemand): Candidate? {
         val candidates = view.runners.mapNotNull { candidateOn(it, demand) }
         return candidates.minWithOrNull(
-            compareBy<Candidate> { it.loadMillis }.thenBy { it.costMillisPerSecond }
+            compareBy<Candidate> { it.totalMillis }.thenBy { it.costMillisPerSecond }
                 .thenBy { it.runner.inFlight.values.sum() }
         )
     }
@@ -199,7 +201,9 @@
         if (!mayOrder(runner) || !demand.accepts(runner)) return null
         val source = runner.sourceOf(demand.model)
         if (source == WeightSource.STORE && !mayLoadFromStore()) return null
-        val evicted = evictions(runner, cost.weightMegabytes) ?: return null
+        val mayDrain = view.usesPriorities && source != WeightSource.STORE
+        val evicted = evictions.of(runner, cost.weightMegabytes, mayDrain) ?: return null
+        val drains = evicted.any { (runner.inFlight[it] ?: 0) > 0 }
         return Candidate(
             demand,
             runner,
@@ -207,7 +211,8 @@
             evicted,
             cost.loadMillis(source),
             evicted.sumOf(waitingCost::ofEvicting) +
-                waitingCost.ofDelayingAdapters(runner, cost.loadMillis(source))
+                waitingCost.ofDelayingAdapters(runner, cost.loadMillis(source)),
+            if (drains) DRAIN_MILLIS else 0
         )
     }
 
@@ -216,7 +221,7 @@
 
     private fun order(candidate: Candidate) {
         orderedRunners += candidate.runner.id
-        queue.began(candidate.runner.id, candidate.source, candidate.loadMillis)
+        queue.began(candidate.runner.id, candidate.source, candidate.totalMillis)
         if (candidate.source == WeightSource.STORE) {
             storeLoads++
             remainingStoreStarts--
@@ -233,36 +238,6 @@
         )
     }
 
-    /** Returns the models to evict so that [megabytes] fit, or null if that is impossible. */
-    private fun evictions(runner: RunnerState, megabytes: Double): List<String>? {
-        var free = bounds.weightMegabytes - usedMegabytes(runner)
-        if (free >= megabytes) return emptyList()
-        val evicted = mutableListOf<String>()
-        val removable = runner.adaptersByModel.keys
-            .filter { it !in wanted && (runner.inFlight[it] ?: 0) == 0 }
-            .sortedWith(compareBy(waitingCost::ofEvicting, { runner.lastUsedMillis[it] ?: 0L }))
-        for (model in removable) {
-            evicted += model
-            free += residentMegabytes(runner, model)
-            if (free >= megabytes) return evicted
-        }
-        return null
-    }
-
-    private fun usedMegabytes(runner: RunnerState): Double {
-        val resident = runner.adaptersByModel.keys.sumOf { residentMegabytes(runner, it) }
-        val pending = runner.loading?.takeIf { it !in runner.adaptersByModel }
-            ?.let { bounds.models[it]?.weightMegabytes } ?: 0.0
-        return resident + pending
-    }
-
-    /** A model that is no longer configured has unknown size and counts as filling the runner. */
-    private fun residentMegabytes(runner: RunnerState, model: String): Double {
-        val cost = bounds.models[model] ?: return bounds.weightMegabytes
-        return cost.weightMegabytes +
-            runner.adaptersByModel[model].orEmpty().size * cost.adapterMegabytes
-    }
-
     /** Preloads a model that is more likely to be requested than the models evicted for it. */
     private fun preload() {
         if (view.demands.any { it.waiting > 0 } || view.runners.any { it.loading != null }) return
@@ -276,44 +251,70 @@
         if (waitingCost.ofAbsence(cost) > MIN_GAIN * candidate.costMillisPerSecond) order(candidate)
     }
 
+    /**
+     * Loads a model that callers are expected for and no runner has, one at a time: from a disk or
+     * host memory into free room of an idle runner, and from the weight store while less than half
+     * of its concurrent loads are in use, since callers that wait go first.
+     */
+    private fun preloadExpected() {
+        if (nowMillis - view.lastJoinedMillis < REGISTRATION_SETTLE_MILLIS) return
+        val loading = view.runners.mapNotNullTo(mutableSetOf()) { it.loading }
+        val expected = bounds.models.keys.filter { model ->
+            (replicas[model] ?: 0) == 0 &&
+                model !in loading &&
+                model !in wanted &&
+                callersExpected(model) >= MIN_EXPECTED_CALLERS
+        }.sortedWith(
+            compareBy<String> { view.arrivalsByPriority[it]?.keys?.minOrNull() ?: Int.MAX_VALUE }
+                .thenByDescending(::callersExpected)
+        )
+        val (local, stored) = expected.partition(times::hasLocalCopy)
+        local.firstNotNullOfOrNull { model ->
+            expectedCandidates(model).filter { it.evicted.isEmpty() }
+                .filter { it.source != WeightSource.STORE && it.runner.inFlight.isEmpty() }
+                .minByOrNull { it.loadMillis }
+        }?.let(::order)
+        if (2 * storeLoads >= bounds.storeLoadsAtOnce) return
+        stored.firstNotNullOfOrNull { model ->
+            val absence = waitingCost.ofAbsence(bounds.models.getValue(model))
+            expectedCandidates(model).filter { it.evicted.none(evictions::isLastCopy) }
+                .filter { it.costMillisPerSecond < absence }
+                .minByOrNull { it.costMillisPerSecond }
+        }?.let(::order)
+    }
+
+    private fun expectedCandidates(model: String): List<Candidate> {
+        val demand = ModelDemand(model, null, 1, nowMillis, Long.MAX_VALUE)
+        return view.runners.mapNotNull { candidateOn(it, demand) }
+    }
+
+    /** Callers of [model] that were refused, and those that its arrivals of a minute predict. */
+    private fun callersExpected(model: String): Double = (view.refusals[model] ?: 0) +
+        (view.longTermArrivalsPerSecond[model] ?: 0.0) * EXPECTED_WITHIN_SECONDS
+
     private fun placeAdapter(demand: ModelDemand) {
         val adapter = demand.adapter ?: return
         val serving = view.runners.filter { demand.model in it.served && demand.accepts(it) }
         if (serving.any { adapter in it.served.getValue(demand.model) || isOrdered(it, demand) }) {
             return
         }
-        val runner = serving.filter(::mayOrder).minWithOrNull(
-            compareBy<RunnerState> { if (freeAdapterSlots(it) > 0) 0 else 1 }
-                .thenBy { it.inFlight.values.sum() }
-        )
-        if (runner == null) {
-            blocked += BlockedDemand(demand.model, adapter, Obstacle.RUNNERS_BUSY)
+        val free = serving.filter(::mayOrder).sortedBy { it.inFlight.values.sum() }
+        val order = free.mapNotNull { adapterRoom.orderOn(it, demand.model, adapter) }
+            .minByOrNull { if (it.evicted == null) 0 else 1 }
+        val hasRoom = order != null && order.evicted == null
+        if (free.isNotEmpty() && !hasRoom) needAdapterSlots += demand.model
+        if (order == null) {
+            val obstacle = if (free.isEmpty()) Obstacle.RUNNERS_BUSY else Obstacle.NO_ROOM
+            blocked += BlockedDemand(demand.model, adapter, obstacle)
             return
         }
-        val isFull = freeAdapterSlots(runner) <= 0
-        if (isFull) needAdapterSlots += demand.model
-        val evicted = if (isFull) idleAdapter(runner) else null
-        if (isFull && evicted == null) {
-            blocked += BlockedDemand(demand.model, adapter, Obstacle.NO_ROOM)
-            return
-        }
-        orderedRunners += runner.id
-        steps += ResidencyOrder.LoadAdapter(runner.id, demand.model, adapter, evicted)
+        orderedRunners += order.runner
+        steps += order
     }
 
     private fun isOrdered(runner: RunnerState, demand: ModelDemand): Boolean =
         runner.adapterOrders > 0 && demand.adapter in runner.adaptersByModel[demand.model].orEmpty()
 
-    private fun freeAdapterSlots(runner: RunnerState): Int =
-        bounds.adapterSlots - runner.adaptersByModel.values.sumOf { it.size }
-
-    private fun idleAdapter(runner: RunnerState): Pair<String, String>? {
-        val used = view.adapterUsedMillis[runner.id].orEmpty()
-        return runner.adaptersByModel.flatMap { (model, adapters) -> adapters.map { model to it } }
-            .filter { nowMillis - (used[it] ?: 0L) > ADAPTER_IDLE_MILLIS }
-            .minByOrNull { used[it] ?: 0L }
-    }
-
     /**
      * Adds a replica of a model whose runners limit their requests to fewer than arrive, or are
      * busy or out of adapter slots. It is loaded from the weight store only while less than half of
@@ -323,7 +324,8 @@
         val replicated = view.arrivalsPerSecond.keys.filter { (replicas[it] ?: 0) > 0 }
         val mostLimited = replicated.filter { missedPerSecond(it) > 0 }
             .maxByOrNull(::missedPerSecond)
-        val busiest = replicated.filter { loadPerReplica(it) > BUSY_SLOT_SHARE }
+        val busiest = replicated
+            .filter { loadPerReplica(it) > EvictionChoice.BUSY_SLOT_SHARE }
             .maxByOrNull(::loadPerReplica)
         val model = mostLimited
             ?: busiest
@@ -355,20 +357,10 @@
         return (arrivals - accepted).coerceAtLeast(0.0)
     }
 
-    private fun loadPerReplica(model: String): Double {
-        val inFlight = inFlightByModel[model] ?: 0
-        return inFlight / (replicas.getValue(model) * bounds.slots.toDouble())
-    }
+    private fun loadPerReplica(model: String): Double =
+        evictions.loadPerReplica(model, replicas.getValue(model))
 
     private companion object {
-        /** Weight of a caller served after its target, relative to one served in time. */
-        const val LATE_WEIGHT = 1.0 / 3
-
-        /**
-         * Expected arrivals during a load that justify it although no waiting caller can be served.
-         */
-        const val MIN_LATER_CALLERS = 2.0
-
         /**
          * Refusals after which a model is loaded regardless of its demand, to prevent starvation.
          */
@@ -380,13 +372,13 @@
         /** Longer than it takes to register and read runners that start together, one by one. */
         const val REGISTRATION_SETTLE_MILLIS = 3_000L
 
-        /** Adapters used more recently than this are not evicted. */
-        const val ADAPTER_IDLE_MILLIS = 500L
+        /** Time that the last requests of a drained model take: an answer of 100 tokens or so. */
+        const val DRAIN_MILLIS = 1_000L
 
-        /**
-         * Share of used slots above which a runner counts as busy. Engines process prompts between
-         * the decoding steps of all responses, so responses stall long before the slots are full.
-         */
-        const val BUSY_SLOT_SHARE = 0.2
+        /** Callers for whom a model is loaded before they come. */
+        const val MIN_EXPECTED_CALLERS = 1.0
+
+        /** The time constant of the long-term rate, over which past arrivals predict later ones. */
+        const val EXPECTED_WITHIN_SECONDS = 60.0
     }
 }
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/StoreConcurrency.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/StoreConcurrency.kt
@@ -1,5 +1,6 @@
 package cactusfold.decisions.residency
 
+import kotlin.math.ceil
 import kotlin.math.roundToInt
 
 /**
@@ -8,10 +9,18 @@
  * Beyond the concurrency that the store sustains at full speed, all loads slow down together:
  * throughput stays the same and each load finishes later. A load that was slower than expected
  * gives an estimate of that concurrency. Loads at full speed while the limit was reached raise it
- * by one.
+ * by one. [observe] lowers the limit before a slow load has ended.
+ *
+ * @param initialLimit limit until loads have been timed. A value above what the store sustains
+ *   makes the first loads of a day late; a value below it leaves capacity unused for the time of
+ *   one load for each raise.
  */
-public class StoreConcurrency {
-    private class Running(val sinceMillis: Long, val accumulatedAtStart: Double)
+public class StoreConcurrency(initialLimit: Int = INITIAL_LIMIT) {
+    private class Running(
+        val sinceMillis: Long,
+        val accumulatedAtStart: Double,
+        val fullSpeedMillis: Long?
+    )
 
     private val running = HashMap<String, Running>()
 
@@ -22,13 +31,40 @@
     private var hasSlowed = false
 
     /** Maximum number of concurrent loads. */
-    public var limit: Int = INITIAL_LIMIT
+    public var limit: Int = initialLimit
         private set
 
-    /** Records that [runner] starts a load from the store. */
-    public fun began(runner: String, nowMillis: Long) {
+    /**
+     * Records that [runner] starts a load from the store.
+     *
+     * @param fullSpeedMillis its expected duration at full speed; null if [observe] is not to judge
+     *   the load.
+     */
+    public fun began(runner: String, nowMillis: Long, fullSpeedMillis: Long? = null) {
         accumulate(nowMillis)
-        running[runner] = Running(nowMillis, accumulatedLoadMillis)
+        running[runner] = Running(nowMillis, accumulatedLoadMillis, fullSpeedMillis)
+    }
+
+    /**
+     * Lowers the limit if a load in progress should have ended at full speed. The load shows that
+     * the store sustains fewer loads than have run beside it, but not yet how many fewer.
+     */
+    public fun observe(nowMillis: Long) {
+        accumulate(nowMillis)
+        for (load in running.values) {
+            val fullSpeedMillis = load.fullSpeedMillis?.coerceAtLeast(1) ?: continue
+            val tookMillis = nowMillis - load.sinceMillis
+            val slowdown = tookMillis / fullSpeedMillis.toDouble()
+            if (slowdown <= MIN_SLOWDOWN) continue
+            val concurrency = (accumulatedLoadMillis - load.accumulatedAtStart) / tookMillis
+            val sustainable = minOf(
+                (concurrency / slowdown).roundToInt(),
+                ceil(concurrency - LIMIT_SHORTFALL_LOADS).toInt() - 1
+            )
+            // One load may have stopped for a reason of its own, so it does not lower the limit to
+            // a single load, which only the time of loads that have ended can show.
+            if (sustainable in MIN_OBSERVED until limit) onSlowdown(sustainable, concurrency)
+        }
     }
 
     /** Records that the load on [runner] failed or has an unknown outcome; it is not timed. */
@@ -81,11 +117,13 @@
 
     private companion object {
         /**
-         * Used until loads have been timed. Too high a value only delays loads, at equal
-         * throughput.
+         * Limit until loads have been timed, unless the caller states another.
          */
         const val INITIAL_LIMIT = 4
 
+        /** Lowest limit that a load in progress gives evidence of. */
+        const val MIN_OBSERVED = 2
+
         /** Guard against implausible measurements: one load per runner of a large zone. */
         const val MAX_LIMIT = 64
 
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/WaitingCost.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/WaitingCost.kt
@@ -49,6 +49,26 @@
         (view.longTermArrivalsPerSecond[model] ?: 0.0) * times.fastestLoadMillis(model) /
             MILLIS_PER_SECOND
 
+    /** Whether callers of [model] have come within the last minutes, so that more are expected. */
+    fun hasExpectedCallers(model: String): Boolean =
+        (view.longTermArrivalsPerSecond[model] ?: 0.0) > 0 ||
+            (view.arrivalsPerSecond[model] ?: 0.0) > 0
+
+    /**
+     * Returns the most urgent priority such that at least [callers] of it or of more urgent ones
+     * are expected to arrive while [model] is being loaded, or none.
+     */
+    fun prioritiesDuringLoad(model: String, callers: Double): List<Int> {
+        val perSecond = view.arrivalsByPriority[model].orEmpty()
+        val loadSeconds = times.fastestLoadMillis(model) / MILLIS_PER_SECOND
+        var expected = 0.0
+        for (priority in perSecond.keys.sorted()) {
+            expected += perSecond.getValue(priority) * loadSeconds
+            if (expected >= callers) return listOf(priority)
+        }
+        return emptyList()
+    }
+
     /** Returns the assumed base rate of a model; each of its adapters adds the same rate again. */
     private fun baselinePerSecond(cost: ModelCost): Double =
         BASELINE_ARRIVALS_PER_SECOND * (1 + cost.adapters)
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -35,6 +35,7 @@
 import cactusfold.entry.rate.WorkspaceRateLimiter
 import cactusfold.entry.residency.FleetDemand
 import cactusfold.entry.residency.LoadCoordinator
+import cactusfold.entry.residency.LoadMeters
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.residency.OrderDependencies
 import cactusfold.entry.streams.FleetStreams
@@ -169,7 +170,8 @@
         ) {
             lease.mayAct
         },
-        bounds.loadWindowMillis
+        bounds.loadWindowMillis,
+        LoadMeters(metrics)
     ) { table }
     private val streamTables = StreamTables(store, store, events)
     private val recordedVersions = RecordedVersions(events)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/ModelPatience.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/ModelPatience.kt
@@ -12,7 +12,8 @@
     private val dependencies: RequestFlowDependencies,
     private val request: CallerRequest,
     private val route: ServingRoute,
-    private val deadlineAtMillis: Long
+    private val deadlineAtMillis: Long,
+    private val priority: Int
 ) {
     /**
      * Waits until an upstream that [placement] accepts has [model], while the caller is patient.
@@ -32,7 +33,10 @@
             softwareVersion = placement.softwareVersion,
             targetAtMillis = sinceMillis + route.targetMillis,
             deadlineAtMillis =
-            minOf(deadlineAtMillis, patienceEndsMillis) - FIRST_PIECE_RESERVE_MILLIS
+            minOf(deadlineAtMillis, patienceEndsMillis) - FIRST_PIECE_RESERVE_MILLIS,
+            arrivedAtMillis = sinceMillis,
+            priority = priority,
+            tokens = (request.facts.promptTokens ?: 0) + (request.facts.outputTokens ?: 0)
         )
         return dependencies.waits.await(need).also { log(need, it, startedAtMillis) }
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -46,13 +46,14 @@
         val service = placement.service
         val model = request.facts.model
         dependencies.retries.recordRequest(service)
-        model?.let(dependencies.waits::arrived)
+        val priority = admitted.workspace?.priority ?: route.priority
+        model?.let { dependencies.waits.arrived(it, priority) }
         val suspicion = RequestSuspicion(dependencies, request, admitted.workspace)
         var last: SendEnd? = null
         val selection =
             UpstreamSelection(dependencies, request, route.targetMillis, deadlineAtMillis)
         val versions = VersionWait(dependencies, route.targetMillis, deadlineAtMillis)
-        val patience = ModelPatience(dependencies, request, route, deadlineAtMillis)
+        val patience = ModelPatience(dependencies, request, route, deadlineAtMillis, priority)
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
             val candidates = placement.candidates()
--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -2,8 +2,10 @@
 
 import cactusfold.decisions.residency.ModelArrivals
 import cactusfold.decisions.residency.ModelDemand
+import cactusfold.decisions.residency.PriorityDemand
 import cactusfold.protocol.entry.Demand
 import cactusfold.protocol.entry.MemberReport
+import kotlinx.collections.immutable.toImmutableList
 
 /** Demand and use of models over the fleet, merged from the members' latest reports. */
 public class FleetDemand {
@@ -17,6 +19,9 @@
         reports[report.vm] = ReceivedReport(report, nowMillis)
         for (demand in report.demandsList) {
             if (demand.arrivals > 0) arrivals.arrived(demand.model, demand.arrivals, nowMillis)
+            demand.byPriorityList.filter { it.arrivals > 0 }.forEach {
+                arrivals.arrivedAt(it.priority, demand.model, it.arrivals, nowMillis)
+            }
         }
     }
 
@@ -33,6 +38,10 @@
     public fun longTermArrivalsPerSecond(nowMillis: Long): Map<String, Double> =
         arrivals.longTermPerSecond(nowMillis)
 
+    /** Returns the long-term arrival rates by model and priority, in requests per second. */
+    public fun arrivalsByPriority(nowMillis: Long): Map<String, Map<Int, Double>> =
+        arrivals.longTermByPriority(nowMillis)
+
     /** Returns the waiting requests of all members by model, adapter and software version. */
     public fun demands(nowMillis: Long): List<ModelDemand> = current(nowMillis)
         .flatMap { member ->
@@ -70,13 +79,30 @@
             deadlineAtMillis = group.maxOf { (member, demand) ->
                 member.atMillis + demand.limitInMillis
             },
-            softwareVersion = key.softwareVersion
+            softwareVersion = key.softwareVersion,
+            byPriority = PriorityDemand.mergeAll(group.flatMap(::byPriority)).toImmutableList()
         )
 
+    private fun byPriority(demand: Pair<ReceivedReport, Demand>): List<PriorityDemand> {
+        val (member, sent) = demand
+        return sent.byPriorityList.filter { it.waiting > 0 }.map {
+            PriorityDemand(
+                priority = it.priority,
+                waiting = it.waiting,
+                targetAtMillis = member.atMillis + it.targetInMillis,
+                limitAtMillis = member.atMillis + it.limitInMillis,
+                tokens = it.tokens,
+                ageShare = it.agePermille / PERMILLE
+            )
+        }
+    }
+
     private fun current(nowMillis: Long): List<ReceivedReport> =
         reports.values.filter { nowMillis - it.atMillis < REPORT_VALID_MILLIS }
 
     private companion object {
+        const val PERMILLE = 1_000.0
+
         /** More than three times the longest interval between two reports of a member, 400 ms. */
         const val REPORT_VALID_MILLIS = 1_500L
     }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -31,6 +31,7 @@
     private val demand: FleetDemand,
     private val dependencies: OrderDependencies,
     loadWindowMillis: Long,
+    private val meters: LoadMeters,
     private val table: () -> RouteTable?
 ) {
     /** The last forecast for a model that was sent to the members. */
@@ -38,7 +39,7 @@
 
     private val planner = ResidencyPlanner()
     private val overhead = LoadOverhead()
-    private val storeConcurrency = StoreConcurrency()
+    private val storeConcurrency = StoreConcurrency(INITIAL_STORE_LOADS)
     private val loaders = HashMap<String, RunnerLoader>()
     private val refusals = ModelRefusals()
     private val sentForecasts = HashMap<String, SentForecast>()
@@ -47,6 +48,10 @@
     private val jobs = SupervisorJob()
     private val gate = PlanningGate()
 
+    init {
+        dependencies.onReply = meters::replied
+    }
+
     /** Called with each upstream whose loaded models or adapters changed. */
     public var onHoldingsChanged: (Upstream) -> Unit = {}
 
@@ -65,7 +70,6 @@
     public fun stop() {
         jobs.cancelChildren()
         loaders.clear()
-        refusals.clear()
         loggedAtMillis.clear()
         sentForecasts.clear()
     }
@@ -78,6 +82,7 @@
             return
         }
         val nowMillis = dependencies.clock.nowMillis()
+        observeStore(nowMillis)
         for (service in current.config.services.values) {
             val engine = service.engine ?: continue
             val runners = directory.usable.filter { it.entry.service == service.name }
@@ -85,10 +90,24 @@
             syncOutdated(reachable)
             val known = reachable.count { it.isSynced }
             if (!gate.mayPlan(known, reachable.size, nowMillis)) continue
-            execute(planner.plan(viewOf(engine, reachable, nowMillis), nowMillis), nowMillis)
+            val usesPriorities = current.config.usesPriorities(service.name)
+            val view = viewOf(engine, reachable, usesPriorities, nowMillis)
+            execute(view, planner.plan(view, nowMillis), nowMillis)
         }
     }
 
+    private fun observeStore(nowMillis: Long) {
+        storeConcurrency.observe(nowMillis)
+        val limit = storeConcurrency.limit
+        if (limit == meters.storeLoadLimit) return
+        dependencies.events.write(
+            "store-load-limit",
+            "loads" to limit,
+            "before" to meters.storeLoadLimit
+        )
+        meters.storeLoadLimit = limit
+    }
+
     private fun reachable(runners: List<Upstream>, nowMillis: Long): List<RunnerLoader> {
         val unreachable = demand.unreachable(nowMillis)
         return runners.filter { it.entry.id !in unreachable }.map(::loaderOf)
@@ -101,10 +120,12 @@
     private fun viewOf(
         engine: EngineSpec,
         reachable: List<RunnerLoader>,
+        usesPriorities: Boolean,
         nowMillis: Long
     ): ResidencyView {
         val inFlight = demand.inFlight(nowMillis)
         val known = engine.models.keys
+        val refused = refusals.counts(nowMillis)
         return ResidencyView(
             bounds = boundsOf(engine),
             runners = reachable.map {
@@ -115,14 +136,17 @@
                 )
             },
             demands = demand.demands(nowMillis).filter { it.model in known }
-                .map { it.copy(refusedSinceLoad = refusals.count(it.model)) },
+                .map { it.copy(refusedSinceLoad = refused[it.model] ?: 0) },
             arrivalsPerSecond = demand.arrivalsPerSecond(nowMillis).filterKeys { it in known },
             longTermArrivalsPerSecond = demand.longTermArrivalsPerSecond(nowMillis).filterKeys {
                 it in known
             },
             adapterUsedMillis = adaptersInUse(nowMillis),
             storeLoadsAllowed = storeLoadsAllowed(engine, nowMillis),
-            lastJoinedMillis = directory.lastJoinedMillis
+            lastJoinedMillis = directory.lastJoinedMillis,
+            usesPriorities = usesPriorities,
+            arrivalsByPriority = demand.arrivalsByPriority(nowMillis).filterKeys { it in known },
+            refusals = refused
         )
     }
 
@@ -154,7 +178,7 @@
     private fun storeLoadsAllowed(engine: EngineSpec, nowMillis: Long): Int =
         engine.storeLoadsPerSecond?.let { storeLoads.allowed(it, nowMillis) } ?: Int.MAX_VALUE
 
-    private fun execute(plan: ResidencyPlan, nowMillis: Long) {
+    private fun execute(view: ResidencyView, plan: ResidencyPlan, nowMillis: Long) {
         plan.blocked.forEach { logBlocked(it, nowMillis) }
         plan.tooLate.forEach { refusals.refused(it, nowMillis) }
         for (step in plan.steps) {
@@ -162,7 +186,10 @@
             if (step is ResidencyOrder.Load && step.source == WeightSource.STORE) {
                 storeLoads.began(nowMillis)
             }
-            if (step is ResidencyOrder.Load) refusals.loading(step.model)
+            if (step is ResidencyOrder.Load) {
+                refusals.loading(step.model)
+                logPlanned(step, view)
+            }
             loader.recordStart(step, nowMillis)
             scope.launch(jobs) { loader.execute(step) }
         }
@@ -202,10 +229,28 @@
         return !isCurrent
     }
 
+    private fun logPlanned(load: ResidencyOrder.Load, view: ResidencyView) {
+        val demands = view.demands.filter { it.model == load.model }
+        val waiting = demands.sumOf { it.waiting }
+        meters.planned(load.source, isWaitedFor = waiting > 0)
+        dependencies.events.write(
+            "load-planned",
+            "model" to load.model,
+            "upstream" to load.runner,
+            "source" to load.source.name,
+            "evicted" to load.evicted.joinToString(),
+            "waiting" to waiting,
+            "priorities" to demands.flatMap { it.byPriority }
+                .joinToString { "${it.priority}: ${it.waiting}" },
+            "refused" to (view.refusals[load.model] ?: 0)
+        )
+    }
+
     /** Logs a model that cannot be placed, at a limited rate: planning runs many times a second. */
     private fun logBlocked(blocked: BlockedDemand, nowMillis: Long) {
         if (nowMillis - (loggedAtMillis[blocked] ?: Long.MIN_VALUE / 2) < LOG_PERIOD_MILLIS) return
         loggedAtMillis[blocked] = nowMillis
+        meters.blocked(blocked.obstacle)
         dependencies.events.write(
             "model-not-placed",
             "model" to blocked.model,
@@ -224,6 +269,13 @@
     )
 
     private companion object {
+        /**
+         * Loads from the store at once until some have been timed. Loads of a store that sustains
+         * only these took twice as long at the start of a day with four; one that sustains more
+         * is found out with the first loads that end.
+         */
+        const val INITIAL_STORE_LOADS = 2
+
         /** Minimum interval between two log lines about the same model and obstacle. */
         const val LOG_PERIOD_MILLIS = 1_000L
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
@@ -4,6 +4,7 @@
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.entry.Demand
 import cactusfold.protocol.entry.Forecast
+import cactusfold.protocol.entry.PriorityDemand
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -18,7 +19,7 @@
     }
 
     private val waiting = LinkedHashSet<Waiting>()
-    private val arrivals = HashMap<String, Int>()
+    private val arrivals = HashMap<String, MutableMap<Int, Int>>()
 
     init {
         directory.listen(::release)
@@ -27,9 +28,9 @@
     /** Number of waiting requests. */
     public val count: Int get() = waiting.size
 
-    /** Counts a request for [model]. */
-    public fun arrived(model: String) {
-        arrivals.merge(model, 1, Int::plus)
+    /** Counts a request of [priority] for [model]. */
+    public fun arrived(model: String, priority: Int = 0) {
+        arrivals.getOrPut(model) { HashMap() }.merge(priority, 1, Int::plus)
     }
 
     /** Suspends until an upstream serves [need], but not beyond its deadline. */
@@ -47,13 +48,17 @@
         }
     }
 
-    /** Refuses the waiting requests whose deadline is before the time forecast for their model. */
+    /**
+     * Refuses the waiting requests whose deadline is before the time forecast for their model. One
+     * that is served late is not refused, also if the forecast refuses all that the coordinator
+     * knew: this one may have come since the last report.
+     */
     public fun forecast(forecast: Forecast) {
         val readyAtMillis = clock.nowMillis() + forecast.readyInMillis
         val retryAfterMillis = forecast.readyInMillis.coerceAtLeast(MIN_RETRY_AFTER_MILLIS)
         waiting.filter { it.need.model == forecast.model }
             .filter { it.need.softwareVersion.orEmpty() == forecast.softwareVersion }
-            .filter { forecast.isRefused || it.need.deadlineAtMillis < readyAtMillis }
+            .filter { it.need.deadlineAtMillis < readyAtMillis }
             .forEach { it.result.complete(ModelWait.Refused(retryAfterMillis)) }
     }
 
@@ -68,15 +73,38 @@
                 .setWaiting(group.size)
                 .setTargetInMillis(group.minOf { it.targetAtMillis } - nowMillis)
                 .setLimitInMillis(group.maxOf { it.deadlineAtMillis } - nowMillis)
+                .addAllByPriority(byPriority(group, nowMillis))
                 .build()
         }
-        val counts = arrivals.map { (model, count) ->
-            Demand.newBuilder().setModel(model).setArrivals(count).build()
+        val counts = arrivals.map { (model, byPriority) ->
+            Demand.newBuilder().setModel(model).setArrivals(byPriority.values.sum())
+                .addAllByPriority(
+                    byPriority.map { (priority, count) ->
+                        PriorityDemand.newBuilder().setPriority(priority).setArrivals(count).build()
+                    }
+                ).build()
         }
         arrivals.clear()
         return demands + counts
     }
 
+    private fun byPriority(needs: List<ModelNeed>, nowMillis: Long): List<PriorityDemand> =
+        needs.groupBy { it.priority }.map { (priority, group) ->
+            PriorityDemand.newBuilder().setPriority(priority)
+                .setWaiting(group.size)
+                .setTargetInMillis(group.minOf { it.targetAtMillis } - nowMillis)
+                .setLimitInMillis(group.maxOf { it.deadlineAtMillis } - nowMillis)
+                .setTokens(group.sumOf { it.tokens })
+                .setAgePermille(group.maxOf { agePermille(it, nowMillis) })
+                .build()
+        }
+
+    private fun agePermille(need: ModelNeed, nowMillis: Long): Int {
+        val limitMillis = (need.deadlineAtMillis - need.arrivedAtMillis).coerceAtLeast(1)
+        val waitedMillis = (nowMillis - need.arrivedAtMillis).coerceIn(0, limitMillis)
+        return (waitedMillis * PERMILLE / limitMillis).toInt()
+    }
+
     private fun release() {
         // A request that ends leaves the queue.
         for (request in waiting.toList()) {
@@ -98,6 +126,8 @@
     }
 
     private companion object {
+        const val PERMILLE = 1_000
+
         /** Minimum retry delay sent to a caller whose model will not be ready in time. */
         const val MIN_RETRY_AFTER_MILLIS = 1_000L
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
@@ -35,16 +35,24 @@
     private var isSyncing = false
     private var activeLoad: ResidencyOrder.Load? = null
     private var loadedAtMillis = 0L
-    private var backoffUntilMillis = 0L
+    private val availability = OrderAvailability()
     private var adapterOrders = 0
+    private var lastResult = OrderResult.ACCEPTED
     private var report: RunnerReport? = null
     private var reportedAtMillis = Long.MIN_VALUE / 2
 
     /** Time of last use of each (model, adapter) pair. */
     val adapterUsedMillis = HashMap<Pair<String, String>, Long>()
 
+    /**
+     * Whether the runner may be loading from the store on an order of the previous coordinator. Its
+     * report says that it is busy, but not with what.
+     */
+    private val mayLoadForOthers: Boolean get() = !isSynced && client.isReportedBusy
+
     /** Whether [sync] has to be called before orders can be sent. */
-    val needsSync: Boolean get() = !isSynced && !isSyncing
+    val needsSync: Boolean
+        get() = !isSynced && !isSyncing && availability.maySync(clock.nowMillis())
 
     /** Returns the planner's view of the runner, which accepts [requestsPerSecond] if not null. */
     fun state(
@@ -55,23 +63,33 @@
         inFlight.keys.forEach { lastUsedMillis[it] = nowMillis }
         // The announced state may be as old as one announcement interval and one poll.
         ledger = ledger.said(upstream.adaptersByModel, nowMillis - ANNOUNCEMENT_LAG_MILLIS)
-        val isBackingOff = nowMillis < backoffUntilMillis
+        if (!isSynced) availability.unsynced(nowMillis)
+        val isBackingOff = availability.isBackingOff(nowMillis)
         val fresh = report?.takeIf { nowMillis - reportedAtMillis < ANNOUNCEMENT_LAG_MILLIS }
         return RunnerState(
             id = upstream.entry.id,
-            served = if (isBackingOff) persistentMapOf() else upstream.adaptersByModel,
+            served = if (availability.isSilent(nowMillis)) {
+                persistentMapOf()
+            } else {
+                upstream.adaptersByModel
+            },
             adaptersByModel = ledger.adaptersByModel,
             modelsInHostMemory = fresh?.modelsInHostMemory ?: upstream.entry.modelsInHostMemory,
             modelsOnDisk = fresh?.modelsOnDisk ?: upstream.entry.modelsOnDisk,
             loading = activeLoad?.model,
             loadedAtMillis = loadedAtMillis,
-            loadsFromStore = activeLoad?.source == WeightSource.STORE,
+            loadsFromStore = activeLoad?.source == WeightSource.STORE || mayLoadForOthers,
             isBusy = activeLoad != null || !isSynced || isBackingOff,
             adapterOrders = adapterOrders,
             inFlight = inFlight.toImmutableMap(),
             lastUsedMillis = lastUsedMillis.toImmutableMap(),
             requestsPerSecond = requestsPerSecond,
-            softwareVersion = upstream.entry.softwareVersion
+            softwareVersion = upstream.entry.softwareVersion,
+            freeAtMillis = if (adapterOrders > 0) {
+                nowMillis + ADAPTER_LOAD_MILLIS
+            } else {
+                availability.freeAtMillis(nowMillis)
+            }
         )
     }
 
@@ -86,6 +104,7 @@
             report = current
             reportedAtMillis = askedAtMillis
             isSynced = true
+            availability.synced()
             setHoldings(current.adaptersByModel)
         } finally {
             isSyncing = false
@@ -97,8 +116,6 @@
         when (step) {
             is ResidencyOrder.Load -> {
                 activeLoad = step
-                val isFromStore = step.source == WeightSource.STORE
-                if (isFromStore) storeConcurrency.began(step.runner, nowMillis)
                 loadedAtMillis = nowMillis + step.loadMillis + overhead.millis
             }
             is ResidencyOrder.LoadAdapter -> {
@@ -118,13 +135,15 @@
 
     private suspend fun load(step: ResidencyOrder.Load) {
         val began = clock.nowMillis()
+        var evictedAtMillis = began
         var isLoaded = false
         try {
-            isLoaded = evict(step.evicted) &&
-                order(RunnerOrder.Load(step.model)) &&
+            isLoaded = evict(step.evicted).also { evictedAtMillis = clock.nowMillis() } &&
+                order(RunnerOrder.Load(step.model)).also { if (it) recordStoreLoad(step) } &&
                 awaitModel(step)
-            val tookMillis = clock.nowMillis() - began
-            if (isLoaded) recordDuration(step, tookMillis)
+            val endedAtMillis = clock.nowMillis()
+            if (isLoaded) recordDuration(step, endedAtMillis - evictedAtMillis)
+            val tookMillis = endedAtMillis - began
             dependencies.events.write(
                 if (isLoaded) "model-loaded" else "model-load-failed",
                 "model" to step.model,
@@ -138,10 +157,17 @@
             storeConcurrency.dropped(step.runner, clock.nowMillis())
             activeLoad = null
             lastUsedMillis[step.model] = clock.nowMillis()
-            if (!isLoaded) backOff()
+            if (isLoaded) availability.completed() else backOff()
         }
     }
 
+    /** Conflicts before the runner accepts the order are no slowness of the store. */
+    private fun recordStoreLoad(step: ResidencyOrder.Load) {
+        if (step.source != WeightSource.STORE) return
+        val fullSpeedMillis = step.loadMillis + overhead.millis
+        storeConcurrency.began(step.runner, clock.nowMillis(), fullSpeedMillis)
+    }
+
     private fun recordDuration(step: ResidencyOrder.Load, tookMillis: Long) {
         if (step.source == WeightSource.STORE) {
             val fullSpeedMillis = step.loadMillis + overhead.millis
@@ -202,7 +228,7 @@
             setAdapters(step.model) { it + step.adapter }
         } finally {
             adapterOrders--
-            if (!isLoaded) backOff()
+            if (isLoaded) availability.completed() else backOff()
         }
     }
 
@@ -225,6 +251,7 @@
         }
         val result = client.send(order)
         if (result == OrderResult.OUT_OF_SYNC) isSynced = false
+        lastResult = result
         if (result != OrderResult.ACCEPTED) return false
         val after = clock.nowMillis()
         ledger = when (order) {
@@ -237,7 +264,7 @@
     }
 
     private fun backOff() {
-        backoffUntilMillis = clock.nowMillis() + BACKOFF_MILLIS
+        availability.failed(clock.nowMillis(), lastResult)
     }
 
     private fun setAdapters(model: String, change: (Set<String>) -> Set<String>) {
@@ -274,8 +301,5 @@
         /** Maximum age of a report on arrival, by the engines' contract. */
         const val REPORT_LAG_MILLIS = 800L
         const val SYNC_RETRY_MILLIS = 200L
-
-        /** How long a runner gets no further orders after it failed to execute one. */
-        const val BACKOFF_MILLIS = 1_000L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
@@ -28,7 +28,10 @@
     public val events: EventLog,
     public val authority: () -> OrderAuthority,
     public val mayOrder: () -> Boolean
-)
+) {
+    /** Called with the reply to each order that was sent. */
+    public var onReply: (OrderReply) -> Unit = {}
+}
 
 /** Result of sending an order. */
 public enum class OrderResult {
@@ -58,12 +61,18 @@
     private val mutex = Mutex()
     private var acceptedOrderCount: Long? = null
 
+    /** Whether the runner was executing an order when [sync] last read its report. */
+    public var isReportedBusy: Boolean = false
+        private set
+
     /**
      * Reads what the runner has loaded and its count of accepted orders. Returns null if the runner
      * does not answer, or is still executing orders and so about to change its state.
      */
     public suspend fun sync(): RunnerReport? {
-        val report = report()?.takeIf { !it.isBusy && it.pendingAdapterLoads == 0 } ?: return null
+        val latest = report()
+        isReportedBusy = latest?.isBusy == true
+        val report = latest?.takeIf { !it.isBusy && it.pendingAdapterLoads == 0 } ?: return null
         acceptedOrderCount = report.acceptedOrderCount
         return report
     }
@@ -91,6 +100,7 @@
                 "expected" to expected,
                 "reply" to reply.toString()
             )
+            dependencies.onReply(reply)
             when (reply) {
                 OrderReply.Accepted -> return acknowledged(expected + 1)
                 OrderReply.AlreadySo -> return acknowledged(afterAlreadySo(order, expected))
@@ -100,24 +110,34 @@
                     delay(UNANSWERED_RETRY_MILLIS)
                 }
                 OrderReply.Conflict -> {
-                    delay(CONFLICT_RETRY_MILLIS)
+                    delay(conflictPauseMillis(conflicts))
                     if (++conflicts % CONFLICTS_BEFORE_REPORT != 0) continue
                     val report = report() ?: continue
-                    if (report.acceptedOrderCount == expected) continue
+                    val newer = report.acceptedOrderCount - expected
+                    if (newer == 0L) continue
                     // Only the order whose reply was lost has been accepted since.
-                    if (isUnanswered && report.acceptedOrderCount == expected + 1) {
-                        return acknowledged(report.acceptedOrderCount)
-                    }
-                    if (conflicts < CONFLICTS_BEFORE_OUT_OF_SYNC) continue
+                    if (isUnanswered && newer == 1L) return acknowledged(report.acceptedOrderCount)
+                    // A runner's count never falls, so a higher one can't become the expected one;
+                    // a lower one may be that of an old report or of a runner that has restarted.
+                    if (newer < 0 && conflicts < CONFLICTS_BEFORE_OUT_OF_SYNC) continue
                     acceptedOrderCount = null
                     return OrderResult.OUT_OF_SYNC
                 }
             }
         }
         acceptedOrderCount = null
-        return OrderResult.NOT_ACCEPTED
+        return if (dependencies.mayOrder()) OrderResult.OUT_OF_SYNC else OrderResult.NOT_ACCEPTED
     }
 
+    /**
+     * Returns the pause after a conflict that [earlier] ones preceded. A runner that is still
+     * unloading a model refuses the load that follows, until the model's last requests have ended;
+     * the pauses grow, so that a long unload doesn't cost an order every few milliseconds.
+     */
+    private fun conflictPauseMillis(earlier: Int): Long =
+        (CONFLICT_RETRY_MILLIS shl (earlier / CONFLICTS_PER_PAUSE))
+            .coerceAtMost(MAX_CONFLICT_RETRY_MILLIS)
+
     /** Returns the runner's report, or null if it does not answer. */
     public suspend fun report(): RunnerReport? {
         dependencies.onRequest(upstream)
@@ -142,6 +162,10 @@
         /** An unanswered order takes effect within 12 s, if at all, by the engines' contract. */
         const val ORDER_TIMEOUT_MILLIS = 14_000L
         const val CONFLICT_RETRY_MILLIS = 60L
+        const val MAX_CONFLICT_RETRY_MILLIS = 240L
+
+        /** Conflicts after which the pause doubles. */
+        const val CONFLICTS_PER_PAUSE = 2
         const val UNANSWERED_RETRY_MILLIS = 300L
         const val CONFLICTS_BEFORE_REPORT = 4
 
