Tests of loads where priorities differ; the fleet model has patterns of reports at once

Cause: the decisions on loads by priority, evictions, preloads, adapters' memory and loads in progress had no tests of their own.

Change: tests without network; patterns reports-at-once (stores of 2, 3 and 4 loads) and reports-new-coordinator with policy equal-priorities for comparison.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/EvictionChoice.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/EvictionChoice.kt
@@ -5,7 +5,8 @@
  *
  * Eviction minimizes the expected waiting time. Where priorities differ, four groups go one after
  * the other: models with spare replicas, models without expected callers, models of which a copy
- * stays on a disk or in host memory, and models that would be left in the weight store only.
+ * stays on a disk or in host memory and that nobody is expected to ask for while it is loaded, and
+ * the others, such as those that would be left in the weight store only.
  *
  * @param replicas number of runners that have each model, including the orders planned so far.
  * @param wanted models that requests wait for; they are not evicted.
@@ -67,6 +68,8 @@
         !view.usesPriorities -> 0
         hasSpareReplica(model) -> 0
         !waitingCost.hasExpectedCallers(model) -> 1
+        // Callers would wait for certain, so the waiting time decides, as for a last copy.
+        waitingCost.callersDuringLoad(model) >= 1 -> 3
         (replicas[model] ?: 1) > 1 || times.hasLocalCopy(model) -> 2
         else -> 3
     }
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadOrder.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadOrder.kt
@@ -1,7 +1,5 @@
 package cactusfold.decisions.residency
 
-import kotlin.math.floor
-
 /**
  * Order in which models that requests wait for are loaded.
  *
@@ -10,8 +8,8 @@
  *    callers;
  * 2. whether the weights are on a disk or in host memory, since such a load takes no capacity of
  *    the weight store and is done soonest;
- * 3. the priority of the most urgent caller that it serves, which rises with the share of the time
- *    limit that the caller has waited, so that patient requests are not overtaken for ever;
+ * 3. the priority of the most urgent caller that it serves, where a caller who has waited a certain
+ *    share of the time limit counts as most urgent, so that patient ones are not overtaken for ever;
  * 4. benefit per load time.
  */
 internal class LoadOrder(
@@ -66,7 +64,7 @@
     }
 
     private fun levelOf(demand: PriorityDemand): Int =
-        floor(demand.priority - LEVELS_PER_LIMIT * demand.ageShare).toInt()
+        if (demand.ageShare >= AGED_SHARE) 0 else demand.priority
 
     private fun readyAtMillis(demand: ModelDemand): Long =
         nowMillis + times.fastestLoadMillis(demand.model) + view.bounds.overheadMillis
@@ -80,12 +78,10 @@
          */
         const val MIN_LATER_CALLERS = 2.0
 
-        /** Levels that a request gains while it waits for the whole of its time limit. */
-        const val LEVELS_PER_LIMIT = 4.0
-
         /**
-         * Share of the limit after which a request that will be late goes with those that can be in
-         * time. A store load of a third of the limit can then still wait for one to end.
+         * Share of the limit after which a request has the level of the most urgent ones, and goes
+         * with those that can be in time even if it will be late. A load of a third of the limit
+         * can then still wait for most of another one.
          */
         const val AGED_SHARE = 0.4
     }
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/WaitingCost.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/WaitingCost.kt
@@ -54,6 +54,12 @@
         (view.longTermArrivalsPerSecond[model] ?: 0.0) > 0 ||
             (view.arrivalsPerSecond[model] ?: 0.0) > 0
 
+    /** Returns the callers of [model] during a load, by its recent or its long-term arrivals. */
+    fun callersDuringLoad(model: String): Double = maxOf(
+        view.arrivalsPerSecond[model] ?: 0.0,
+        view.longTermArrivalsPerSecond[model] ?: 0.0
+    ) * times.fastestLoadMillis(model) / MILLIS_PER_SECOND
+
     /**
      * Returns the most urgent priority such that at least [callers] of it or of more urgent ones
      * are expected to arrive while [model] is being loaded, or none.
--- a/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
@@ -1,11 +1,13 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.residency.PriorityDemand
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.upstream.NoFeed
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamPolling
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.entry.Forecast
+import cactusfold.protocol.entry.MemberReport
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlinx.coroutines.async
@@ -47,6 +49,37 @@
         late.cancel()
     }
 
+    // Guards against a caller who is refused although served late: it came after the last report.
+    @Test
+    fun `a refusing forecast keeps a request that the model is in time for`() = runBlocking {
+        val early = async { queue.await(need("m", deadlineAtMillis = 14_000)) }
+        val late = async { queue.await(need("m", deadlineAtMillis = 26_000)) }
+        yield()
+        queue.forecast(forecast(readyInMillis = 9_300).toBuilder().setIsRefused(true).build())
+        early.await()
+        assertFalse(late.isCompleted)
+        late.cancel()
+    }
+
+    // Guards against priorities or ages that get lost between a member and the planner.
+    @Test
+    fun `demand is stated and merged by priority`() = runBlocking {
+        val requests = listOf(0 to 12_000L, 2 to 30_000L, 2 to 40_000L).map { (priority, limit) ->
+            val need = need("m", limit).copy(arrivedAtMillis = 0, priority = priority, tokens = 5)
+            async { queue.await(need) }
+        }
+        yield()
+        queue.arrived("m", priority = 2)
+        val demand = FleetDemand()
+        val report = MemberReport.newBuilder().addAllDemands(queue.takeDemands())
+        listOf("vm1", "vm2").forEach { demand.record(report.setVm(it).build(), 10_000) }
+        val (tips, reports) = demand.demands(10_000).single().byPriority
+        assertEquals(listOf(0, 2, 12_000L), listOf(tips.priority, tips.waiting, tips.limitAtMillis))
+        assertEquals(PriorityDemand(2, 4, 10_000, 40_000, 20, 0.333), reports)
+        assertEquals(setOf(2), demand.arrivalsByPriority(10_000).getValue("m").keys)
+        requests.forEach { it.cancel() }
+    }
+
     @Test
     fun `a forecast for another model does not end the wait`() = runBlocking {
         val waiting = async { queue.await(need("n", deadlineAtMillis = 14_000)) }
--- a/entry/src/test/kotlin/cactusfold/entry/residency/RunnerOrderClientTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/RunnerOrderClientTest.kt
@@ -137,5 +137,14 @@
             assertEquals(OrderResult.OUT_OF_SYNC, client.send(RunnerOrder.Load("a")))
             assertEquals(3, runner.accepted)
         }
+
+        // Guards against orders that are sent again and again with a count that is out of date.
+        @Test
+        fun `a higher count ends the attempts with the first report`() = runBlocking {
+            client.sync()
+            runner.accepted = 1
+            assertEquals(OrderResult.OUT_OF_SYNC, client.send(RunnerOrder.Load("a")))
+            assertEquals(4, runner.sent.size)
+        }
     }
 }
--- a/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/FleetSpec.kt
+++ b/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/FleetSpec.kt
@@ -11,6 +11,7 @@
  * @property firstChunkTimeoutMillis how long a caller waits for the first chunk of one attempt.
  * @property chunks number of streamed chunks of a complete response.
  * @property isRetryable whether an aborted request may run again on another runner.
+ * @property priority 0 is the most urgent.
  */
 public data class RequestClass(
     public val name: String,
@@ -20,7 +21,8 @@
     public val firstChunkTimeoutMillis: Long,
     public val promptTokens: Int = 1_100,
     public val chunks: Int = 57,
-    public val isRetryable: Boolean = true
+    public val isRetryable: Boolean = true,
+    public val priority: Int = 0
 )
 
 /**
@@ -66,11 +68,16 @@
     }
 }
 
-/** Simulated fleet, its load and the duration of arrivals. */
+/**
+ * Simulated fleet, its load and the duration of arrivals.
+ *
+ * @property cachedShare share of the models that a disk has at the start.
+ */
 public data class FleetSpec(
     public val engine: EngineModel,
     public val classes: List<RequestClass>,
-    public val durationMillis: Long = 60_000
+    public val durationMillis: Long = 60_000,
+    public val cachedShare: Double = 1.0
 ) {
     /** Models of all request classes, by descending request rate per model. */
     public val models: List<String> get() = classes.sortedByDescending {
@@ -90,6 +97,9 @@
 
     /** How long requests arrive. */
     public var durationMillis: Long = 60_000
+
+    /** Share of the models that a disk has at the start. */
+    public var cachedShare: Double = 1.0
     private val classes = mutableListOf<RequestClass>()
 
     /** Adds a class of [perSecond] requests per second for [models]. */
@@ -99,7 +109,8 @@
         models: List<String>,
         targetMillis: Long,
         firstChunkTimeoutMillis: Long = TIMEOUT_TARGET_RATIO * targetMillis,
-        isRetryable: Boolean = true
+        isRetryable: Boolean = true,
+        priority: Int = 0
     ) {
         classes += RequestClass(
             name,
@@ -107,11 +118,12 @@
             models,
             targetMillis,
             firstChunkTimeoutMillis,
-            isRetryable = isRetryable
+            isRetryable = isRetryable,
+            priority = priority
         )
     }
 
-    internal fun toSpec(): FleetSpec = FleetSpec(engine, classes.toList(), durationMillis)
+    internal fun toSpec(): FleetSpec = FleetSpec(engine, classes.toList(), durationMillis, cachedShare)
 
     private companion object {
         /** The contract with callers: they give up on a stream after four times the target. */
--- a/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Pattern.kt
+++ b/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Pattern.kt
@@ -30,6 +30,9 @@
         public val forMillis: Long
     ) : PatternEvent
 
+    /** A new coordinator knows neither arrivals and refusals nor what the store sustains. */
+    public data object CoordinatorChange : PatternEvent
+
     /** For [forMillis], refused callers of class [className] retry immediately, [retries] times. */
     public data class RetryStorm(
         public val className: String,
@@ -43,12 +46,14 @@
  *
  * @property startsEmpty whether runners start without loaded or cached models.
  * @property events events with their time in milliseconds since the start.
+ * @property fleet the fleet that the pattern runs on.
  */
 public class Pattern(
     public val name: String,
     public val summary: String,
     public val startsEmpty: Boolean = false,
-    public val events: List<Pair<Long, PatternEvent>>
+    public val events: List<Pair<Long, PatternEvent>>,
+    public val fleet: FleetSpec = Patterns.fleet
 )
 
 /** Patterns of `bin/experiment` and the fleet that they run on. */
@@ -108,11 +113,50 @@
             "a quarter of the runners is eight times slower",
             15_000L to PatternEvent.Slowdown(0.25, factor = 8.0, forMillis = 15_000)
         ),
+        reports("reports-at-once", storeLoads = 2),
+        reports("reports-at-once-3", storeLoads = 3),
+        reports("reports-at-once-4", storeLoads = 4),
+        reports(
+            "reports-new-coordinator",
+            storeLoads = 2,
+            20_000L to PatternEvent.CoordinatorChange
+        ),
         Pattern("cold-start", "all runners start without models", startsEmpty = true, emptyList())
     )
 
     public fun find(name: String): Pattern? = all.find { it.name == name }
 
+    /**
+     * A third of the colour advisory's fleet, where tips are urgent and reports patient. Most places
+     * have models in use. A fifth of the models of reports are only in the store, and reports come
+     * three times as often for 30 s.
+     */
+    private fun reports(
+        name: String,
+        storeLoads: Int,
+        vararg events: Pair<Long, PatternEvent>
+    ): Pattern = Pattern(
+        name,
+        "three times the reports, a store of $storeLoads loads, other events: ${events.size}",
+        startsEmpty = false,
+        listOf(10_000L to PatternEvent.Burst("reports", 3.0, 30_000)) + events,
+        reportsFleet(storeLoads)
+    )
+
+    private fun reportsFleet(storeLoads: Int): FleetSpec = fleet {
+        engine = EngineModel(
+            runners = 21,
+            slots = 24,
+            maxModelsOnDisk = 17,
+            storeFullSpeedLoads = storeLoads,
+            storeLoadMillis = 11_000,
+            memoryLoadMillis = 800
+        )
+        cachedShare = 0.8
+        callers("tips", 60.0, (1..45).map { "t$it" }, 800, 8_000, priority = 0)
+        callers("reports", 1.0, (1..152).map { "r$it" }, 8_000, 32_000, priority = 2)
+    }
+
     private fun pattern(
         name: String,
         summary: String,
--- a/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Policy.kt
+++ b/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Policy.kt
@@ -6,10 +6,15 @@
 import cactusfold.decisions.residency.ResidencyView
 import cactusfold.decisions.residency.RunnerState
 
-/** Policy that plans which models runners load and evict. */
+/**
+ * Policy that plans which models runners load and evict.
+ *
+ * @property firstStoreLoads concurrent loads from the weight store until some have been timed.
+ */
 public class Policy(
     public val name: String,
     public val summary: String,
+    public val firstStoreLoads: Int = 2,
     private val plan: (ResidencyView, Long) -> ResidencyPlan
 ) {
     /** Returns the plan for [view] at [nowMillis]. */
@@ -19,7 +24,7 @@
     public companion object {
         /** Planner used in production. */
         public val PRODUCT: Policy =
-            Policy("product", "the production planner", ResidencyPlanner()::plan)
+            Policy("product", "the production planner", plan = ResidencyPlanner()::plan)
 
         /** Production planner without the long-term rates and refusals that predict callers. */
         public val ONLY_WAITING: Policy = Policy(
@@ -37,10 +42,19 @@
         public val OLDEST_OUT: Policy = Policy(
             "oldest-out",
             "loads in order of arrival, evicts the least recently used model",
-            ::oldestOut
+            plan = ::oldestOut
         )
 
-        public val all: List<Policy> = listOf(PRODUCT, ONLY_WAITING, OLDEST_OUT)
+        /** Production planner that takes all callers for equally urgent, with four first loads. */
+        public val EQUAL_PRIORITIES: Policy = Policy(
+            "equal-priorities",
+            "the production planner without priorities, with four first loads from the store",
+            firstStoreLoads = 4
+        ) { view, nowMillis ->
+            ResidencyPlanner().plan(view.copy(usesPriorities = false), nowMillis)
+        }
+
+        public val all: List<Policy> = listOf(PRODUCT, ONLY_WAITING, OLDEST_OUT, EQUAL_PRIORITIES)
     }
 }
 
--- a/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Simulation.kt
+++ b/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/Simulation.kt
@@ -3,6 +3,7 @@
 import cactusfold.decisions.residency.ModelArrivals
 import cactusfold.decisions.residency.ModelDemand
 import cactusfold.decisions.residency.ModelRefusals
+import cactusfold.decisions.residency.PriorityDemand
 import cactusfold.decisions.residency.ResidencyOrder
 import cactusfold.decisions.residency.ResidencyPlan
 import cactusfold.decisions.residency.ResidencyView
@@ -14,6 +15,7 @@
 import kotlin.math.ln
 import kotlin.math.roundToInt
 import kotlin.random.Random
+import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toImmutableMap
 
 /** A caller's request with all its attempts, which include the caller's retries. */
@@ -44,15 +46,16 @@
     private val random = Random(seed)
     private val queue = EventQueue()
     private val store = WeightStoreModel(queue, engine.storeFullSpeedLoads)
-    private val concurrency = StoreConcurrency()
+    private var concurrency = StoreConcurrency(policy.firstStoreLoads)
     private val choice = ReplicaChoice(zoneCrossingMillis = 0.0, affinityLoadGap = 0.0)
     private val runners = List(engine.runners) {
         RunnerModel("r$it", engine, queue)
     }.toMutableList()
     private val outcomes = spec.classes.associate { it.name to RequestClassOutcome(it.name) }
     private val waiting = LinkedHashSet<SimulatedRequest>()
-    private val arrivals = ModelArrivals()
-    private val refusals = ModelRefusals()
+    private var arrivals = ModelArrivals()
+    private var refusals = ModelRefusals()
+    private val usesPriorities = spec.classes.distinctBy { it.priority }.size > 1
     private val storeLoads = StoreLoadWindow(WINDOW_MILLIS)
     private val loadsBySource = sortedMapOf<String, Int>()
     private val responsesByModel = sortedMapOf<String, Int>()
@@ -103,7 +106,8 @@
                 runner.addModel(rare.next())
             }
         }
-        rest.forEachIndexed { i, model -> runners[i % runners.size].modelsOnDisk += model }
+        rest.take((rest.size * spec.cachedShare).roundToInt())
+            .forEachIndexed { i, model -> runners[i % runners.size].modelsOnDisk += model }
     }
 
     private fun scheduleArrival(requestClass: RequestClass) {
@@ -130,6 +134,7 @@
         request.attemptAtMillis = queue.nowMillis
         val nowMillis = queue.nowMillis.toLong()
         arrivals.arrived(request.model, 1, nowMillis)
+        arrivals.arrivedAt(request.kind.priority, request.model, 1, nowMillis)
         val attempt = request.attempts
         queue.after(request.kind.firstChunkTimeoutMillis.toDouble()) {
             if (!request.hasEnded && request.attempts == attempt && request in waiting) {
@@ -218,6 +223,7 @@
     private fun planAndRoute() {
         val nowMillis = queue.nowMillis.toLong()
         val up = runners.filter { it.isUp }
+        concurrency.observe(nowMillis)
         if (up.isNotEmpty()) execute(policy.plan(view(up, nowMillis), nowMillis))
         waiting.toList().forEach(::route)
         if (queue.nowMillis < spec.durationMillis) queue.after(STEP_MILLIS) { planAndRoute() }
@@ -238,7 +244,10 @@
         longTermArrivalsPerSecond = arrivals.longTermPerSecond(nowMillis),
         adapterUsedMillis = emptyMap(),
         storeLoadsAllowed = storeLoads.allowed(engine.storeLoadsPerSecond, nowMillis),
-        lastJoinedMillis = Long.MIN_VALUE / 2
+        lastJoinedMillis = Long.MIN_VALUE / 2,
+        usesPriorities = usesPriorities,
+        arrivalsByPriority = arrivals.longTermByPriority(nowMillis),
+        refusals = refusals.counts(nowMillis)
     )
 
     private fun demand(model: String, requests: List<SimulatedRequest>): ModelDemand = ModelDemand(
@@ -249,7 +258,17 @@
             it.arrivedAtMillis + it.kind.targetMillis
         }.toLong(),
         deadlineAtMillis = requests.maxOf(::attemptDeadlineMillis).toLong(),
-        refusedSinceLoad = refusals.count(model)
+        refusedSinceLoad = refusals.count(model),
+        byPriority = PriorityDemand.mergeAll(requests.map(::priorityOf)).toImmutableList()
+    )
+
+    private fun priorityOf(request: SimulatedRequest): PriorityDemand = PriorityDemand(
+        request.kind.priority,
+        waiting = 1,
+        targetAtMillis = (request.arrivedAtMillis + request.kind.targetMillis).toLong(),
+        limitAtMillis = attemptDeadlineMillis(request).toLong(),
+        ageShare = (queue.nowMillis - request.attemptAtMillis) /
+            request.kind.firstChunkTimeoutMillis
     )
 
     private fun attemptDeadlineMillis(request: SimulatedRequest): Double =
@@ -272,7 +291,11 @@
         val isFromStore = load.source == WeightSource.STORE
         if (isFromStore) {
             storeLoads.began(queue.nowMillis.toLong())
-            concurrency.began(runner.id, queue.nowMillis.toLong())
+            concurrency.began(
+                runner.id,
+                queue.nowMillis.toLong(),
+                load.loadMillis + engine.reportLagMillis
+            )
         }
         runner.load(load, store) {
             if (isFromStore) {
@@ -299,6 +322,11 @@
                 runner.slowdownFactor = event.factor
                 queue.after(event.forMillis.toDouble()) { runner.slowdownFactor = 1.0 }
             }
+            PatternEvent.CoordinatorChange -> {
+                concurrency = StoreConcurrency(policy.firstStoreLoads)
+                arrivals = ModelArrivals()
+                refusals = ModelRefusals()
+            }
             is PatternEvent.RetryStorm -> {
                 stormRetries[event.className] = event.retries
                 queue.after(event.forMillis.toDouble()) { stormRetries.remove(event.className) }
--- a/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/command/ExperimentMain.kt
+++ b/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/command/ExperimentMain.kt
@@ -87,7 +87,7 @@
 
     private fun simulate(pattern: Pattern, policy: Policy): List<Outcome> = List(seeds) { run ->
         System.err.print("\r%-20s %-14s %d of %d".format(pattern.name, policy.name, run + 1, seeds))
-        Simulation(Patterns.fleet, pattern, policy, seed + run).run()
+        Simulation(pattern.fleet, pattern, policy, seed + run).run()
     }.also { System.err.println() }
 
     private fun rows(pattern: Pattern, policy: Policy, runs: List<Outcome>): List<String> =
