Upstreams' rows are passed on in notices; only urgent news wakes members

Cause: each member read the table of upstreams at each change of the fleet (up to twice a second), and each change of any runner's holdings woke every session, so notices grew with members x changes.

Change: the coordinator passes changed rows on, numbered under its fence and encoded once for all sessions; a member that is passed rows reads none. A read begun after the end of a registration is proven by the sending of the last report and the age of the coordinator's read. News is urgent for the members that it concerns and else sent with the heartbeat of 400 ms. Polls of 50, 100 and 200 ms in the fleet, the configuration and the upstreams became events or deadlines. The lease row is read at a pace by the size of the fleet. Recorded versions are read only where a service has streams that may be resumed. Calls to the store, notices and reports are counted.

ConfigWatcherTest waits for the deadline of a confirmation, or names the event, where it relied on a poll of 200 ms.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry
 
+import cactusfold.decisions.fleet.ReadPace
 import cactusfold.decisions.holding.CoordinatorLeaseMachine
 import cactusfold.decisions.holding.CoordinatorLeaseSettings
 import cactusfold.decisions.rate.UpstreamStart
@@ -20,12 +21,15 @@
 import cactusfold.entry.fleet.CoordinatorLeaseManager
 import cactusfold.entry.fleet.CoordinatorPace
 import cactusfold.entry.fleet.FleetCoordinator
+import cactusfold.entry.fleet.FleetMeters
 import cactusfold.entry.fleet.MemberMessages
 import cactusfold.entry.fleet.MemberRegistration
+import cactusfold.entry.process.CountingStore
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.process.MemoryShares
 import cactusfold.entry.process.ShutdownBudget
 import cactusfold.entry.process.StatusServer
+import cactusfold.entry.process.StoreCallReason
 import cactusfold.entry.process.TaskSupervisor
 import cactusfold.entry.rate.FleetLimits
 import cactusfold.entry.rate.FleetTokenBuckets
@@ -97,15 +101,19 @@
     private val peerAddress = HostPort(settings.address, settings.peerPort)
 
     private val memory = MemoryShares.ofProcess()
-    private val store = HttpTableStore(
-        PlatformHttp(
-            vertx,
-            HttpTarget(settings.store.host, settings.store.port),
-            STORE_TIMEOUT_MILLIS,
-            closesOnTimeout = true,
-            bodies =
-            BodyCollector(HttpTableStore.MAX_ANSWER_BYTES, ByteBudget(memory.storeBytes))
-        )
+    private val store = CountingStore(
+        HttpTableStore(
+            PlatformHttp(
+                vertx,
+                HttpTarget(settings.store.host, settings.store.port),
+                STORE_TIMEOUT_MILLIS,
+                closesOnTimeout = true,
+                bodies =
+                BodyCollector(HttpTableStore.MAX_ANSWER_BYTES, ByteBudget(memory.storeBytes))
+            )
+        ),
+        metrics,
+        ::storeCallReason
     )
     private val orders = HttpRunnerApi(
         vertx,
@@ -138,8 +146,10 @@
         StoredHold.newBuilder().setVm(settings.vm).setBoot(incarnation)
             .setAddress(peerAddress.toString()).build(),
         LEASE_RENEW_INTERVAL_MILLIS,
-        CoordinatorPace.takeoverDelayMillis(settings.cores)
-    ) { coordinatorClient.isConnected }
+        CoordinatorPace.takeoverDelayMillis(settings.cores),
+        ::leaseReadMillis
+    ) { coordinatorClient.connectedUntilMillis }
+    private val fleetMeters = FleetMeters(metrics)
     private val meters = CallerMeters(metrics)
     private val limits = UpstreamLimits(
         clock,
@@ -207,7 +217,8 @@
                 promptBlocks,
                 fleetStreams,
                 clock,
-                events
+                events,
+                fleetMeters
             ),
             store,
             dispatcher
@@ -222,9 +233,11 @@
             messages::report,
             ::reportAll,
             ::handleNotice,
-            config::confirmed
+            config::confirmed,
+            fleetMeters
         ).also {
             it.localCoordinator = coordinator
+            lease.onCoordinatorChanged = ::handleCoordinatorChange
         }
     private val rateLimiter: WorkspaceRateLimiter =
         WorkspaceRateLimiter(settings.vm, incarnation, clock, { coordinatorClient.memberCount }) {
@@ -293,7 +306,7 @@
     /** Starts the process. Callers' requests are accepted once the configuration has been read. */
     public suspend fun start() {
         events.write("process-start", "zone" to settings.zone, "peer" to peerAddress.toString())
-        coordinator.onLocalNotice = ::handleNotice
+        coordinator.onLocalNotice = { handleNotice(it, null) }
         directory.listen(coordinator::announceLeaving)
         registerGauges()
         tasks.keepRunning("configuration") { config.run() }
@@ -303,7 +316,10 @@
         tasks.keepRunning("coordinator") { coordinator.run() }
         tasks.keepRunning("streams") { fleetStreams.run() }
         tasks.keepRunning("versions") {
-            recordedVersions.follow(streamTables::readRecords) { coordinatorClient.isConnected }
+            recordedVersions.follow(
+                streamTables::readRecords,
+                { resumableServices().names.isNotEmpty() }
+            ) { coordinatorClient.isConnected }
         }
         tasks.keepRunning("link") { coordinatorClient.run() }
         tasks.complete("registration") {
@@ -392,9 +408,32 @@
 
     private fun upstreamPolling(): UpstreamPolling = when {
         lease.isCoordinator -> UpstreamPolling.Coordinator
+        coordinatorClient.isConnected && directory.relayedUntilMillis > clock.nowMillis() ->
+            UpstreamPolling.Following(
+                minOf(directory.relayedUntilMillis, coordinatorClient.connectedUntilMillis)
+            )
         coordinatorClient.isConnected && config.isConfirmedRecently(clock.nowMillis()) ->
-            UpstreamPolling.Member
-        else -> UpstreamPolling.Detached
+            UpstreamPolling.Member(
+                minOf(config.confirmedUntilMillis, coordinatorClient.connectedUntilMillis)
+            )
+        else -> UpstreamPolling.Detached(coordinatorClient.memberCount)
+    }
+
+    private fun storeCallReason(): StoreCallReason = when {
+        lease.isCoordinator -> StoreCallReason.COORDINATOR
+        coordinatorClient.isConnected -> StoreCallReason.MEMBER
+        else -> StoreCallReason.NO_CONTACT
+    }
+
+    private fun leaseReadMillis(): Long = ReadPace.leaseMillis(
+        coordinatorClient.place.memberCount,
+        coordinatorClient.place.position,
+        settings.cores
+    )
+
+    private fun handleCoordinatorChange() {
+        coordinatorClient.leaseChanged()
+        config.roleChanged()
     }
 
     private fun unreadyReason(): String? = when {
@@ -405,8 +444,8 @@
         else -> null
     }
 
-    private fun handleNotice(notice: FleetNotice) {
-        messages.apply(notice)
+    private fun handleNotice(notice: FleetNotice, reportedAtMillis: Long?) {
+        messages.apply(notice, reportedAtMillis)
         if (notice.versionsList.any { it.needsReports }) coordinatorClient.wake()
         rateLimiter.heard()
         sendLimiter.heard()
--- a/entry/src/main/kotlin/cactusfold/entry/config/ConfigWatcher.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/config/ConfigWatcher.kt
@@ -55,6 +55,10 @@
     public fun isConfirmedRecently(nowMillis: Long): Boolean =
         (ageMillis(nowMillis) ?: Long.MAX_VALUE) < maxRelayedAgeMillis
 
+    /** Until when [isConfirmedRecently] holds without another confirmation. */
+    public val confirmedUntilMillis: Long
+        get() = (confirmedAtMillis ?: (Long.MIN_VALUE / 2)) + maxRelayedAgeMillis
+
     /** Version and age of the configuration in force, to be announced to other processes. */
     public fun confirmation(nowMillis: Long): ConfigConfirmation? {
         val version = current?.version ?: return null
@@ -76,6 +80,11 @@
         }
     }
 
+    /** Has the store read if this process has lost its coordinator or has become one. */
+    public fun roleChanged() {
+        wake.trySend(Unit)
+    }
+
     /** Follows the configuration until cancelled. */
     public suspend fun run() {
         var position: Long? = null
@@ -124,8 +133,9 @@
         var hasWaited = false
         while (isMember() && isConfirmedRecently(clock.nowMillis())) {
             hasWaited = true
-            // The contact to the coordinator may be lost meanwhile.
-            if (withTimeoutOrNull(MEMBER_CHECK_MILLIS) { wake.receive() } != null) return true
+            val leftMillis = confirmedUntilMillis - clock.nowMillis()
+            withTimeoutOrNull(leftMillis) { wake.receive() }
+            if (announcedVersion > (current?.version ?: announcedVersion)) return true
         }
         return hasWaited
     }
@@ -167,7 +177,6 @@
          * A coordinator may have lost the store, while changes come in force elsewhere.
          */
         const val MAX_RELAYED_AGE_SHARE = 0.3
-        const val MEMBER_CHECK_MILLIS = 200L
         const val MISSING_CONFIG_DELAY_MILLIS = 100L
         val RETRY_DELAYS_MILLIS = listOf(50L, 100L, 200L, 400L)
     }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorClient.kt
@@ -31,9 +31,11 @@
     private val events: EventLog,
     private val buildReport: () -> MemberReport.Builder,
     private val onAttach: () -> Unit,
-    private val onNotice: (FleetNotice) -> Unit,
-    private val onConfigConfirmed: (version: Long, atMillis: Long) -> Unit
+    private val onNotice: (notice: FleetNotice, reportedAtMillis: Long?) -> Unit,
+    private val onConfigConfirmed: (version: Long, atMillis: Long) -> Unit,
+    private val meters: FleetMeters
 ) {
+    private val leaseChanged = Channel<Unit>(Channel.CONFLATED)
     private val sentReports = SentReports()
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private val patience = ReconnectPatience()
@@ -57,22 +59,34 @@
     }
 
     /** Whether the last notice is recent enough, or this process is the coordinator itself. */
-    public val isConnected: Boolean
-        get() = lease.isCoordinator ||
-            clock.nowMillis() - lastNoticeAtMillis < NOTICE_TIMEOUT_MILLIS
+    public val isConnected: Boolean get() = connectedUntilMillis > clock.nowMillis()
+
+    /** Until when the coordinator counts as connected without another notice. */
+    public val connectedUntilMillis: Long
+        get() = if (lease.isCoordinator) {
+            Long.MAX_VALUE
+        } else {
+            lastNoticeAtMillis + NOTICE_TIMEOUT_MILLIS
+        }
 
     /** Sends the next report without waiting for the report interval. */
     public fun wake() {
         wake.trySend(Unit)
     }
 
+    /** Has the connection moved to the coordinator that the lease names now. */
+    public fun leaseChanged() {
+        leaseChanged.trySend(Unit)
+        wake()
+    }
+
     /** Sends reports and receives notices, reconnecting as needed, until cancelled. */
     public suspend fun run() {
         while (true) {
             val target = lease.coordinator
             when {
                 lease.isCoordinator -> reportToSelf()
-                target == null -> delay(RETRY_DELAY_MILLIS)
+                target == null -> leaseChanged.receive()
                 else -> attach(target)
             }
         }
@@ -137,7 +151,11 @@
                     clock.nowMillis() - NOTICE_TIMEOUT_MILLIS + CONNECT_TIMEOUT_MILLIS
                 patience.started(clock.nowMillis())
                 val reading = launch { stub.attach(reports()).collect(::handleNotice) }
-                while (reading.isActive && isWorthKeeping(target)) delay(CHECK_MILLIS)
+                reading.invokeOnCompletion { leaseChanged.trySend(Unit) }
+                while (reading.isActive && isWorthKeeping(target)) {
+                    val leftMillis = patience.exhaustedAtMillis - clock.nowMillis()
+                    withTimeoutOrNull(leftMillis) { leaseChanged.receive() }
+                }
                 reading.cancel()
             }
         } catch (e: StatusException) {
@@ -147,7 +165,7 @@
                 "reason" to e.status.toString()
             )
         }
-        lastNoticeAtMillis = Long.MIN_VALUE / 2
+        loseContact()
         delay(RETRY_DELAY_MILLIS)
     }
 
@@ -156,12 +174,20 @@
         lease.coordinator?.address == target.address &&
         !patience.isExhausted(clock.nowMillis())
 
+    private fun loseContact() {
+        lastNoticeAtMillis = Long.MIN_VALUE / 2
+        lease.contactLost()
+    }
+
     private fun reports() = flow {
         onAttach()
+        var isUrgent = true
         while (true) {
-            emit(nextReport())
-            withTimeoutOrNull(REPORT_INTERVAL_MILLIS) { wake.receive() }
-            delay(CoordinatorPace.reportMillis(memberCount))
+            emit(nextReport().also { meters.reportSent(it, isUrgent) })
+            isUrgent = withTimeoutOrNull(REPORT_INTERVAL_MILLIS) { wake.receive() } != null
+            // Reports that are due anyway are not put off: they prove how recent notices are.
+            if (isUrgent) delay(CoordinatorPace.reportMillis(memberCount))
+            wake.tryReceive()
         }
     }
 
@@ -182,7 +208,7 @@
     private fun handleNotice(notice: FleetNotice) {
         if (notice.isReleased) {
             lease.recordRelease(notice.fence)
-            lastNoticeAtMillis = Long.MIN_VALUE / 2
+            loseContact()
             return
         }
         lastNoticeAtMillis = clock.nowMillis()
@@ -196,13 +222,12 @@
         memberCount = notice.memberCount.takeIf { it > 0 }
         position = notice.memberPosition.takeIf { notice.hasMemberPosition() }
         confirmConfig(notice)
-        onNotice(notice)
+        onNotice(notice, sentReports.sentAtMillis(notice.reportSequence))
     }
 
     private companion object {
         /** Maximum interval between two reports. */
         const val REPORT_INTERVAL_MILLIS = 400L
-        const val CHECK_MILLIS = 100L
 
         /** Silence after which the coordinator counts as lost: three notice intervals. */
         const val NOTICE_TIMEOUT_MILLIS = 1_300L
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
@@ -16,7 +16,9 @@
 import cactusfold.settings.schema.HostPort
 import com.google.protobuf.InvalidProtocolBufferException
 import kotlin.random.Random
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** Address of the coordinator that holds the lease under the fencing token [fence]. */
 public data class CoordinatorAddress(
@@ -34,8 +36,11 @@
     private val self: StoredHold,
     private val renewMillis: Long,
     private val takeoverDelayMillis: Long,
-    private val isConnected: () -> Boolean
+    private val readIntervalMillis: () -> Long,
+    private val connectedUntilMillis: () -> Long
 ) {
+    private val contactLost = Channel<Unit>(Channel.CONFLATED)
+    private val released = Channel<Unit>(Channel.CONFLATED)
     private val key = RowKey(TABLE, ROW)
     private var state: CoordinatorLeaseState = CoordinatorLeaseState.Standby()
     private var isStopping = false
@@ -43,7 +48,14 @@
 
     /** The lease holder as last read or written; null until the lease row has been read. */
     public var coordinator: CoordinatorAddress? = null
-        private set
+        private set(value) {
+            val isOther = value != field
+            field = value
+            if (isOther) onCoordinatorChanged()
+        }
+
+    /** Called when another process, or this one, has become the coordinator. */
+    public var onCoordinatorChanged: () -> Unit = {}
 
     /** Called with the fencing token when this process becomes the coordinator. */
     public var onLeaseAcquired: (Long) -> Unit = {}
@@ -77,6 +89,12 @@
     /** Records that the coordinator with the fencing token [fence] has stopped acting. */
     public fun recordRelease(fence: Long) {
         state = machine.promised(state, fence)
+        released.trySend(Unit)
+    }
+
+    /** Has the lease row read again, since the coordinator is not connected any more. */
+    public fun contactLost() {
+        contactLost.trySend(Unit)
     }
 
     /** Takes or renews the lease until cancelled. */
@@ -144,7 +162,11 @@
     }
 
     private suspend fun checkLease() {
-        if (isConnected() && coordinator != null) return delay(IDLE_INTERVAL_MILLIS)
+        val connectedMillis = connectedUntilMillis() - clock.nowMillis()
+        if (connectedMillis > 0 && coordinator != null) {
+            withTimeoutOrNull(connectedMillis) { contactLost.receive() }
+            return
+        }
         val read = table.get(key)
         if (read is ReadResult.Found) {
             observe(read)
@@ -152,9 +174,12 @@
                 return takeOverAfterDelay()
             }
         }
-        delay(MIN_READ_INTERVAL_MILLIS + Random.nextLong(MIN_READ_INTERVAL_MILLIS))
+        withTimeoutOrNull(jittered(readIntervalMillis())) { released.receive() }
     }
 
+    private fun jittered(millis: Long): Long =
+        millis - millis / JITTER_DIVISOR + Random.nextLong(2 * millis / JITTER_DIVISOR + 1)
+
     private fun observe(read: ReadResult.Found<Row?>) {
         noteEra(read.era)
         state = machine.observed(state, decodeLease(read.value), clock.nowMillis(), read.era)
@@ -244,11 +269,8 @@
         const val TABLE = "lease"
         const val ROW = "coordinator"
 
-        /** Interval between checks while the coordinator is connected; the row is not read. */
-        const val IDLE_INTERVAL_MILLIS = 100L
-
-        /** Minimum interval between two reads of the row; random jitter up to doubles it. */
-        const val MIN_READ_INTERVAL_MILLIS = 400L
+        /** Intervals between reads of the row vary by a third, so that processes spread. */
+        const val JITTER_DIVISOR = 3
         const val RETRY_DELAY_MILLIS = 100L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorPace.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorPace.kt
@@ -16,6 +16,10 @@
     fun noticeMillis(members: Int, lagMillis: Double): Long =
         (noticeMillis(members) + LAG_FACTOR * lagMillis.toLong()).coerceAtMost(MAX_LATE_MILLIS)
 
+    /** Returns by how much a heartbeat is put off while the process runs behind by [lagMillis]. */
+    fun latePauseMillis(lagMillis: Double): Long = (LAG_FACTOR * lagMillis.toLong())
+        .coerceAtMost(MAX_LATE_MILLIS)
+
     /**
      * Returns how long a process waits before it takes a free lease, by the [cores] of its VM, so
      * that the coordinator is a VM that can carry the work if there is one.
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -22,8 +22,6 @@
 import cactusfold.protocol.entry.Departure
 import cactusfold.protocol.entry.FleetNotice
 import cactusfold.protocol.entry.Forecast
-import cactusfold.protocol.entry.HeldModel
-import cactusfold.protocol.entry.Holdings
 import cactusfold.protocol.entry.MemberReport
 import cactusfold.protocol.entry.PromptCrash
 import cactusfold.protocol.entry.SendGrant
@@ -33,6 +31,7 @@
 import cactusfold.protocol.entry.StreamRequest
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.CoroutineContext
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
@@ -52,7 +51,8 @@
     public val promptBlocks: SharedPromptBlocks,
     public val streams: FleetStreams,
     public val clock: MonotonicClock,
-    public val events: EventLog
+    public val events: EventLog,
+    public val meters: FleetMeters
 )
 
 /**
@@ -65,10 +65,11 @@
     context: CoroutineContext
 ) : CoordinatorCoroutineImplBase(context) {
     private val sends = SendGrants(dependencies.rates, dependencies.limits)
-    private val sessions = mutableSetOf<MemberSession>()
-    private val holdingsByRunner = LinkedHashMap<String, Holdings>()
+    private val sessions = MemberSessions(dependencies.clock)
+    private val rows =
+        RowSender(dependencies.directory, sessions, dependencies.clock, dependencies.events)
     private val announcedDepartures = RecentDepartures()
-    private var announcedRevision = 0L
+    private val leaseAcquired = Channel<Unit>(Channel.CONFLATED)
 
     /** Moving average of how much later than planned this process continues after a pause. */
     private var lagMillis = 0.0
@@ -88,8 +89,9 @@
     public fun positionOf(vm: String): Int? = positions[vm]
 
     init {
-        dependencies.loads.onHoldingsChanged = ::sendHoldings
-        dependencies.loads.onForecasts = ::sendForecasts
+        dependencies.loads.onHoldingsChanged = ::announceHoldings
+        dependencies.loads.onForecasts = ::announceForecasts
+        dependencies.directory.rowListener = rows
         dependencies.lease.onLeaseAcquired = ::handleLeaseAcquired
         dependencies.lease.onLeaseLost = ::handleLeaseLost
     }
@@ -116,7 +118,7 @@
             if (!dependencies.lease.isCoordinator) {
                 position = null
                 era = null
-                delay(IDLE_DELAY_MILLIS)
+                leaseAcquired.receive()
                 continue
             }
             val sentAtMillis = dependencies.clock.nowMillis()
@@ -166,27 +168,39 @@
             send(releaseNotice())
             return@channelFlow
         }
-        var session: MemberSession? = null
+        val joined = CompletableDeferred<MemberSession?>()
         val reader = launch {
             requests.collect { report ->
-                val current = session ?: MemberSession(report.vm).also { join(it) }
-                session = current
-                current.reportSequence = report.sequence
+                val session = if (joined.isCompleted) {
+                    joined.await()
+                } else {
+                    sessionOf(report).also { joined.complete(it) }
+                }
+                session?.let { sessions.reported(it, report) }
                 report(report)
             }
         }
+        reader.invokeOnCompletion { joined.complete(null) }
+        val session = joined.await() ?: return@channelFlow
+        reader.invokeOnCompletion { session.wake() }
         try {
             while (reader.isActive && dependencies.lease.isCoordinator) {
-                val current = session
-                if (current == null) delay(SESSION_CHECK_MILLIS) else send(nextNotice(current))
+                val notice = nextNotice(session)
+                if (reader.isActive) send(notice)
             }
             if (!dependencies.lease.isCoordinator) send(releaseNotice())
         } finally {
             reader.cancel()
-            session?.let(::leave)
+            leave(session)
         }
     }
 
+    private fun sessionOf(report: MemberReport): MemberSession {
+        val isOfThisTerm = report.newsFence == dependencies.lease.fence
+        val position = if (isOfThisTerm) report.newsPosition else 0
+        return MemberSession(report.vm, report.readsSharedNews, position).also(::join)
+    }
+
     override suspend fun takeTokens(request: TokenRequest): TokenGrant = grant(request)
         ?: TokenGrant.newBuilder().setOutcome(TokenGrant.Outcome.NOT_HOLDER).build()
 
@@ -210,24 +224,17 @@
     /** Announces changed [versions] to the members and this process. */
     public fun announceVersions(versions: ServiceVersions) {
         onLocalNotice(FleetNotice.newBuilder().addVersions(versions).build())
-        sessions.forEach {
-            it.versions[versions.service] = versions
-            it.wake.trySend(Unit)
-        }
+        sessions.announce { it.versions[versions.service] = versions }
     }
 
     /** Applies the changed limit of [upstream] and announces it to the members. */
     public fun announceLimit(upstream: UpstreamStart) {
         dependencies.rates.configured()
         val message = dependencies.limits.message(upstream) ?: return
-        sessions.forEach {
-            it.limits[upstream] = message
-            it.wake.trySend(Unit)
-        }
+        sessions.announce { it.limits[upstream] = message }
     }
 
     private fun join(session: MemberSession) {
-        session.pending.putAll(holdingsByRunner)
         session.departures += announcedDepartures.all(dependencies.clock.nowMillis())
         // The member may have just started.
         dependencies.promptBlocks.knownCrashes().associateByTo(session.crashes) { it.id }
@@ -235,32 +242,46 @@
             .associateByTo(session.completedBlocks) { it.block }
         dependencies.limits.messages().associateByTo(session.limits) { it.start }
         dependencies.streams.messages.associateByTo(session.versions) { it.service }
-        sessions += session
-        dependencies.events.write("member-attached", "member" to session.vm)
+        sessions.join(session)
+        dependencies.events.write(
+            "member-attached",
+            "member" to session.vm,
+            "news_position" to session.newsPosition
+        )
     }
 
     private fun leave(session: MemberSession) {
-        sessions -= session
-        if (sessions.none { it.vm == session.vm }) dependencies.demand.remove(session.vm)
+        if (sessions.leave(session)) dependencies.demand.remove(session.vm)
         dependencies.events.write("member-left", "member" to session.vm)
     }
 
     private suspend fun nextNotice(session: MemberSession): FleetNotice {
-        withTimeoutOrNull(HEARTBEAT_INTERVAL_MILLIS) { session.wake.receive() }
+        val beganAtMillis = dependencies.clock.nowMillis()
+        val isUrgent =
+            withTimeoutOrNull(HEARTBEAT_INTERVAL_MILLIS) { session.wake.receive() } != null
+        var dueAtMillis = beganAtMillis + HEARTBEAT_INTERVAL_MILLIS
         // Changes often arrive in bursts; the delay combines them into one notice.
-        val pauseMillis = CoordinatorPace.noticeMillis(sessions.size, lagMillis)
-        val pausedAtMillis = dependencies.clock.nowMillis()
-        delay(pauseMillis)
-        recordLag(dependencies.clock.nowMillis() - pausedAtMillis - pauseMillis)
-        return session.takeNews()
+        val pauseMillis = if (isUrgent) {
+            CoordinatorPace.noticeMillis(sessions.size, lagMillis)
+        } else {
+            CoordinatorPace.latePauseMillis(lagMillis)
+        }
+        if (pauseMillis > 0) {
+            dueAtMillis = dependencies.clock.nowMillis() + pauseMillis
+            delay(pauseMillis)
+        }
+        recordLag(dependencies.clock.nowMillis() - dueAtMillis)
+        return session.takeNews(sessions.news)
             .setFence(dependencies.lease.fence)
             .setMemberCount(memberCount ?: 0)
             .setReportSequence(session.reportSequence)
             .setUpstreamsRevision(dependencies.directory.revision)
             .also(::addRenewal)
             .also(::addConfirmation)
+            .also(rows::addRowsRead)
             .also { notice -> positionOf(session.vm)?.let(notice::setMemberPosition) }
             .build()
+            .also { dependencies.meters.noticeSent(it, isUrgent) }
     }
 
     private fun recordLag(lateMillis: Long) {
@@ -279,21 +300,12 @@
     }
 
     /** Notifies the members without delay, of a change that every notice contains. */
-    public fun wakeMembers(): Unit = sessions.forEach { it.wake.trySend(Unit) }
+    public fun wakeMembers(): Unit = sessions.wakeAll()
 
-    private fun sendHoldings(upstream: Upstream) {
-        val holdings = Holdings.newBuilder().setRunner(upstream.entry.id)
-        upstream.adaptersByModel.forEach { (model, adapters) ->
-            holdings.addModels(HeldModel.newBuilder().setModel(model).addAllAdapters(adapters))
-        }
-        val built = holdings.build()
+    private fun announceHoldings(upstream: Upstream) {
         // The runner may take another order now.
         planWake.trySend(Unit)
-        holdingsByRunner[upstream.entry.id] = built
-        sessions.forEach {
-            it.pending[upstream.entry.id] = built
-            it.wake.trySend(Unit)
-        }
+        sessions.announceHoldings(upstream)
     }
 
     /**
@@ -302,9 +314,6 @@
      */
     public fun announceLeaving() {
         if (!dependencies.lease.isCoordinator) return
-        val revision = dependencies.directory.revision
-        if (revision != announcedRevision) wakeMembers()
-        announcedRevision = revision
         dependencies.directory.takeLeaving().forEach(::announceDeparture)
     }
 
@@ -314,27 +323,18 @@
             if (!announcedDepartures.add(departure, dependencies.clock.nowMillis())) return
             dependencies.directory.recordDeparture(departure)
         }
-        sessions.forEach {
-            it.departures += departure
-            it.wake.trySend(Unit)
-        }
+        sessions.announce { it.departures += departure }
     }
 
-    private fun sendForecasts(forecasts: List<Forecast>) {
+    private fun announceForecasts(forecasts: List<Forecast>) {
         onLocalNotice(FleetNotice.newBuilder().addAllForecasts(forecasts).build())
-        sessions.forEach {
-            it.forecasts += forecasts
-            it.wake.trySend(Unit)
-        }
+        sessions.announceForecasts(forecasts)
     }
 
     private fun forwardSuspects(report: MemberReport) {
         if (report.suspectsCount == 0) return
         onLocalNotice(FleetNotice.newBuilder().addAllSuspects(report.suspectsList).build())
-        sessions.filter { it.vm != report.vm }.forEach {
-            it.suspects += report.suspectsList
-            it.wake.trySend(Unit)
-        }
+        sessions.forward(report.vm, isUrgent = true) { it.suspects += report.suspectsList }
     }
 
     private fun forwardPromptBlocks(report: MemberReport) {
@@ -344,32 +344,35 @@
         // What this process knows by now also contains what others reported of the same crashes.
         val ids = report.promptCrashesList.mapTo(mutableSetOf()) { it.id }
         val crashes = dependencies.promptBlocks.knownCrashes().filter { it.id in ids }
-        sessions.filter { it.vm != report.vm }.forEach { session ->
+        sessions.forward(report.vm, isUrgent = crashes.isNotEmpty()) { session ->
             crashes.associateByTo(session.crashes) { it.id }
             for (completed in report.completedBlocksList) {
                 session.completedBlocks.merge(completed.block, completed) { a, b ->
                     if (a.ageMillis < b.ageMillis) a else b
                 }
             }
-            session.wake.trySend(Unit)
         }
     }
 
     private val PromptCrash.id: String get() = "$upstream $startedAtEpochMillis"
 
     private fun handleLeaseAcquired(fence: Long) {
-        holdingsByRunner.clear()
+        rows.start()
         announcedDepartures.clear()
         // What this process has told an earlier coordinator is news for its own members.
         dependencies.directory.markDeparturesUnsent()
         dependencies.rates.start(fence)
         dependencies.loads.start()
+        dependencies.directory.roleChanged()
+        leaseAcquired.trySend(Unit)
     }
 
     private fun handleLeaseLost(fence: Long) {
         releasedFence = maxOf(releasedFence, fence)
         dependencies.loads.stop()
-        sessions.forEach { it.wake.trySend(Unit) }
+        rows.stop()
+        sessions.wakeAll()
+        dependencies.directory.roleChanged()
     }
 
     private fun releaseNotice(): FleetNotice =
@@ -378,14 +381,12 @@
     private companion object {
         /** Maximum interval between two notices; a notice also serves as a heartbeat. */
         const val HEARTBEAT_INTERVAL_MILLIS = 400L
-        const val SESSION_CHECK_MILLIS = 50L
 
         /** Weight of a new measurement in the moving average of the lag. */
         const val LAG_WEIGHT = 0.1
 
         /** Interval between plans without new demand or a load that ended. */
         const val PLAN_INTERVAL_MILLIS = 200L
-        const val IDLE_DELAY_MILLIS = 100L
 
         /** Interval between two reads of the table of members. */
         const val MEMBERS_READ_INTERVAL_MILLIS = 2_500L
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberMessages.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberMessages.kt
@@ -1,14 +1,17 @@
 package cactusfold.entry.fleet
 
+import cactusfold.decisions.fleet.RowsRead
 import cactusfold.entry.callers.SharedPromptBlocks
 import cactusfold.entry.callers.SharedSuspects
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.streams.OwnStreams
 import cactusfold.entry.streams.RecordedVersions
+import cactusfold.entry.upstream.RowNews
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamLimits
 import cactusfold.entry.upstream.UpstreamsRevision
 import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.table.RowChange
 import cactusfold.protocol.entry.FleetNotice
 import cactusfold.protocol.entry.Holdings
 import cactusfold.protocol.entry.MemberReport
@@ -29,6 +32,9 @@
     private val ownStreams: OwnStreams,
     private val clock: MonotonicClock
 ) {
+    private var newsFence = 0L
+    private var newsPosition = 0L
+
     /** Returns the next report, with all that was not reported yet. */
     public fun report(): MemberReport.Builder {
         val uses = directory.usable.flatMap { upstream ->
@@ -49,16 +55,33 @@
             .addAllDepartures(directory.takeDepartures())
             .addAllLimits(limits.takeUnsent())
             .addAllStreams(ownStreams.takeUnsent())
+            .setReadsSharedNews(true)
+            .setNewsFence(newsFence)
+            .setNewsPosition(newsPosition)
     }
 
-    /** Applies all that [notice] says of upstreams, their versions and requests. */
-    public fun apply(notice: FleetNotice) {
-        if (notice.holdingsCount > 0) {
-            notice.holdingsList.forEach(::apply)
+    /**
+     * Applies all that [notice] says of upstreams, their versions and requests.
+     *
+     * @param reportedAtMillis when the report that the notice names was sent; null if not known.
+     */
+    public fun apply(notice: FleetNotice, reportedAtMillis: Long? = null) {
+        val shared = if (notice.sharedNews.isEmpty) {
+            FleetNotice.getDefaultInstance()
+        } else {
+            FleetNotice.parseFrom(notice.sharedNews)
+        }
+        // What an upstream has loaded can only be applied once it is known.
+        if (notice.hasNewsPosition()) applyRows(notice, shared, reportedAtMillis)
+        val holdings = notice.holdingsList + shared.holdingsList
+        if (holdings.isNotEmpty()) {
+            holdings.forEach(::apply)
             directory.changed()
         }
-        notice.departuresList.forEach(directory::recordDeparture)
-        if (notice.upstreamsRevision > 0) {
+        // Rows that were passed on say, in their order, which registrations have ended.
+        notice.departuresList.filterNot { it.isUnregistered && notice.hasNewsPosition() }
+            .forEach(directory::recordDeparture)
+        if (notice.upstreamsRevision > 0 && !notice.hasNewsPosition()) {
             directory.announced(UpstreamsRevision(notice.fence, notice.upstreamsRevision))
         }
         notice.forecastsList.forEach(waits::forecast)
@@ -69,6 +92,27 @@
         notice.versionsList.forEach(recordedVersions::heard)
     }
 
+    /**
+     * The coordinator made the notice after the report that it names was sent. So its last read of
+     * the rows began no earlier than that, less the age of the read.
+     */
+    private fun applyRows(notice: FleetNotice, shared: FleetNotice, reportedAtMillis: Long?) {
+        val read = notice.rowsRead
+        val news = RowNews(
+            rows = shared.upstreamRowsList.map {
+                val value = if (it.hasValue()) it.value.toByteArray() else null
+                RowChange(it.upstream, it.version, value)
+            },
+            isFull = notice.isFullNews,
+            read = RowsRead(read.era, read.position),
+            beganAtMillis = reportedAtMillis?.minus(read.ageMillis),
+            isComplete = !read.isIncomplete
+        )
+        if (!directory.relayed(news)) return
+        newsFence = notice.fence
+        newsPosition = notice.newsPosition
+    }
+
     private fun apply(holdings: Holdings) {
         val models = holdings.modelsList.associate { it.model to it.adaptersList.toImmutableSet() }
         directory.find(holdings.runner)?.holds(models.toImmutableMap(), clock.nowMillis())
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSession.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSession.kt
@@ -6,37 +6,79 @@
 import cactusfold.protocol.entry.Departure
 import cactusfold.protocol.entry.FleetNotice
 import cactusfold.protocol.entry.Forecast
-import cactusfold.protocol.entry.Holdings
+import cactusfold.protocol.entry.MemberReport
 import cactusfold.protocol.entry.PromptCrash
 import cactusfold.protocol.entry.ServiceVersions
 import cactusfold.protocol.entry.UpstreamLimit
 import kotlinx.coroutines.channels.Channel
 
-/** The connection of the member [vm], with the news that it has not been sent yet. */
-internal class MemberSession(val vm: String) {
-    val pending = LinkedHashMap<String, Holdings>()
-    val forecasts = mutableListOf<Forecast>()
-    val suspects = mutableListOf<SuspectReport>()
+/**
+ * The connection of the member [vm], with the news that it has not been sent yet.
+ *
+ * @param readsSharedNews whether the member decodes shared news, which earlier versions do not.
+ * @param newsPosition position in the shared news that the member has reached already.
+ */
+internal class MemberSession(
+    val vm: String,
+    private val readsSharedNews: Boolean,
+    newsPosition: Long
+) {
+    /** Forecasts for models that the member's requests wait for, by model and version. */
+    val forecasts = LinkedHashMap<String, Forecast>()
+    val suspects = linkedSetOf<SuspectReport>()
     val departures = linkedSetOf<Departure>()
     val crashes = LinkedHashMap<String, PromptCrash>()
     val completedBlocks = LinkedHashMap<String, CompletedBlock>()
     val limits = LinkedHashMap<UpstreamStart, UpstreamLimit>()
     val versions = LinkedHashMap<String, ServiceVersions>()
+
+    /** Holds an element if the member has to be sent news without waiting for the heartbeat. */
     val wake = Channel<Unit>(Channel.CONFLATED)
     var reportSequence = 0L
+        private set
+
+    /** Models that the member's requests waited for at its last report. */
+    var waits: Set<String> = emptySet()
+        private set
+
+    /** Position in the shared news that the notices so far reach. */
+    var newsPosition: Long = newsPosition
+        private set
+
+    /** Records [report]; returns the models that requests wait for since. */
+    fun reported(report: MemberReport): Set<String> {
+        reportSequence = report.sequence
+        val before = waits
+        waits = report.demandsList.filter { it.waiting > 0 }.mapTo(mutableSetOf()) { it.model }
+        return waits - before
+    }
 
-    /** Returns a notice with all news, which are sent once. */
-    fun takeNews(): FleetNotice.Builder {
+    /** Has the news sent at once. */
+    fun wake() {
+        wake.trySend(Unit)
+    }
+
+    /** Returns a notice with all news, those of [shared] included, which are sent once. */
+    fun takeNews(shared: SharedNews): FleetNotice.Builder {
+        wake.tryReceive()
         val notice = FleetNotice.newBuilder()
-            .addAllHoldings(pending.values)
-            .addAllForecasts(forecasts)
-            .addAllSuspects(suspects)
-            .addAllDepartures(departures)
+        val batch = shared.after(newsPosition)
+        newsPosition = batch.position
+        if (!readsSharedNews) {
+            notice.mergeFrom(batch.content).clearUpstreamRows()
+        } else {
+            if (!batch.content.isEmpty) notice.setSharedNews(batch.content)
+            if (shared.isComplete) {
+                notice.setNewsPosition(batch.position).setIsFullNews(batch.isFull)
+            }
+        }
+        notice.addAllForecasts(forecasts.values)
+            .addAllSuspects(suspects.bounded())
+            .addAllDepartures(departures.bounded())
             .addAllPromptCrashes(crashes.values)
             .addAllCompletedBlocks(completedBlocks.values)
             .addAllLimits(limits.values)
             .addAllVersions(versions.values)
-        pending.clear()
         forecasts.clear()
         suspects.clear()
         departures.clear()
@@ -46,4 +88,11 @@
         versions.clear()
         return notice
     }
+
+    private fun <A> Set<A>.bounded(): List<A> = toList().takeLast(MAX_PENDING)
+
+    private companion object {
+        /** Several times the upstreams of the largest deployment. */
+        const val MAX_PENDING = 1_000
+    }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/ReconnectPatience.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/ReconnectPatience.kt
@@ -24,8 +24,11 @@
     }
 
     /** Returns whether the connection has been silent for too long. */
-    public fun isExhausted(nowMillis: Long): Boolean =
-        nowMillis - heardAtMillis > (MIN_MILLIS shl replaced.coerceAtMost(MAX_DOUBLINGS))
+    public fun isExhausted(nowMillis: Long): Boolean = nowMillis >= exhaustedAtMillis
+
+    /** When the connection has been silent for too long unless something is received before. */
+    public val exhaustedAtMillis: Long
+        get() = heardAtMillis + (MIN_MILLIS shl replaced.coerceAtMost(MAX_DOUBLINGS)) + 1
 
     private companion object {
         /** Three notice intervals. */
--- a/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
@@ -36,14 +36,16 @@
 
     /**
      * Reads the recorded versions from the store with [readRecords] while [isConnected] says that
-     * no coordinator announces them, until cancelled.
+     * no coordinator announces them, until cancelled. Nothing is read unless [isNeeded], since no
+     * service has streams that may be resumed.
      */
     public suspend fun follow(
         readRecords: suspend () -> Map<String, StoredRecord>?,
+        isNeeded: () -> Boolean,
         isConnected: () -> Boolean
     ) {
         while (true) {
-            if (services.isEmpty() || !isConnected()) read(readRecords)
+            if (isNeeded() && (services.isEmpty() || !isConnected())) read(readRecords)
             delay(READ_INTERVAL_MILLIS)
         }
     }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -47,16 +47,16 @@
     private var limitedUntilMillis: Long = Long.MIN_VALUE / 2
 
     /**
-     * The number of the last read of the rows that had begun when the registration was heard of or
-     * seen to be gone; null if it was there since.
+     * When the registration was last heard of or seen to be gone; null if a read of the rows that
+     * began after that has shown it.
      */
-    public var unregisteredInRead: Long? = null
+    public var unregisteredAtMillis: Long? = null
 
     /** Whether this start of the upstream receives no requests any more. */
     public val isGoing: Boolean get() = entry.isDraining || isLeaving
 
     /** Whether new requests may be sent to the upstream. */
-    public val isUsable: Boolean get() = !isGoing && unregisteredInRead == null
+    public val isUsable: Boolean get() = !isGoing && unregisteredAtMillis == null
 
     /** Identifies this start of the upstream. */
     public val start: UpstreamStart get() = UpstreamStart(entry.id, entry.startedAtEpochMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -9,25 +9,22 @@
 import cactusfold.ports.serving.Decoded
 import cactusfold.ports.serving.UpstreamEntry
 import cactusfold.ports.table.ChangeFeed
-import cactusfold.ports.table.FeedResult
 import cactusfold.ports.table.RowChange
 import cactusfold.protocol.entry.Departure
 import kotlin.random.Random
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withTimeoutOrNull
 
 /** Mirrors the upstreams registered in the platform's store and selects among them. */
 public class UpstreamDirectory(
-    private val feed: ChangeFeed,
+    feed: ChangeFeed,
     private val clock: MonotonicClock,
     private val events: EventLog,
     private val zone: String,
-    private val polling: () -> UpstreamPolling
+    polling: () -> UpstreamPolling
 ) {
-    private val wake = Channel<Unit>(Channel.CONFLATED)
     private var announcedRevision: UpstreamsRevision? = null
-    private var isOutdated = true
+    private val rows = LinkedHashMap<String, RegisteredRow>()
+    private val follower = UpstreamFollower(feed, clock, events, polling, FollowedTable())
 
     private val upstreams = LinkedHashMap<String, Upstream>()
     private val choice = ReplicaChoice(ZONE_CROSSING_MILLIS, AFFINITY_LOAD_GAP)
@@ -40,7 +37,21 @@
     private val pausedUntilMillis = HashMap<UpstreamStart, Long>()
     private val unreported = mutableSetOf<UpstreamStart>()
     private var storeFailedAtMillis = Long.MIN_VALUE / 2
-    private var readsBegun = 0L
+
+    /** Is told of the rows that this process reads itself. */
+    public var rowListener: UpstreamRowListener? = null
+
+    /** The rows of all registered upstreams. */
+    public val registeredRows: Collection<RegisteredRow> get() = rows.values
+
+    /** The last read of the rows by this process; null before the first one. */
+    public val lastRead: CompletedRead? get() = follower.lastRead
+
+    /** Whether no row is missing that may return after an outage of the store. */
+    public val isComplete: Boolean get() = missingSinceMillis.isEmpty()
+
+    /** Until when the rows that the coordinator passed on replace reads by this process. */
+    public val relayedUntilMillis: Long get() = follower.relayedUntilMillis
 
     /** Number of times that an upstream joined, left or restarted, as seen by this process. */
     public var revision: Long = 0
@@ -110,9 +121,32 @@
     }
 
     /** Has the rows read soon, since what is known of an upstream has turned out to be wrong. */
-    public fun markOutdated() {
-        isOutdated = true
-        wake.trySend(Unit)
+    public fun markOutdated(): Unit = follower.markOutdated()
+
+    /** Has the role of this process, which decides how often it reads the rows, looked at again. */
+    public fun roleChanged(): Unit = follower.wake()
+
+    /**
+     * Applies rows that the coordinator has passed on. Returns false if this process knows a later
+     * era of the store, whose rows they cannot be compared with.
+     */
+    public fun relayed(news: RowNews): Boolean {
+        if (!follower.accepts(news.read)) return false
+        val revisionBefore = revision
+        val changes = news.rows.filter { follower.isNews(it, news.read) }
+        for (row in changes) if (row.value == null) drop(row.sort) else apply(row)
+        if (news.isFull && follower.provesAbsence(news.read)) {
+            (upstreams.keys - news.rows.mapTo(mutableSetOf()) { it.sort }).forEach(::drop)
+        }
+        val wereUnregistered = upstreams.values.count { it.unregisteredAtMillis != null }
+        if (news.isComplete) news.beganAtMillis?.let(::confirmRegistered)
+        follower.applied(news)
+        val isFirst = !isKnown
+        isKnown = true
+        if (isFirst || changes.isNotEmpty() || revision != revisionBefore || wereUnregistered > 0) {
+            changed()
+        }
+        return true
     }
 
     /** Returns the reachable upstreams of [service] that have [model] and [adapter] loaded. */
@@ -179,7 +213,7 @@
             UpstreamStart(departure.upstream, departure.startedAtEpochMillis.takeIf { it > 0 })
         if (!departure.isUnregistered) return markLeaving(start)
         val upstream = upstreams[start.id]?.takeIf { it.start == start } ?: return
-        upstream.unregisteredInRead = readsBegun
+        upstream.unregisteredAtMillis = clock.nowMillis()
         changed()
         markOutdated()
     }
@@ -216,52 +250,26 @@
     }
 
     /** Keeps the registered upstreams up to date until cancelled. */
-    public suspend fun run() {
-        var position: Long? = null
-        var era: Long? = null
-        while (true) {
-            isOutdated = false
-            readsBegun++
-            when (val result = read(position)) {
-                is FeedResult.Changes -> if (era != null && result.era != era) {
-                    // Rows that the store has lost are written again by their upstreams.
-                    storeFailedAtMillis = clock.nowMillis()
-                    events.write("store-era", "for" to "upstreams", "era" to result.era)
-                    era = result.era
-                    position = null
-                } else {
-                    era = result.era
-                    if (position == null) replaceAll(result.rows) else result.rows.forEach(::apply)
-                    confirmRegistered()
-                    position = result.position
-                    isKnown = true
-                    changed()
-                    awaitNextPoll()
-                }
-                FeedResult.HistoryGone -> position = null
-                is FeedResult.Unavailable -> {
-                    storeFailedAtMillis = clock.nowMillis()
-                    delay(RETRY_MILLIS)
-                }
-            }
-            dropExpired()
+    public suspend fun run(): Unit = follower.run()
+
+    private inner class FollowedTable : FollowedRows {
+        override val nextExpiryMillis: Long?
+            get() = missingSinceMillis.values.minOrNull()?.plus(ROW_RETURN_MILLIS)
+
+        override fun read(rows: List<RowChange>, isSnapshot: Boolean, beganAtMillis: Long) {
+            if (isSnapshot) replaceAll(rows) else rows.forEach(::apply)
+            confirmRegistered(beganAtMillis)
+            isKnown = true
+            changed()
+            rowListener?.readCompleted()
         }
-    }
 
-    private suspend fun awaitNextPoll() {
-        val readAtMillis = clock.nowMillis()
-        while (true) {
-            val intervalMillis = polling().intervalMillis(isOutdated)
-            val leftMillis = readAtMillis + intervalMillis - clock.nowMillis()
-            if (leftMillis <= 0) return
-            // The role of this process may change during the wait, without a notice.
-            withTimeoutOrNull(leftMillis.coerceAtMost(POLL_CHECK_MILLIS)) { wake.receive() }
+        override fun storeFailed() {
+            storeFailedAtMillis = clock.nowMillis()
         }
-    }
 
-    private suspend fun read(position: Long?): FeedResult =
-        position?.let { feed.changes(UpstreamDecoder.TABLE, it, FEED_WAIT_MILLIS) }
-            ?: feed.snapshot(UpstreamDecoder.TABLE)
+        override fun dropExpired(): Unit = this@UpstreamDirectory.dropExpired()
+    }
 
     private fun replaceAll(rows: List<RowChange>) {
         rows.forEach(::apply)
@@ -272,7 +280,12 @@
     private fun apply(row: RowChange) {
         val value = row.value ?: return markMissing(row.sort)
         when (val decoded = UpstreamDecoder.entry(row.sort, value)) {
-            is Decoded.Valid -> applyAnnouncement(decoded.value)
+            is Decoded.Valid -> {
+                applyAnnouncement(decoded.value)
+                val registered = RegisteredRow(decoded.value, row)
+                rows[row.sort] = registered
+                rowListener?.registered(registered)
+            }
             is Decoded.Invalid -> {
                 events.write(
                     "upstream-unreadable",
@@ -285,12 +298,12 @@
         }
     }
 
-    /** Ends what was heard, before this read began, of missing rows that are there. */
-    private fun confirmRegistered() {
+    /** Ends what was heard, before a read began at [beganAtMillis], of rows that are there. */
+    private fun confirmRegistered(beganAtMillis: Long) {
         for ((id, upstream) in upstreams) {
-            val heardInRead = upstream.unregisteredInRead ?: continue
-            if (heardInRead < readsBegun && id !in missingSinceMillis) {
-                upstream.unregisteredInRead = null
+            val heardAtMillis = upstream.unregisteredAtMillis ?: continue
+            if (heardAtMillis < beganAtMillis && id !in missingSinceMillis) {
+                upstream.unregisteredAtMillis = null
             }
         }
     }
@@ -301,7 +314,7 @@
         val start = UpstreamStart(entry.id, entry.startedAtEpochMillis)
         if (entry.isDraining) leavingStarts.add(start, clock.nowMillis())
         if (known == null || known.start != start) {
-            known?.unregisteredInRead = readsBegun
+            known?.unregisteredAtMillis = clock.nowMillis()
             upstreams[entry.id] = Upstream(entry).also {
                 it.isLeaving = start in leavingStarts
                 resumePause(it)
@@ -344,8 +357,9 @@
 
     private fun drop(id: String) {
         missingSinceMillis.remove(id)
+        rows.remove(id)
         val upstream = upstreams.remove(id) ?: return
-        upstream.unregisteredInRead = readsBegun
+        upstream.unregisteredAtMillis = clock.nowMillis()
         pausedUntilMillis.values.removeIf { it <= clock.nowMillis() }
         if (upstream.isPaused(clock.nowMillis())) {
             pausedUntilMillis[upstream.start] = upstream.pausedUntilMillis
@@ -353,6 +367,7 @@
         departed += upstream.departure.toBuilder().setIsUnregistered(true).build()
         revision++
         events.write("upstream-gone", "upstream" to id)
+        rowListener?.ended(id)
     }
 
     /** Has the pause go on that the start of [upstream] asked for before its row lapsed. */
@@ -370,18 +385,11 @@
         /** Additional load, as a share of slots, accepted at the upstream with affinity. */
         const val AFFINITY_LOAD_GAP = 0.1
 
-        const val POLL_CHECK_MILLIS = 200L
         const val SILENCE_CHECK_MILLIS = 100L
 
         /** A gap of this length between two checks is longer than scheduling delays explain. */
         const val MIN_SUSPENSION_MILLIS = 400L
 
-        /** How long the store waits for a change before it answers a poll. */
-        const val FEED_WAIT_MILLIS = 1_000L
-
-        /** Pause after the store could not be read. */
-        const val RETRY_MILLIS = 250L
-
         /** Rows of live upstreams are back within this time after the store recovers. */
         const val ROW_RETURN_MILLIS = 2_000L
     }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -107,7 +107,7 @@
     )
 
     private val server: CallerServer = run {
-        val directory = UpstreamDirectory(NoFeed, clock, events, "z") { UpstreamPolling.Detached }
+        val directory = UpstreamDirectory(NoFeed, clock, events, "z") { UpstreamPolling.Detached() }
         val scope = CoroutineScope(SupervisorJob() + vertx.orCreateContext.dispatcher())
         val promptBlocks = SharedPromptBlocks(clock, events) {}
         val recorded = RecordedVersions(events)
--- a/entry/src/test/kotlin/cactusfold/entry/config/ConfigWatcherTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/config/ConfigWatcherTest.kt
@@ -95,7 +95,7 @@
         fun `a member whose coordinator can't confirm the version reads the store itself`() =
             watching {
                 nowMillis += 1_600
-                delay(CHECK_MILLIS)
+                delay(CONFIRMED_MILLIS + CHECK_MILLIS)
                 assertEquals(2, feed.snapshots)
                 assertEquals(0, watcher.ageMillis(nowMillis))
             }
@@ -104,6 +104,7 @@
         fun `a process that loses its coordinator reads the store and then follows it`() =
             watching {
                 isMember = false
+                watcher.roleChanged()
                 delay(CHECK_MILLIS)
                 assertEquals(2 to 1, feed.snapshots to feed.polls)
             }
@@ -111,6 +112,9 @@
 
     private companion object {
         const val CHECK_MILLIS = 400L
+
+        /** How long a confirmation replaces a read: 0.3 of the bound on withdrawn keys. */
+        const val CONFIRMED_MILLIS = 1_500L
         const val KEY_WITHDRAWAL_MILLIS = 5_000L
         const val PAUSE_MILLIS = 50L
     }
--- a/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
@@ -17,7 +17,7 @@
     private val clock = MonotonicClock { 10_000 }
     private val directory =
         UpstreamDirectory(NoFeed, clock, EventLog("vm", clock, linesPerSecond = 1), "z") {
-            UpstreamPolling.Detached
+            UpstreamPolling.Detached()
         }
     private val queue = ModelWaitQueue(directory, clock) {}
 
--- a/entry/src/test/kotlin/cactusfold/entry/streams/StartCheckTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/streams/StartCheckTest.kt
@@ -54,7 +54,7 @@
 
     private fun check(scope: CoroutineScope, answer: (Int) -> Long?) = StartCheck(
         scope,
-        UpstreamDirectory(NoFeed, clock, events, "z") { UpstreamPolling.Detached },
+        UpstreamDirectory(NoFeed, clock, events, "z") { UpstreamPolling.Detached() },
         clock,
         events,
         limiter
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/FakeFeed.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/FakeFeed.kt
@@ -15,13 +15,19 @@
     var reads: Int = 0
         private set
 
+    /** Number of snapshots among them. */
+    var snapshots: Int = 0
+        private set
+
     /** Writes the row [key], or deletes it if [value] is null. */
     fun put(key: String, value: ByteArray?) {
         changes += RowChange(key, changes.size + 1L, value)
     }
 
-    override suspend fun snapshot(table: String): FeedResult =
-        answer(changes.associateBy { it.sort }.values.filter { it.value != null })
+    override suspend fun snapshot(table: String): FeedResult {
+        snapshots++
+        return answer(changes.associateBy { it.sort }.values.filter { it.value != null })
+    }
 
     override suspend fun changes(table: String, position: Long, waitMillis: Long): FeedResult =
         answer(changes.filter { it.version > position })
