--- a/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/RecordedVersions.kt
@@ -36,15 +36,18 @@
     }
 
     /**
-     * Reads the recorded versions from the store with [readRecords] once, and again while
-     * [isConnected] says that no coordinator announces them, until cancelled.
+     * Reads the recorded versions from the store with [readRecords] while [isConnected] says that
+     * no coordinator announces them, until cancelled. With a coordinator they are read once at most.
+     * Nothing is read unless [isNeeded]: unless a service has streams that may be resumed.
      */
     public suspend fun follow(
         readRecords: suspend () -> Map<String, StoredRecord>?,
+        isNeeded: () -> Boolean,
         isConnected: () -> Boolean
     ) {
         while (true) {
-            if (!isRead || !isConnected()) read(readRecords)
+            val isUnknown = !isRead && services.isEmpty()
+            if (isNeeded() && (isUnknown || !isConnected())) read(readRecords)
             delay(READ_INTERVAL_MILLIS)
         }
     }
--- a/entry/src/test/kotlin/cactusfold/entry/idle/IdleWakeUpTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/idle/IdleWakeUpTest.kt
@@ -38,7 +38,9 @@
     private val events = EventLog("vm", time, linesPerSecond = 100)
     private val feed = FakeFeed()
     private val directory =
-        UpstreamDirectory(feed, time, events, "z") { UpstreamPolling.Member }
+        UpstreamDirectory(feed, time, events, "z") {
+            UpstreamPolling.Member(validUntilMillis = Long.MAX_VALUE)
+        }
 
     private fun wakeUps(seconds: Int): Int {
         val before = time.wakeUps
@@ -67,8 +69,9 @@
             events,
             StoredHold.newBuilder().setVm("vm").setBoot("b").setAddress("127.0.0.1:1").build(),
             renewMillis = 700,
-            takeoverDelayMillis = 0
-        ) { false }
+            takeoverDelayMillis = 0,
+            readIntervalMillis = { 400 }
+        ) { Long.MIN_VALUE / 2 }
         private val empty = object : ChangeFeed by feed {
             override suspend fun snapshot(table: String): FeedResult =
                 FeedResult.Changes(emptyList(), position = 0, nowMillis = time.nowMillis())
@@ -113,7 +116,8 @@
                 {
                     reads++
                     emptyMap()
-                }
+                },
+                isNeeded = { true }
             ) { true }
         }
         assertTrue(wakeUps(seconds = 60) <= 60)
