--- a/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/ModelWaitQueueTest.kt
@@ -74,7 +74,7 @@
         val report = MemberReport.newBuilder().addAllDemands(queue.takeDemands())
         listOf("vm1", "vm2").forEach { demand.record(report.setVm(it).build(), 10_000) }
         val (tips, reports) = demand.demands(10_000).single().byPriority
-        assertEquals(listOf(0, 2, 12_000L), listOf(tips.priority, tips.waiting, tips.limitAtMillis))
+        assertEquals(PriorityDemand(0, 2, 10_000, 12_000, 10, 0.833), tips)
         assertEquals(PriorityDemand(2, 4, 10_000, 40_000, 20, 0.333), reports)
         assertEquals(setOf(2), demand.arrivalsByPriority(10_000).getValue("m").keys)
         requests.forEach { it.cancel() }
--- a/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/FleetSpec.kt
+++ b/fleetmodel/src/main/kotlin/cactusfold/fleetmodel/FleetSpec.kt
@@ -123,7 +123,8 @@
         )
     }
 
-    internal fun toSpec(): FleetSpec = FleetSpec(engine, classes.toList(), durationMillis, cachedShare)
+    internal fun toSpec(): FleetSpec =
+        FleetSpec(engine, classes.toList(), durationMillis, cachedShare)
 
     private companion object {
         /** The contract with callers: they give up on a stream after four times the target. */
--- a/fleetmodel/src/test/kotlin/cactusfold/fleetmodel/RareReportsTest.kt
+++ b/fleetmodel/src/test/kotlin/cactusfold/fleetmodel/RareReportsTest.kt
@@ -31,7 +31,8 @@
     }
 
     private companion object {
-        val SEEDS = listOf(1L, 2L, 3L)
+        /** With three seeds, chance outweighs the difference of about 0.04. */
+        val SEEDS = 1L..20L
 
         /** A late report is worth about a fifth of one in time. */
         const val LATE_WORTH = 0.2
