--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -312,6 +312,9 @@
         coordinator.onLocalNotice = { handleNotice(it, null) }
         directory.listen(coordinator::announceLeaving)
         directory.listen(fleetStreams::wake)
+        directory.chooser.engineOf = { table?.service(it)?.engine }
+        directory.chooser.vmCount = { coordinatorClient.memberCount }
+        directory.chooser.onChosen = meters::recordChoice
         registerGauges()
         tasks.keepRunning("configuration") { config.run() }
         tasks.keepRunning("upstreams") { directory.run() }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -70,6 +70,7 @@
         RowSender(dependencies.directory, sessions, dependencies.clock, dependencies.events)
     private val announcedDepartures = RecentDepartures()
     private val leaseAcquired = Channel<Unit>(Channel.CONFLATED)
+    private val runnerLoads = RunnerLoadNews(dependencies.demand, dependencies.directory)
 
     /** Moving average of how much later than planned this process continues after a pause. */
     private var lagMillis = 0.0
@@ -242,6 +243,7 @@
             .associateByTo(session.completedBlocks) { it.block }
         dependencies.limits.messages().associateByTo(session.limits) { it.start }
         dependencies.streams.messages.associateByTo(session.versions) { it.service }
+        runnerLoads.current.associateByTo(session.runnerLoads) { it.runner }
         sessions.join(session)
         dependencies.events.write(
             "member-attached",
@@ -271,6 +273,7 @@
             delay(pauseMillis)
         }
         recordLag(dependencies.clock.nowMillis() - dueAtMillis)
+        runnerLoads.spread(sessions.all, dependencies.lease.fence, dependencies.clock.nowMillis())
         return session.takeNews(sessions.news)
             .setFence(dependencies.lease.fence)
             .setMemberCount(memberCount ?: 0)
@@ -358,6 +361,7 @@
 
     private fun handleLeaseAcquired(fence: Long) {
         rows.start()
+        runnerLoads.clear()
         announcedDepartures.clear()
         // What this process has told an earlier coordinator is news for its own members.
         dependencies.directory.markDeparturesUnsent()
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSession.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSession.kt
@@ -8,6 +8,7 @@
 import cactusfold.protocol.entry.Forecast
 import cactusfold.protocol.entry.MemberReport
 import cactusfold.protocol.entry.PromptCrash
+import cactusfold.protocol.entry.RunnerLoad
 import cactusfold.protocol.entry.ServiceVersions
 import cactusfold.protocol.entry.UpstreamLimit
 import kotlinx.coroutines.channels.Channel
@@ -31,6 +32,7 @@
     val completedBlocks = LinkedHashMap<String, CompletedBlock>()
     val limits = LinkedHashMap<UpstreamStart, UpstreamLimit>()
     val versions = LinkedHashMap<String, ServiceVersions>()
+    val runnerLoads = LinkedHashMap<String, RunnerLoad>()
 
     /** Holds an element if the member has to be sent news without waiting for the heartbeat. */
     val wake = Channel<Unit>(Channel.CONFLATED)
@@ -79,6 +81,7 @@
             .addAllCompletedBlocks(completedBlocks.values)
             .addAllLimits(limits.values)
             .addAllVersions(versions.values)
+            .addAllRunnerLoads(runnerLoads.values)
         forecasts.clear()
         suspects.clear()
         departures.clear()
@@ -86,6 +89,7 @@
         completedBlocks.clear()
         limits.clear()
         versions.clear()
+        runnerLoads.clear()
         return notice
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSessions.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSessions.kt
@@ -21,6 +21,9 @@
     /** News that is the same for all members. */
     val news = SharedNews()
 
+    /** The connections. */
+    val all: Collection<MemberSession> get() = sessions
+
     /** Number of connections. */
     val size: Int get() = sessions.size
 
