--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/RateModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/RateModel.kt
@@ -8,12 +8,26 @@
  * @property unitTokens tokens of one spend, which cannot be divided: the bucket can always fill up
  *   to this, and routers whose share of the burst is less take turns in using their reserves. Zero
  *   if any number of tokens may be spent.
+ * @property reserveShare share of its reserve that a router uses while it is out of contact.
+ * @property useWithinMillis how long after they were asked for tokens may be used, if that is less
+ *   than for other limits.
  */
 public data class RateLimit(
     public val rateTokensPerSecond: Double,
     public val burstTokens: Double,
-    public val unitTokens: Double = 0.0
+    public val unitTokens: Double = 0.0,
+    public val reserveShare: Double = 1.0,
+    public val useWithinMillis: Long? = null
 ) {
+    /** Returns the limit that keeps both this one and [other]. */
+    public fun lowerOf(other: RateLimit): RateLimit = RateLimit(
+        minOf(rateTokensPerSecond, other.rateTokensPerSecond),
+        minOf(burstTokens, other.burstTokens),
+        maxOf(unitTokens, other.unitTokens),
+        minOf(reserveShare, other.reserveShare),
+        listOfNotNull(useWithinMillis, other.useWithinMillis).minOrNull()
+    )
+
     public companion object {
         /**
          * Returns the limit of an upstream that accepts [requestsPerSecond] from all VMs together.
--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/TokenGrantSpender.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/TokenGrantSpender.kt
@@ -147,7 +147,7 @@
             return refillInTurn(state, nowMillis)
         }
         val seconds = (nowMillis - state.reserveAtMillis) / MILLIS_PER_SECOND
-        val gained = seconds * state.limit.rateTokensPerSecond * share
+        val gained = seconds * state.limit.rateTokensPerSecond * state.limit.reserveShare * share
         val level = (state.reserveTokens + gained).coerceAtMost(state.limit.burstTokens * share)
         return state.copy(reserveTokens = level, reserveAtMillis = nowMillis)
     }
@@ -158,8 +158,9 @@
      * the same turns, so together they keep the rate.
      */
     private fun refillInTurn(state: TokenGrantState, nowMillis: Long): TokenGrantState {
-        val turnMillis =
-            state.limit.unitTokens / state.limit.rateTokensPerSecond * MILLIS_PER_SECOND
+        val turnsPerSecond =
+            state.limit.rateTokensPerSecond * state.limit.reserveShare / state.limit.unitTokens
+        val turnMillis = MILLIS_PER_SECOND / turnsPerSecond
         val turn = ((nowMillis - state.reserveFromMillis) / turnMillis).toLong()
         val isOwn = (turn % settings.routerSlots).toInt() == position
         val beganAtMillis = state.reserveFromMillis + turn * turnMillis
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadQueue.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/LoadQueue.kt
@@ -33,9 +33,12 @@
         if (source == WeightSource.STORE) reserveStore(nowMillis + loadMillis)
     }
 
-    /** Queues the model of [cost] and returns when it should be ready. */
-    fun readyAtMillis(cost: ModelCost): Long {
-        val local = earliestLocalLoad(cost)
+    /**
+     * Queues the model of [cost] for a runner that [accepts] it, and returns when it should be
+     * ready.
+     */
+    fun readyAtMillis(cost: ModelCost, accepts: (RunnerState) -> Boolean): Long {
+        val local = earliestLocalLoad(cost, accepts)
         val fromStore = storeFreeAtMillis.min() + cost.storeLoadMillis + overheadMillis
         if (local != null && local.readyAtMillis <= fromStore) {
             runnerFreeAtMillis[local.runner] = local.readyAtMillis
@@ -48,17 +51,19 @@
     /**
      * Returns when the earliest load on a busy runner that has the weights would be done, if any.
      */
-    fun localLoadReadyAtMillis(cost: ModelCost): Long? = earliestLocalLoad(cost)?.readyAtMillis
+    fun localLoadReadyAtMillis(cost: ModelCost, accepts: (RunnerState) -> Boolean): Long? =
+        earliestLocalLoad(cost, accepts)?.readyAtMillis
 
-    private fun earliestLocalLoad(cost: ModelCost): LocalLoad? = view.runners
-        .filter { runnerFreeAtMillis.getValue(it.id) > nowMillis }
-        .map { it to it.sourceOf(cost.name) }
-        .filter { (_, source) -> source != WeightSource.STORE }
-        .map { (runner, source) ->
-            val loadMillis = cost.loadMillis(source) + overheadMillis
-            LocalLoad(runner.id, runnerFreeAtMillis.getValue(runner.id) + loadMillis)
-        }
-        .minByOrNull { it.readyAtMillis }
+    private fun earliestLocalLoad(cost: ModelCost, accepts: (RunnerState) -> Boolean): LocalLoad? =
+        view.runners
+            .filter { accepts(it) && runnerFreeAtMillis.getValue(it.id) > nowMillis }
+            .map { it to it.sourceOf(cost.name) }
+            .filter { (_, source) -> source != WeightSource.STORE }
+            .map { (runner, source) ->
+                val loadMillis = cost.loadMillis(source) + overheadMillis
+                LocalLoad(runner.id, runnerFreeAtMillis.getValue(runner.id) + loadMillis)
+            }
+            .minByOrNull { it.readyAtMillis }
 
     private fun reserveStore(untilMillis: Long) {
         storeFreeAtMillis.remove(storeFreeAtMillis.min())
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -60,6 +60,7 @@
  * @property requestsPerSecond requests that the runner accepts from all VMs together; null if it
  *   states no limit.
  * @property softwareVersion the version of the runner's software.
+ * @property region the region of the runner; null if its zone has none.
  */
 public data class RunnerState(
     public val id: String,
@@ -75,7 +76,8 @@
     public val inFlight: ImmutableMap<String, Int>,
     public val lastUsedMillis: ImmutableMap<String, Long>,
     public val requestsPerSecond: Double? = null,
-    public val softwareVersion: String = ""
+    public val softwareVersion: String = "",
+    public val region: String? = null
 ) {
     /** Returns the source from which the runner would load the weights of [model]. */
     public fun sourceOf(model: String): WeightSource = when (model) {
@@ -94,6 +96,7 @@
  * @property deadlineAtMillis latest deadline among the requests.
  * @property softwareVersion the only version whose runners can serve the requests, which continue
  *   streams that began there; null for any.
+ * @property homeRegions the only regions whose runners can serve the requests; empty for any.
  */
 public data class ModelDemand(
     public val model: String,
@@ -102,11 +105,13 @@
     public val targetAtMillis: Long,
     public val deadlineAtMillis: Long,
     public val refusedSinceLoad: Int = 0,
-    public val softwareVersion: String? = null
+    public val softwareVersion: String? = null,
+    public val homeRegions: Set<String> = emptySet()
 ) {
     /** Returns whether [runner] can serve the requests once it has the model. */
     public fun accepts(runner: RunnerState): Boolean =
-        softwareVersion == null || softwareVersion == runner.softwareVersion
+        (softwareVersion == null || softwareVersion == runner.softwareVersion) &&
+            (homeRegions.isEmpty() || runner.region in homeRegions)
 }
 
 /** Where the weights of a model are loaded from. */
@@ -156,11 +161,19 @@
     public val obstacle: Obstacle
 )
 
-/** When [model] should be ready at a runner of [softwareVersion]. */
+/**
+ * When [model] should be ready for requests that only some runners can serve.
+ *
+ * @property softwareVersion the version of these runners; null for any.
+ * @property homeRegions the regions of these runners; empty for any.
+ * @property isTooLate whether that is after the deadlines of all that wait.
+ */
 public data class VersionForecast(
     public val model: String,
-    public val softwareVersion: String,
-    public val readyAtMillis: Long
+    public val softwareVersion: String?,
+    public val readyAtMillis: Long,
+    public val homeRegions: Set<String> = emptySet(),
+    public val isTooLate: Boolean = false
 )
 
 /**
@@ -168,7 +181,8 @@
  *
  * @property tooLate models that will be ready only after the deadlines of all waiting requests.
  * @property readyAtMillis when each model that requests wait for should be ready.
- * @property atVersions forecasts for requests that wait for a runner of one software version.
+ * @property atVersions forecasts for requests that only runners of one version or of some regions
+ *   can serve.
  */
 public data class ResidencyPlan(
     public val steps: List<ResidencyOrder>,
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyPlanner.kt
@@ -49,10 +49,8 @@
 private class Planning(private val view: ResidencyView, private val nowMillis: Long) {
     private val bounds = view.bounds
     private val steps = mutableListOf<ResidencyOrder>()
-    private val tooLate = mutableListOf<String>()
-    private val readyAtMillisByModel = mutableMapOf<String, Long>()
+    private val forecasts = LoadForecasts()
     private val blocked = mutableListOf<BlockedDemand>()
-    private val atVersions = mutableListOf<VersionForecast>()
     private val orderedRunners = mutableSetOf<String>()
     private val needAdapterSlots = mutableSetOf<String>()
     private val times = LoadTimes(view)
@@ -76,7 +74,13 @@
         loadAtVersions(bound)
         addReplicas()
         if (steps.isEmpty()) preload()
-        return ResidencyPlan(steps, tooLate, readyAtMillisByModel, blocked, atVersions)
+        return ResidencyPlan(
+            steps,
+            forecasts.tooLate,
+            forecasts.readyAtMillis,
+            blocked,
+            forecasts.atVersions
+        )
     }
 
     /**
@@ -84,7 +88,8 @@
      * whom the load is too late returns, since it has a part of its stream.
      */
     private fun loadAtVersions(absent: List<ModelDemand>) {
-        val merged = absent.groupBy { it.model to it.softwareVersion }.values.map(::merge)
+        val merged = absent.groupBy { Triple(it.model, it.softwareVersion, it.homeRegions) }.values
+            .map(::merge)
         for (demand in merged.sortedByDescending { it.waiting }) {
             val version = demand.softwareVersion ?: continue
             val loading = view.runners
@@ -95,48 +100,58 @@
                 blocked += BlockedDemand(demand.model, null, obstacleOf(demand, null))
                 continue
             }
-            atVersions += VersionForecast(demand.model, version, ready)
+            forecasts.atVersions +=
+                VersionForecast(demand.model, version, ready, demand.homeRegions)
             candidate?.let(::order)
         }
     }
 
     private fun loadAbsent(absent: List<ModelDemand>) {
-        val loading = view.runners.filter { it.loading != null }
-            .associate { it.loading!! to it.loadedAtMillis }
-        val all = absent.groupBy { it.model }.map { (_, demands) -> merge(demands) }
-        val (inProgress, merged) = all.partition { it.model in loading }
-        for (demand in inProgress) {
-            val loadedAt = loading.getValue(demand.model)
-            if (loadedAt > demand.deadlineAtMillis) tooLate += demand.model
-            readyAtMillisByModel[demand.model] = loadedAt
-        }
+        val all = absent.groupBy { it.model to it.homeRegions }.values.map(::merge)
+        val (inProgress, merged) = all.partition { loadInProgress(it) != null }
+        for (demand in inProgress) forecasts.record(demand, loadInProgress(demand)!!.loadedAtMillis)
         val ordered = merged.sortedWith(
             compareByDescending<ModelDemand> { benefitOf(it) / times.fastestLoadMillis(it.model) }
                 .thenBy { it.deadlineAtMillis }
         )
         for (demand in ordered) {
-            val candidate = bestCandidate(demand)?.takeUnless(::isLocalLoadSooner)
-            val isInTime = candidate != null && readyAtMillis(candidate) <= demand.deadlineAtMillis
-            if (candidate != null && (isInTime || paysForLaterCallers(demand, candidate))) {
-                order(candidate)
-            } else {
-                blocked += BlockedDemand(demand.model, null, obstacleOf(demand, candidate))
-                bounds.models[demand.model]?.let {
-                    readyAtMillisByModel[it.name] = queue.readyAtMillis(it)
-                }
-            }
-            val ready = readyAtMillisByModel[demand.model] ?: Long.MAX_VALUE
-            if (ready > demand.deadlineAtMillis) tooLate += demand.model
+            val ready = orderedReadyAtMillis(demand) ?: forecasts.placing(demand) { place(demand) }
+            forecasts.record(demand, ready)
+        }
+    }
+
+    private fun place(demand: ModelDemand) {
+        val candidate = bestCandidate(demand)?.takeUnless(::isLocalLoadSooner)
+        val isInTime = candidate != null && readyAtMillis(candidate) <= demand.deadlineAtMillis
+        if (candidate != null && (isInTime || paysForLaterCallers(demand, candidate))) {
+            return order(candidate)
+        }
+        blocked += BlockedDemand(demand.model, null, obstacleOf(demand, candidate))
+        bounds.models[demand.model]?.let {
+            forecasts.readyAtMillis[it.name] = queue.readyAtMillis(it, demand::accepts)
         }
     }
 
+    private fun loadInProgress(demand: ModelDemand): RunnerState? =
+        view.runners.lastOrNull { it.loading == demand.model && demand.accepts(it) }
+
+    /** Returns when a load that this plan has already serves [demand]; null if there is none. */
+    private fun orderedReadyAtMillis(demand: ModelDemand): Long? =
+        steps.filterIsInstance<ResidencyOrder.Load>()
+            .find { step ->
+                step.model == demand.model &&
+                    view.runners.any { it.id == step.runner && demand.accepts(it) }
+            }
+            ?.let { nowMillis + it.loadMillis + bounds.overheadMillis }
+
     /**
      * Whether waiting for a busy runner that has the weights is faster than loading from the store.
      */
     private fun isLocalLoadSooner(candidate: Candidate): Boolean {
         if (candidate.source != WeightSource.STORE) return false
         val cost = bounds.models[candidate.demand.model] ?: return false
-        return (queue.localLoadReadyAtMillis(cost) ?: return false) < readyAtMillis(candidate)
+        return (queue.localLoadReadyAtMillis(cost, candidate.demand::accepts) ?: return false) <
+            readyAtMillis(candidate)
     }
 
     private fun obstacleOf(demand: ModelDemand, candidate: Candidate?): Obstacle {
@@ -223,7 +238,7 @@
         }
         candidate.evicted.forEach { replicas.merge(it, -1, Int::plus) }
         replicas.merge(candidate.demand.model, 1, Int::plus)
-        readyAtMillisByModel[candidate.demand.model] = readyAtMillis(candidate)
+        forecasts.readyAtMillis[candidate.demand.model] = readyAtMillis(candidate)
         steps += ResidencyOrder.Load(
             candidate.runner.id,
             candidate.demand.model,
--- a/decisions/src/test/kotlin/cactusfold/decisions/rate/SharedLimitRandomisedTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/rate/SharedLimitRandomisedTest.kt
@@ -21,8 +21,7 @@
         val replies = mutableListOf<Reply>()
     }
 
-    private class Fleet(val random: Random, memberCount: Int, requestsPerSecond: Double) {
-        val limit = RateLimit.ofRequests(requestsPerSecond)
+    private class Fleet(val random: Random, memberCount: Int, val limit: RateLimit) {
         val rate = limit.rateTokensPerSecond
         val sentAtMillis = mutableListOf<Long>()
         var now = 0L
@@ -90,7 +89,8 @@
             member.replies -= arrived.toSet()
             for (reply in arrived) {
                 member.state = TokenGrantSpender(settings).contacted(member.state, now)
-                val isValid = now - reply.askedAtMillis < settings.grantValidMillis
+                val validMillis = limit.useWithinMillis ?: settings.grantValidMillis
+                val isValid = now - reply.askedAtMillis < validMillis
                 if (reply.answer is GrantResponse.Granted && isValid) sentAtMillis += now
             }
         }
@@ -113,13 +113,13 @@
             member.replies += Reply(taken.answer, now, now + delayMillis)
         }
 
-        fun checkWindows() {
-            val allowed = 1.5 * WINDOW_MILLIS / 1_000 * rate + 5
+        fun checkWindows(windowMillis: Long = WINDOW_MILLIS) {
+            val allowed = 1.5 * windowMillis / 1_000 * rate + 5
             sentAtMillis.forEachIndexed { first, atMillis ->
                 val next = sentAtMillis.getOrNull(first + allowed.toInt()) ?: return
                 assertTrue(
-                    next - atMillis >= WINDOW_MILLIS,
-                    "over $allowed requests in $WINDOW_MILLIS ms at $atMillis, " +
+                    next - atMillis >= windowMillis,
+                    "over $allowed requests in $windowMillis ms at $atMillis, " +
                         "$rate a second, ${members.size} members"
                 )
             }
@@ -129,7 +129,7 @@
     private fun fleet(random: Random) = Fleet(
         random,
         listOf(1, 5, 14, 15, 40).random(random),
-        listOf(0.0, 0.2, 1.0, 3.0, 10.0, 50.0, 300.0).random(random)
+        RateLimit.ofRequests(listOf(0.0, 0.2, 1.0, 3.0, 10.0, 50.0, 300.0).random(random))
     )
 
     @Nested
@@ -162,6 +162,47 @@
             }
     }
 
+    /** Guards against a crash of a cold upstream by what the VMs send together in one second. */
+    @Nested
+    inner class ColdUpstream {
+        private fun coldFleet(random: Random) = Fleet(
+            random,
+            listOf(1, 14, 40, 137).random(random),
+            ColdState.limit(listOf(0.5, 2.0, 5.7, 20.0).random(random), ColdBounds(1.5, 5.0))
+        )
+
+        @Test
+        fun `the bound of a second is kept while VMs wake, are cut off or lose the coordinator`() =
+            Seeds.each { random ->
+                val fleet = coldFleet(random)
+                repeat(STEPS / 2) {
+                    val member = fleet.members.random(random)
+                    when (random.nextInt(400)) {
+                        0 -> member.frozenUntilMillis = fleet.now + random.nextLong(6_000)
+                        1 -> member.cutUntilMillis = fleet.now + random.nextLong(10_000)
+                        2 -> fleet.replaceMember()
+                        3 -> fleet.loseCoordinator(random.nextLong(0, 8_000))
+                    }
+                    fleet.step(demandShare = random.nextDouble())
+                }
+                fleet.checkWindows(windowMillis = 1_000)
+            }
+
+        @Test
+        fun `the bound of a second is kept while all members lose contact one by one`() =
+            Seeds.each { random ->
+                val fleet = coldFleet(random)
+                while (fleet.now < 12_000) fleet.step(demandShare = 0.5)
+                fleet.members.forEach {
+                    it.cutUntilMillis = fleet.now + 30_000
+                    repeat(random.nextInt(5)) { fleet.step(demandShare = 0.5) }
+                }
+                val untilMillis = fleet.now + 20_000
+                while (fleet.now < untilMillis) fleet.step(demandShare = 0.9)
+                fleet.checkWindows(windowMillis = 1_000)
+            }
+    }
+
     @Nested
     inner class Use {
         @Test
@@ -182,7 +223,7 @@
         @Test
         fun `one member that lost contact leaves nearly all to the others`() =
             Seeds.each { random ->
-                val fleet = Fleet(random, 14, 1.0)
+                val fleet = Fleet(random, 14, RateLimit.ofRequests(1.0))
                 fleet.members.first().cutUntilMillis = Long.MAX_VALUE
                 while (fleet.now < USE_MILLIS) fleet.step(demandShare = 0.7)
                 val used = fleet.sentAtMillis.size
@@ -191,7 +232,7 @@
 
         @Test
         fun `without a coordinator the members take turns`() = Seeds.each { random ->
-            val fleet = Fleet(random, 14, 1.0)
+            val fleet = Fleet(random, 14, RateLimit.ofRequests(1.0))
             while (fleet.now < 15_000) fleet.step(demandShare = 0.7)
             fleet.loseCoordinator(Long.MAX_VALUE / 2)
             while (fleet.now < 20_000) fleet.step(demandShare = 0.7)
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -22,6 +22,8 @@
 import cactusfold.entry.fleet.FleetCoordinator
 import cactusfold.entry.fleet.MemberMessages
 import cactusfold.entry.fleet.MemberRegistration
+import cactusfold.entry.places.EvacuationStatus
+import cactusfold.entry.places.ZoneEvacuations
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.process.MemoryShares
 import cactusfold.entry.process.ShutdownBudget
@@ -45,8 +47,10 @@
 import cactusfold.entry.streams.StreamBindings
 import cactusfold.entry.streams.StreamLookup
 import cactusfold.entry.streams.StreamTables
+import cactusfold.entry.upstream.ColdReports
 import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
+import cactusfold.entry.upstream.UpstreamEligibility
 import cactusfold.entry.upstream.UpstreamLimits
 import cactusfold.entry.upstream.UpstreamPolling
 import cactusfold.node.peer.PeerClients
@@ -107,11 +111,9 @@
             BodyCollector(HttpTableStore.MAX_ANSWER_BYTES, ByteBudget(memory.storeBytes))
         )
     )
-    private val orders = HttpRunnerApi(
-        vertx,
-        ORDER_TIMEOUT_MILLIS,
-        ByteBudget(memory.reportBytes)
-    ) { directory.recordLeaving(it) }
+    private val evacuations =
+        ZoneEvacuations(clock, events, metrics).also { it.onChange = ::applyEvacuations }
+    private val eligibility = UpstreamEligibility(settings.regionsByZone)
 
     private var table: RouteTable? = null
     private val config =
@@ -122,10 +124,12 @@
             bounds.keyWithdrawalMillis,
             { lease.isCoordinator },
             { !lease.isCoordinator && coordinatorClient.isConnected },
+            evacuations,
+            bounds.evacuateMillis,
             ::applyConfig
         )
     private val directory: UpstreamDirectory =
-        UpstreamDirectory(store, clock, events, settings.zone, ::upstreamPolling)
+        UpstreamDirectory(store, clock, events, settings.zone, eligibility, ::upstreamPolling)
     private val memberRow = StoredMember.newBuilder().setVm(settings.vm).setBoot(incarnation)
         .setAddress(peerAddress.toString()).setZone(settings.zone).build()
     private val lease = CoordinatorLeaseManager(
@@ -147,7 +151,20 @@
         metrics,
         { directory.find(it.id)?.start == it },
         ::applyLimit
-    ) { coordinatorClient.wake() }
+    ) { coordinatorClient.wake() }.also {
+        it.cold.bounds = bounds.cold
+        it.cold.requestsPerSecondOf = ::coldRequestsPerSecond
+        it.cold.registeredStart = { id -> directory.find(id)?.start }
+        it.cold.onSuspected = directory::markOutdated
+        directory.rowListener = it.cold
+    }
+    private val orders = ColdReports(
+        HttpRunnerApi(vertx, ORDER_TIMEOUT_MILLIS, ByteBudget(memory.reportBytes)) {
+            directory.recordLeaving(it)
+        },
+        clock,
+        limits.cold
+    )
     private val peers = PeerClients(eventLoops)
     private val waits = ModelWaitQueue(directory, clock) { coordinatorClient.wake() }
     private val suspects = SharedSuspects(clock) { coordinatorClient.wake() }
@@ -183,6 +200,7 @@
         limits,
         recordedVersions,
         ownStreams,
+        evacuations,
         clock
     )
     private val fleetStreams: FleetStreams = FleetStreams(
@@ -194,6 +212,8 @@
         ::resumableServices,
         ownStreams::markUnsent
     ) { coordinator.announceVersions(it) }
+    private val evacuationStatus =
+        EvacuationStatus(store, evacuations, events) { lease.isCoordinator }
     private val coordinator: FleetCoordinator =
         FleetCoordinator(
             CoordinatorDependencies(
@@ -204,6 +224,7 @@
                 rates,
                 limits,
                 config,
+                evacuationStatus,
                 promptBlocks,
                 fleetStreams,
                 clock,
@@ -301,6 +322,7 @@
         tasks.keepRunning("silent upstreams") { directory.watchSilence() }
         tasks.keepRunning("lease") { lease.run() }
         tasks.keepRunning("coordinator") { coordinator.run() }
+        tasks.keepRunning("evacuations") { evacuationStatus.run() }
         tasks.keepRunning("streams") { fleetStreams.run() }
         tasks.keepRunning("versions") {
             recordedVersions.follow(streamTables::readRecords) { coordinatorClient.isConnected }
@@ -375,6 +397,22 @@
         coordinator.wakeMembers()
     }
 
+    private fun applyEvacuations(evacuated: Set<String>, returned: Set<String>) {
+        eligibility.evacuatedZones = evacuated
+        // Runners may have started, or become cold, while nothing was sent to them.
+        returned.flatMap(directory::inZone)
+            .forEach { limits.cold.suspect(it.start, "evacuated", isKnownToAll = true) }
+        directory.changed()
+        // The coordinator confirms to the operator that all members send nothing more.
+        coordinatorClient.wake()
+        coordinator.wakeMembers()
+        evacuationStatus.changed()
+    }
+
+    private fun coldRequestsPerSecond(start: UpstreamStart): Double? =
+        directory.find(start.id)?.takeIf { it.start == start }
+            ?.let { table?.service(it.entry.service)?.coldRequestsPerSecond }
+
     private fun resumableServices(): ResumableServices =
         table?.resumableServices ?: ResumableServices.NONE
 
@@ -387,7 +425,9 @@
 
     private fun applyLimit(upstream: UpstreamStart) {
         coordinator.announceLimit(upstream)
-        if (limits.find(upstream) == null) meters.forgetLimited(upstream.id)
+        if (limits.find(upstream) != null) return
+        directory.find(upstream.id)?.takeIf { it.start == upstream }?.recordUnlimited()
+        meters.forgetLimited(upstream.id)
     }
 
     private fun upstreamPolling(): UpstreamPolling = when {
@@ -414,6 +454,7 @@
 
     private fun handleAnswer(upstream: Upstream, facts: ResponseMetadata, sentAtMillis: Long) {
         limits.answered(upstream.start, facts.limit, sentAtMillis)
+        facts.coldMillis?.let { limits.cold.answered(upstream.start, it, sentAtMillis) }
     }
 
     private companion object {
--- a/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry
 
+import cactusfold.decisions.rate.ColdBounds
 import cactusfold.entry.rate.RateTolerance
 import cactusfold.settings.schema.HostPort
 import cactusfold.settings.schema.Schema
@@ -18,6 +19,8 @@
  * @property retrySlack retries allowed in addition to the ratio, over all VMs.
  * @property rateTolerance by how much a workspace may exceed its rate.
  * @property loadWindowMillis window over which loads from the weight store are counted.
+ * @property cold how many requests a cold upstream may get.
+ * @property evacuateMillis time after which nothing is sent to an evacuated zone.
  */
 public data class EntryBounds(
     public val stopMillis: Long,
@@ -27,13 +30,16 @@
     public val retryWindowMillis: Long,
     public val retrySlack: Double,
     public val rateTolerance: RateTolerance,
-    public val loadWindowMillis: Long
+    public val loadWindowMillis: Long,
+    public val cold: ColdBounds = ColdBounds(),
+    public val evacuateMillis: Long = 5_000
 )
 
 /**
  * Settings of an entry process.
  *
  * @property cores processing capacity of the VM, in cores of the usual speed.
+ * @property regionsByZone the region of each availability zone; another zone has none.
  */
 public data class EntrySettings(
     public val vm: String,
@@ -45,7 +51,8 @@
     public val ready: HostPort,
     public val store: HostPort,
     public val bounds: EntryBounds,
-    public val cores: Double = 1.0
+    public val cores: Double = 1.0,
+    public val regionsByZone: Map<String, String> = emptyMap()
 )
 
 private const val MILLIS_PER_SECOND = 1_000
@@ -81,7 +88,26 @@
         key("rate-tolerance-share", ValueType.Decimal("share"), "over the rate, in a window", "0.1")
         key("rate-tolerance-tokens", ValueType.Decimal("tokens"), "over the rate beside it", "1000")
         key("load-window-seconds", ValueType.Decimal("seconds"), "window of store loads", "5")
+        defaulted(
+            "cold-overage",
+            ValueType.Decimal("times"),
+            "the rate of a cold upstream that it may get in a second",
+            "1.5"
+        )
+        defaulted(
+            "cold-slack",
+            ValueType.Decimal("requests"),
+            "requests that it may get beyond that",
+            "5"
+        )
+        defaulted(
+            "evacuate-millis",
+            ValueType.Whole(MILLIS.first, MILLIS.last, "milliseconds"),
+            "how long an evacuated zone may still get requests",
+            "5000"
+        )
     }
+    mapSection("regions", ValueType.Text, "The region of each availability zone, by its name.")
     section("log", "Log lines on standard output.") {
         key(
             "level",
@@ -119,9 +145,12 @@
                 bounds.double("rate-tolerance-share"),
                 bounds.double("rate-tolerance-tokens")
             ),
-            loadWindowMillis = millisOf(bounds.double("load-window-seconds"))
+            loadWindowMillis = millisOf(bounds.double("load-window-seconds")),
+            cold = ColdBounds(bounds.double("cold-overage"), bounds.double("cold-slack")),
+            evacuateMillis = bounds.long("evacuate-millis")
         ),
-        cores = vm.double("core-share") * vm.double("core-speed")
+        cores = vm.double("core-share") * vm.double("core-speed"),
+        regionsByZone = settings.section("regions").all
     )
 }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/ModelPatience.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/ModelPatience.kt
@@ -32,7 +32,8 @@
             softwareVersion = placement.softwareVersion,
             targetAtMillis = sinceMillis + route.targetMillis,
             deadlineAtMillis =
-            minOf(deadlineAtMillis, patienceEndsMillis) - FIRST_PIECE_RESERVE_MILLIS
+            minOf(deadlineAtMillis, patienceEndsMillis) - FIRST_PIECE_RESERVE_MILLIS,
+            homes = placement.homes
         )
         return dependencies.waits.await(need).also { log(need, it, startedAtMillis) }
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.decisions.places.HomeRegions
 import cactusfold.entry.residency.ModelWait
 import cactusfold.entry.upstream.ModelUse
 import cactusfold.entry.upstream.Upstream
@@ -41,7 +42,16 @@
         val route = admitted.route
         val deadlineAtMillis = admitted.deadlineAtMillis
         val placement =
-            StreamPlacement(dependencies, request, route, selectService(route, request.facts))
+            StreamPlacement(
+                dependencies,
+                request,
+                route,
+                selectService(route, request.facts),
+                HomeRegions.of(
+                    route.homeRegions,
+                    admitted.workspace?.homeRegions.orEmpty()
+                )
+            )
         placement.locate(deadlineAtMillis)?.let { return failOrAbort(it) }
         val service = placement.service
         val model = request.facts.model
@@ -56,6 +66,7 @@
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
             val candidates = placement.candidates()
+            if (candidates.isEmpty()) placement.homeRefusal()?.let { return failOrAbort(it) }
             if (candidates.isEmpty() && placement.isVersionGone()) {
                 return refuse("stream-version-gone", null)
             }
@@ -135,7 +146,7 @@
             ),
             body = request.body,
             isStream = route.isStream,
-            mayWrite = { permit == null || dependencies.sendLimiter.use(permit) }
+            mayWrite = { dependencies.sendLimiter.mayWrite(upstream, permit) }
         )
         sends++
         dependencies.events.write(
@@ -218,6 +229,7 @@
                 when (end.status) {
                     null -> {
                         upstream.recordUnreachable(nowMillis)
+                        dependencies.sendLimiter.connectionFailed(upstream)
                         dependencies.suspects.recordDown(upstream)
                     }
                     MISDIRECTED -> {
@@ -233,6 +245,7 @@
             is SendEnd.Broken -> {
                 runs++
                 upstream.recordFailure(nowMillis)
+                if (end.closed != null) dependencies.sendLimiter.connectionFailed(upstream)
             }
             is SendEnd.Whole, SendEnd.Streamed -> runs++
         }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.decisions.places.HomeRegions
 import cactusfold.decisions.streams.StreamOrigin
 import cactusfold.entry.streams.StreamFinding
 import cactusfold.entry.upstream.Upstream
@@ -15,7 +16,9 @@
     private val dependencies: RequestFlowDependencies,
     private val request: CallerRequest,
     private val route: ServingRoute,
-    private val selectedService: String
+    private val selectedService: String,
+    /** The regions whose upstreams may get the request. */
+    val homes: HomeRegions = HomeRegions.ANY
 ) {
     private val isResumable = route.repeatability == Repeatability.STREAM_RESUMABLE
     private val isTakenUp = isResumable && request.facts.lastEventId != null
@@ -75,12 +78,24 @@
     }
 
     /** Returns the upstreams to which the request may be sent now. */
-    fun candidates(): List<Upstream> =
-        dependencies.directory.serving(service, facts.model, facts.adapter).filter(::accepts)
+    fun candidates(): List<Upstream> = servingInHomes().filter(::accepts)
 
     /** Whether upstreams have the model that only do not accept this stream. */
-    fun hasOthers(): Boolean =
-        dependencies.directory.serving(service, facts.model, facts.adapter).isNotEmpty()
+    fun hasOthers(): Boolean = servingInHomes().isNotEmpty()
+
+    private fun servingInHomes(): List<Upstream> =
+        dependencies.directory.serving(service, facts.model, facts.adapter)
+            .filter { homes.accepts(it.region) }
+
+    /** Returns why no upstream in the request's homes can serve it; null if one may. */
+    fun homeRefusal(): ErrorAnswer? {
+        if (homes == HomeRegions.ANY) return null
+        val registered = dependencies.directory.inHomes(service, homes)
+        if (registered.any { it.isUsable }) return null
+        // Those that are registered may return; otherwise it is not known that there will be any.
+        val retryAfterMillis = NO_HOME_RETRY_AFTER_MILLIS.takeIf { registered.isNotEmpty() }
+        return ErrorAnswer.NotRun("no-upstream-in-home-regions", retryAfterMillis)
+    }
 
     private fun accepts(upstream: Upstream): Boolean {
         if (!isResumable) return true
@@ -126,6 +141,9 @@
         /** Another coordinator takes over within some seconds. */
         const val UNDECIDED_RETRY_AFTER_MILLIS = 1_000L
 
+        /** Upstreams that restart, or rows that lapsed, are back within seconds. */
+        const val NO_HOME_RETRY_AFTER_MILLIS = 1_000L
+
         val OTHER_START = StreamCheck.Unsound("the upstream may have restarted")
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
@@ -1,5 +1,7 @@
 package cactusfold.entry.callers
 
+import cactusfold.decisions.rate.WarmingChoice
+import cactusfold.decisions.rate.WarmingPool
 import cactusfold.entry.rate.SendDecision
 import cactusfold.entry.rate.SendPermit
 import cactusfold.entry.upstream.Upstream
@@ -25,7 +27,7 @@
 internal class UpstreamSelection(
     private val dependencies: RequestFlowDependencies,
     private val request: CallerRequest,
-    targetMillis: Long,
+    private val targetMillis: Long,
     private val deadlineAtMillis: Long
 ) {
     private val maxWaitMillis = targetMillis / TARGET_SHARE_DIVISOR
@@ -34,7 +36,8 @@
 
     /** Selects one of [candidates], which all can serve the request. */
     suspend fun select(candidates: List<Upstream>): Selection {
-        val chosen = dependencies.directory.choose(candidates, request.facts.promptPrefixId)
+        val chosen =
+            dependencies.directory.choose(warmingPool(candidates), request.facts.promptPrefixId)
         if (chosen != null && !isLimited(chosen)) return Selection.Selected(chosen, null)
         val limited = limitedCandidates(candidates, chosen)
         return if (limited.isEmpty()) {
@@ -44,6 +47,24 @@
         }
     }
 
+    /** Returns the candidates that suit the request best while some of them are cold. */
+    private fun warmingPool(candidates: List<Upstream>): List<Upstream> {
+        val (cold, warm) = candidates.partition(dependencies.sendLimiter::isWarming)
+        if (cold.isEmpty()) return candidates
+        val nowMillis = dependencies.clock.nowMillis()
+        val pool = WarmingChoice.pool(
+            request.arrivedAtMillis + targetMillis - nowMillis,
+            targetMillis,
+            hasCold = cold.any { it.isAvailable(nowMillis) },
+            hasWarm = warm.any { it.isAvailable(nowMillis) }
+        )
+        return when (pool) {
+            WarmingPool.ALL -> candidates
+            WarmingPool.COLD -> cold
+            WarmingPool.WARM -> warm
+        }
+    }
+
     private fun isLimited(upstream: Upstream): Boolean =
         dependencies.sendLimiter.limitOf(upstream) != null
 
--- a/entry/src/main/kotlin/cactusfold/entry/config/ConfigWatcher.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/config/ConfigWatcher.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.config
 
+import cactusfold.entry.places.ZoneEvacuations
 import cactusfold.entry.process.EventLog
 import cactusfold.node.time.MonotonicClock
 import cactusfold.platform.ConfigDecoder
@@ -21,6 +22,8 @@
  *
  * @param isCoordinator whether this process confirms the version for others.
  * @param isMember whether this process is in contact with a coordinator that does.
+ * @param evacuations follows the operator's other rows in the same table.
+ * @param evacuateMillis bound on how long an evacuated zone may still get requests.
  */
 public class ConfigWatcher(
     private val feed: ChangeFeed,
@@ -29,10 +32,13 @@
     private val keyWithdrawalMillis: Long,
     private val isCoordinator: () -> Boolean,
     private val isMember: () -> Boolean,
+    private val evacuations: ZoneEvacuations? = null,
+    evacuateMillis: Long = keyWithdrawalMillis,
     private val onChange: (ServingConfig) -> Unit
 ) {
     private val wake = Channel<Unit>(Channel.CONFLATED)
-    private val maxRelayedAgeMillis = (keyWithdrawalMillis * MAX_RELAYED_AGE_SHARE).toLong()
+    private val boundMillis = minOf(keyWithdrawalMillis, evacuateMillis)
+    private val maxRelayedAgeMillis = (boundMillis * MAX_RELAYED_AGE_SHARE).toLong()
     private var announcedVersion = Long.MIN_VALUE
 
     /** The configuration in force; null until one has been read. */
@@ -59,7 +65,10 @@
     public fun confirmation(nowMillis: Long): ConfigConfirmation? {
         val version = current?.version ?: return null
         val ageMillis = ageMillis(nowMillis) ?: return null
-        return ConfigConfirmation.newBuilder().setVersion(version).setAgeMillis(ageMillis).build()
+        val confirmation =
+            ConfigConfirmation.newBuilder().setVersion(version).setAgeMillis(ageMillis)
+        evacuations?.message()?.let(confirmation::setEvacuations)
+        return confirmation.build()
     }
 
     /**
@@ -94,6 +103,7 @@
                     era = result.era
                     if (failures > 0) events.write("store-regained", "for" to "configuration")
                     failures = 0
+                    evacuations?.read(result, isSnapshot = position == null)
                     position = result.position
                     result.rows.filter { it.sort == ConfigDecoder.KEY }
                         .forEach { row -> row.value?.let { apply(it) } }
@@ -135,7 +145,7 @@
      * to reach the members; otherwise two polls fit into the key withdrawal bound, with a margin.
      */
     private fun pollMillis(): Long =
-        (keyWithdrawalMillis * if (isCoordinator()) COORDINATOR_POLL_SHARE else POLL_SHARE).toLong()
+        (boundMillis * if (isCoordinator()) COORDINATOR_POLL_SHARE else POLL_SHARE).toLong()
 
     private fun apply(value: ByteArray) {
         when (val decoded = ConfigDecoder.decode(value)) {
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -3,6 +3,7 @@
 import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.entry.callers.SharedPromptBlocks
 import cactusfold.entry.config.ConfigWatcher
+import cactusfold.entry.places.EvacuationStatus
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.rate.FleetTokenBuckets
 import cactusfold.entry.rate.SendGrants
@@ -49,6 +50,7 @@
     public val rates: FleetTokenBuckets,
     public val limits: UpstreamLimits,
     public val config: ConfigWatcher,
+    public val evacuations: EvacuationStatus,
     public val promptBlocks: SharedPromptBlocks,
     public val streams: FleetStreams,
     public val clock: MonotonicClock,
@@ -98,6 +100,7 @@
     public fun report(report: MemberReport) {
         dependencies.demand.record(report, dependencies.clock.nowMillis())
         dependencies.rates.heard(report.vm, report.boot)
+        dependencies.evacuations.reported(report)
         forwardSuspects(report)
         forwardPromptBlocks(report)
         report.departuresList.forEach(::announceDeparture)
@@ -241,7 +244,10 @@
 
     private fun leave(session: MemberSession) {
         sessions -= session
-        if (sessions.none { it.vm == session.vm }) dependencies.demand.remove(session.vm)
+        if (sessions.none { it.vm == session.vm }) {
+            dependencies.demand.remove(session.vm)
+            dependencies.evacuations.left(session.vm)
+        }
         dependencies.events.write("member-left", "member" to session.vm)
     }
 
@@ -364,6 +370,7 @@
         dependencies.directory.markDeparturesUnsent()
         dependencies.rates.start(fence)
         dependencies.loads.start()
+        dependencies.evacuations.leaseAcquired()
     }
 
     private fun handleLeaseLost(fence: Long) {
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberMessages.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberMessages.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.entry.callers.SharedPromptBlocks
 import cactusfold.entry.callers.SharedSuspects
+import cactusfold.entry.places.ZoneEvacuations
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.streams.OwnStreams
 import cactusfold.entry.streams.RecordedVersions
@@ -27,6 +28,7 @@
     private val limits: UpstreamLimits,
     private val recordedVersions: RecordedVersions,
     private val ownStreams: OwnStreams,
+    private val evacuations: ZoneEvacuations,
     private val clock: MonotonicClock
 ) {
     /** Returns the next report, with all that was not reported yet. */
@@ -37,7 +39,8 @@
                     .setAdapter(use.adapter.orEmpty()).setInFlight(count).build()
             }
         }
-        return MemberReport.newBuilder()
+        evacuations.expire()
+        val report = MemberReport.newBuilder()
             .setVm(self.vm)
             .setBoot(self.boot)
             .addAllDemands(waits.takeDemands())
@@ -49,10 +52,15 @@
             .addAllDepartures(directory.takeDepartures())
             .addAllLimits(limits.takeUnsent())
             .addAllStreams(ownStreams.takeUnsent())
+        evacuations.report()?.let(report::setEvacuations)
+        return report
     }
 
     /** Applies all that [notice] says of upstreams, their versions and requests. */
     public fun apply(notice: FleetNotice) {
+        if (notice.config.hasEvacuations()) {
+            evacuations.heard(notice.config.evacuations, "coordinator")
+        }
         if (notice.holdingsCount > 0) {
             notice.holdingsList.forEach(::apply)
             directory.changed()
--- a/entry/src/main/kotlin/cactusfold/entry/rate/FleetTokenBuckets.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/FleetTokenBuckets.kt
@@ -90,7 +90,9 @@
     public fun configured() {
         buckets.keys.retainAll { limits.find(it) != null }
         buckets.replaceAll { subject, bucket ->
-            machine.reconfigure(bucket, limits.find(subject)!!, clock.nowMillis())
+            // The limit of a cold upstream may have ended meanwhile.
+            limits.find(subject)?.let { machine.reconfigure(bucket, it, clock.nowMillis()) }
+                ?: bucket
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/rate/MemberTokens.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/MemberTokens.kt
@@ -30,6 +30,7 @@
     private var position: Int? = null
     private var spender = TokenGrantSpender(settings)
     private var isRegistered = false
+    private var heardAtMillis: Long? = null
 
     /**
      * Records that this process is registered, so that the coordinator sets a reserve aside for it:
@@ -45,6 +46,7 @@
     /** Records contact with the coordinator, which suspends the use of the reserves. */
     fun heard() {
         val nowMillis = clock.nowMillis()
+        heardAtMillis = nowMillis
         states.replaceAll { _, state -> spender.contacted(state, nowMillis) }
     }
 
@@ -69,7 +71,7 @@
     fun trySpend(subject: RateSubject, limit: RateLimit, tokens: Long): Boolean {
         val mayUseReserve = isRegistered && applyPlace()
         val before = states[subject]?.let { if (it.limit == limit) it else it.copy(limit = limit) }
-            ?: spender.start(limit, reservesFromMillis)
+            ?: start(limit)
         val step = spender.spend(before, tokens, clock.nowMillis(), mayUseReserve)
         states[subject] = step.state
         return when (step.outcome) {
@@ -78,6 +80,13 @@
         }
     }
 
+    /** Returns the state of a rate that is new here; contact has suspended its reserve as well. */
+    private fun start(limit: RateLimit): TokenGrantState {
+        val state = spender.start(limit, reservesFromMillis)
+        val contacted = heardAtMillis?.let { spender.contacted(state, it) } ?: return state
+        return if (contacted.reserveFromMillis > state.reserveFromMillis) contacted else state
+    }
+
     /** Forgets subjects whose rate has ended. */
     fun retain(isLimited: (RateSubject) -> Boolean) {
         states.keys.retainAll(isLimited)
--- a/entry/src/main/kotlin/cactusfold/entry/rate/SendGrants.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/SendGrants.kt
@@ -19,7 +19,9 @@
         // The member may know of a limit that this process has not heard of yet.
         request.candidatesList.forEach { limits.heard(it, request.vm) }
         val member = GrantMember(request.vm, request.boot)
-        val subjects = request.candidatesList.map { RateSubject.Upstream(it.start) }
+        // A member may not have read the row of a later start under the same id.
+        val subjects = request.candidatesList
+            .map { RateSubject.Upstream(limits.cold.current(it.start)) }
         val granted = subjects.find { buckets.take(it, member, 1) !is GrantResponse.Wait }
         if (granted != null) {
             return SendGrant.newBuilder().setOutcome(SendGrant.Outcome.GRANTED)
--- a/entry/src/main/kotlin/cactusfold/entry/rate/UpstreamRateLimiter.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/UpstreamRateLimiter.kt
@@ -12,10 +12,12 @@
  * Permission to send one request to an upstream that limits the requests of all VMs together.
  *
  * @property askedAtMillis when the token was asked for, from which its validity counts.
+ * @property useWithinMillis how long it is valid, if that is less than for other limits.
  */
 public class SendPermit internal constructor(
     internal val start: UpstreamStart,
-    internal val askedAtMillis: Long
+    internal val askedAtMillis: Long,
+    internal val useWithinMillis: Long? = null
 ) {
     internal var isUsed = false
 }
@@ -94,18 +96,38 @@
      * such as after a suspension of this process.
      */
     public fun use(permit: SendPermit): Boolean {
-        permit.isUsed = isGrantValid(permit.askedAtMillis, clock.nowMillis())
+        val nowMillis = clock.nowMillis()
+        val isInTime =
+            permit.useWithinMillis?.let { nowMillis - permit.askedAtMillis < it } ?: true
+        permit.isUsed = isInTime && isGrantValid(permit.askedAtMillis, nowMillis)
         return permit.isUsed
     }
 
+    /**
+     * Whether a request for [upstream], with its [permit] if it needed one, may be written now. The
+     * upstream may have become cold since.
+     */
+    public fun mayWrite(upstream: Upstream, permit: SendPermit?): Boolean =
+        if (permit == null) limits.cold.limitOf(upstream.start) == null else use(permit)
+
+    /** Whether [upstream] states that it is cold, so that requests warm it up. */
+    public fun isWarming(upstream: Upstream): Boolean = limits.cold.isWarming(upstream.start)
+
+    /** Records that a connection to [upstream] failed, after which it may be cold. */
+    public fun connectionFailed(upstream: Upstream): Unit =
+        limits.cold.suspect(upstream.start, "connection")
+
     /** Keeps the token of [permit] for another request, unless it was used. */
     public fun release(permit: SendPermit) {
-        if (permit.isUsed) return
+        // A token for a cold upstream is lost rather than used late.
+        if (permit.isUsed || permit.useWithinMillis != null) return
         held.keep(RateSubject.Upstream(permit.start), 1, permit.askedAtMillis)
     }
 
-    private fun permitted(upstream: Upstream, askedAtMillis: Long) =
-        SendDecision.Permitted(upstream, SendPermit(upstream.start, askedAtMillis))
+    private fun permitted(upstream: Upstream, askedAtMillis: Long) = SendDecision.Permitted(
+        upstream,
+        SendPermit(upstream.start, askedAtMillis, limitOf(upstream)?.useWithinMillis)
+    )
 
     private fun trySpend(upstream: Upstream): SendDecision.Permitted? {
         val subject = subjectOf(upstream)
--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -70,7 +70,8 @@
             deadlineAtMillis = group.maxOf { (member, demand) ->
                 member.atMillis + demand.limitInMillis
             },
-            softwareVersion = key.softwareVersion
+            softwareVersion = key.softwareVersion,
+            homeRegions = key.homeRegions
         )
 
     private fun current(nowMillis: Long): List<ReceivedReport> =
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -183,11 +183,14 @@
 
     private fun versionForecastsOf(plan: ResidencyPlan, nowMillis: Long): List<Forecast> =
         plan.atVersions.filter {
-            isForecastDue("${it.model}@${it.softwareVersion}", it.readyAtMillis, nowMillis)
+            val key = "${it.model}@${it.softwareVersion.orEmpty()}@${it.homeRegions.sorted()}"
+            it.isTooLate || isForecastDue(key, it.readyAtMillis, nowMillis)
         }.map {
             Forecast.newBuilder()
                 .setModel(it.model)
-                .setSoftwareVersion(it.softwareVersion)
+                .setSoftwareVersion(it.softwareVersion.orEmpty())
+                .addAllHomeRegions(it.homeRegions)
+                .setIsRefused(it.isTooLate)
                 .setReadyInMillis((it.readyAtMillis - nowMillis).coerceAtLeast(0))
                 .build()
         }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelNeed.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelNeed.kt
@@ -1,11 +1,14 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.places.HomeRegions
+
 /**
  * What a request waits for: an upstream of [service] with [model] and, if not null, [adapter].
  *
  * @property softwareVersion the only version of which the upstream may be; null for any.
  * @property targetAtMillis by when the coordinator aims to have the model ready.
  * @property deadlineAtMillis how long the request waits.
+ * @property homes the regions in one of which the upstream has to be.
  */
 public data class ModelNeed(
     public val service: String,
@@ -13,5 +16,6 @@
     public val adapter: String?,
     public val softwareVersion: String?,
     public val targetAtMillis: Long,
-    public val deadlineAtMillis: Long
+    public val deadlineAtMillis: Long,
+    public val homes: HomeRegions = HomeRegions.ANY
 )
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
@@ -53,6 +53,7 @@
         val retryAfterMillis = forecast.readyInMillis.coerceAtLeast(MIN_RETRY_AFTER_MILLIS)
         waiting.filter { it.need.model == forecast.model }
             .filter { it.need.softwareVersion.orEmpty() == forecast.softwareVersion }
+            .filter { it.need.key.homeRegions == forecast.homeRegionsList.toSet() }
             .filter { forecast.isRefused || it.need.deadlineAtMillis < readyAtMillis }
             .forEach { it.result.complete(ModelWait.Refused(retryAfterMillis)) }
     }
@@ -65,6 +66,7 @@
         val demands = waiting.map { it.need }.groupBy { it.key }.map { (key, group) ->
             Demand.newBuilder().setModel(key.model).setAdapter(key.adapter.orEmpty())
                 .setSoftwareVersion(key.softwareVersion.orEmpty())
+                .addAllHomeRegions(key.homeRegions)
                 .setWaiting(group.size)
                 .setTargetInMillis(group.minOf { it.targetAtMillis } - nowMillis)
                 .setLimitInMillis(group.maxOf { it.deadlineAtMillis } - nowMillis)
@@ -88,6 +90,7 @@
     private fun resultOf(need: ModelNeed): ModelWait? {
         val version = need.softwareVersion
         val serving = directory.serving(need.service, need.model, need.adapter)
+            .filter { need.homes.accepts(it.region) }
         return when {
             serving.any { version == null || it.entry.softwareVersion == version } ->
                 ModelWait.Ready
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
@@ -71,7 +71,8 @@
             inFlight = inFlight.toImmutableMap(),
             lastUsedMillis = lastUsedMillis.toImmutableMap(),
             requestsPerSecond = requestsPerSecond,
-            softwareVersion = upstream.entry.softwareVersion
+            softwareVersion = upstream.entry.softwareVersion,
+            region = upstream.region
         )
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
@@ -73,7 +73,7 @@
         val deadlineMillis = dependencies.clock.nowMillis() + ORDER_TIMEOUT_MILLIS
         var conflicts = 0
         var isUnanswered = false
-        while (dependencies.clock.nowMillis() < deadlineMillis && dependencies.mayOrder()) {
+        while (dependencies.clock.nowMillis() < deadlineMillis && mayOrder()) {
             val expected = acceptedOrderCount ?: return OrderResult.OUT_OF_SYNC
             dependencies.onRequest(upstream)
             val reply = dependencies.orders
@@ -82,7 +82,7 @@
                     order,
                     dependencies.authority(),
                     expected,
-                    dependencies.mayOrder
+                    ::mayOrder
                 )
             dependencies.events.write(
                 "order",
@@ -120,10 +120,13 @@
 
     /** Returns the runner's report, or null if it does not answer. */
     public suspend fun report(): RunnerReport? {
+        if (upstream.isEvacuated) return null
         dependencies.onRequest(upstream)
         return dependencies.orders.report(upstream.entry)
     }
 
+    private fun mayOrder(): Boolean = dependencies.mayOrder() && !upstream.isEvacuated
+
     private fun acknowledged(accepted: Long): OrderResult {
         acceptedOrderCount = accepted
         return OrderResult.ACCEPTED
--- /dev/null
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/ColdReports.kt
@@ -0,0 +1,25 @@
+package cactusfold.entry.upstream
+
+import cactusfold.decisions.rate.UpstreamStart
+import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.RunnerApi
+import cactusfold.ports.serving.RunnerReport
+import cactusfold.ports.serving.UpstreamEntry
+
+/** Notes how long runners stay cold by their reports. */
+public class ColdReports(
+    private val api: RunnerApi,
+    private val clock: MonotonicClock,
+    private val cold: ColdUpstreams
+) : RunnerApi by api {
+    override suspend fun report(runner: UpstreamEntry): RunnerReport? {
+        val sentAtMillis = clock.nowMillis()
+        val report = api.report(runner) ?: return null
+        val start = UpstreamStart(
+            runner.id,
+            report.startedAtEpochMillis ?: runner.startedAtEpochMillis
+        )
+        report.coldMillis?.let { cold.answered(start, it, sentAtMillis) }
+        return report
+    }
+}
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -14,7 +14,10 @@
 public data class ModelUse(public val model: String, public val adapter: String?)
 
 /** State of an upstream at this process: its announcement, and what was observed since. */
-public class Upstream(entry: UpstreamEntry) {
+public class Upstream(
+    entry: UpstreamEntry,
+    private val eligibility: UpstreamEligibility = UpstreamEligibility()
+) {
     /** The upstream's latest announcement. */
     public var entry: UpstreamEntry = entry
         private set
@@ -56,7 +59,13 @@
     public val isGoing: Boolean get() = entry.isDraining || isLeaving
 
     /** Whether new requests may be sent to the upstream. */
-    public val isUsable: Boolean get() = !isGoing && unregisteredInRead == null
+    public val isUsable: Boolean get() = !isGoing && unregisteredInRead == null && !isEvacuated
+
+    /** Whether nothing may be sent to the availability zone of the upstream. */
+    public val isEvacuated: Boolean get() = eligibility.isEvacuated(entry.zone)
+
+    /** The region of the upstream; null if its zone has none. */
+    public val region: String? get() = eligibility.regionOf(entry.zone)
 
     /** Identifies this start of the upstream. */
     public val start: UpstreamStart get() = UpstreamStart(entry.id, entry.startedAtEpochMillis)
@@ -169,6 +178,11 @@
         limitedUntilMillis = nowMillis + waitMillis
     }
 
+    /** Records that the limit on requests has ended, such as when a cold upstream is warm. */
+    public fun recordUnlimited() {
+        limitedUntilMillis = Long.MIN_VALUE / 2
+    }
+
     /** Excludes the upstream briefly because it refused a request for lack of capacity. */
     public fun recordFull(nowMillis: Long) {
         excludedUntilMillis = maxOf(excludedUntilMillis, nowMillis + FULL_BACKOFF_MILLIS)
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -1,6 +1,9 @@
 package cactusfold.entry.upstream
 
 import cactusfold.decisions.Rendezvous
+import cactusfold.decisions.places.HomeRegions
+import cactusfold.decisions.rate.RowReading
+import cactusfold.decisions.rate.RowVersion
 import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.decisions.routing.ReplicaChoice
 import cactusfold.entry.process.EventLog
@@ -23,6 +26,7 @@
     private val clock: MonotonicClock,
     private val events: EventLog,
     private val zone: String,
+    private val eligibility: UpstreamEligibility = UpstreamEligibility(),
     private val polling: () -> UpstreamPolling
 ) {
     private val wake = Channel<Unit>(Channel.CONFLATED)
@@ -41,6 +45,13 @@
     private val unreported = mutableSetOf<UpstreamStart>()
     private var storeFailedAtMillis = Long.MIN_VALUE / 2
     private var readsBegun = 0L
+    private var readBegunAtMillis = Long.MIN_VALUE / 2
+
+    /** When the last read began that showed all rows of the present era. */
+    private var shownAtMillis = Long.MIN_VALUE / 2
+
+    /** Follows the reads of the rows. */
+    public var rowListener: UpstreamRowListener? = null
 
     /** Number of times that an upstream joined, left or restarted, as seen by this process. */
     public var revision: Long = 0
@@ -74,9 +85,18 @@
     public fun isServing(service: String, softwareVersion: String): Boolean = upstreams.values.any {
         it.entry.service == service &&
             it.entry.softwareVersion == softwareVersion &&
-            !it.isGoing
+            !it.isGoing &&
+            !it.isEvacuated
     }
 
+    /** Returns the registered upstreams in [zone]. */
+    public fun inZone(zone: String): List<Upstream> =
+        upstreams.values.filter { it.entry.zone == zone }
+
+    /** Returns the registered upstreams of [service] in [homes], also those that are not usable. */
+    public fun inHomes(service: String, homes: HomeRegions): List<Upstream> =
+        upstreams.values.filter { it.entry.service == service && homes.accepts(it.region) }
+
     /** Returns the ids of upstreams to which connections failed recently. */
     public fun down(): List<String> {
         val nowMillis = clock.nowMillis()
@@ -222,17 +242,26 @@
         while (true) {
             isOutdated = false
             readsBegun++
+            readBegunAtMillis = clock.nowMillis()
+            rowListener?.readBegun()
             when (val result = read(position)) {
                 is FeedResult.Changes -> if (era != null && result.era != era) {
                     // Rows that the store has lost are written again by their upstreams.
                     storeFailedAtMillis = clock.nowMillis()
+                    shownAtMillis = Long.MIN_VALUE / 2
                     events.write("store-era", "for" to "upstreams", "era" to result.era)
                     era = result.era
                     position = null
                 } else {
                     era = result.era
-                    if (position == null) replaceAll(result.rows) else result.rows.forEach(::apply)
+                    if (position == null) {
+                        replaceAll(result.rows, result.era)
+                    } else {
+                        result.rows.forEach { apply(it, result.era) }
+                    }
                     confirmRegistered()
+                    shownAtMillis = readBegunAtMillis
+                    rowListener?.allRead(readBegunAtMillis)
                     position = result.position
                     isKnown = true
                     changed()
@@ -263,16 +292,21 @@
         position?.let { feed.changes(UpstreamDecoder.TABLE, it, FEED_WAIT_MILLIS) }
             ?: feed.snapshot(UpstreamDecoder.TABLE)
 
-    private fun replaceAll(rows: List<RowChange>) {
-        rows.forEach(::apply)
+    private fun replaceAll(rows: List<RowChange>, era: Long) {
+        rows.forEach { apply(it, era) }
         val present = rows.mapTo(mutableSetOf()) { it.sort }
         (upstreams.keys - present).forEach(::markMissing)
     }
 
-    private fun apply(row: RowChange) {
+    private fun apply(row: RowChange, era: Long) {
         val value = row.value ?: return markMissing(row.sort)
         when (val decoded = UpstreamDecoder.entry(row.sort, value)) {
-            is Decoded.Valid -> applyAnnouncement(decoded.value)
+            is Decoded.Valid -> {
+                applyAnnouncement(decoded.value)
+                val reading =
+                    RowReading(RowVersion(era, row.version), readBegunAtMillis, shownAtMillis)
+                rowListener?.rowRead(decoded.value, reading)
+            }
             is Decoded.Invalid -> {
                 events.write(
                     "upstream-unreadable",
@@ -302,7 +336,7 @@
         if (entry.isDraining) leavingStarts.add(start, clock.nowMillis())
         if (known == null || known.start != start) {
             known?.unregisteredInRead = readsBegun
-            upstreams[entry.id] = Upstream(entry).also {
+            upstreams[entry.id] = Upstream(entry, eligibility).also {
                 it.isLeaving = start in leavingStarts
                 resumePause(it)
             }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamLimits.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamLimits.kt
@@ -28,17 +28,30 @@
     private val unsent = LinkedHashSet<UpstreamStart>()
     private val unreadable = meters.counter("cactusfold.upstream.limits.unreadable")
 
+    /** The upstreams that are limited because they are cold. */
+    public val cold: ColdUpstreams = ColdUpstreams(clock, events, meters)
+
     init {
+        cold.onChange = onChange
+        cold.onLearned = {
+            unsent += it
+            onLearned()
+        }
         meters.gauge("cactusfold.upstream.limits", this) { it.inForce.size.toDouble() }
     }
 
     /** The limits in force. */
     public val inForce: Map<UpstreamStart, RateLimit>
-        get() = limits.keys.mapNotNull { start -> find(start)?.let { start to it } }.toMap()
+        get() = (limits.keys + cold.cold).mapNotNull { start ->
+            find(start)?.let { start to it }
+        }.toMap()
 
     /** Returns the limit in force of [upstream], or null if it has none. */
-    public fun find(upstream: UpstreamStart): RateLimit? =
-        limits[upstream]?.requestsPerSecond?.let(RateLimit::ofRequests)
+    public fun find(upstream: UpstreamStart): RateLimit? {
+        val stated = limits[upstream]?.requestsPerSecond?.let(RateLimit::ofRequests)
+        val ofCold = cold.limitOf(upstream) ?: return stated
+        return stated?.lowerOf(ofCold) ?: ofCold
+    }
 
     /** Records what an answer of [upstream] to a request sent at [sentAtMillis] states. */
     public fun answered(upstream: UpstreamStart, stated: StatedLimit, sentAtMillis: Long) {
@@ -65,6 +78,8 @@
     /** Records what another process has told, a member or the coordinator as named by [source]. */
     public fun heard(message: LimitMessage, source: String) {
         val start = message.start
+        if (message.hasCold()) cold.heard(start, message.cold, source)
+        if (message.hasNoStatement) return
         val reported = if (message.hasRequestsPerSecond()) message.requestsPerSecond else null
         val nowMillis = clock.nowMillis()
         val known = limits[start]
@@ -74,25 +89,33 @@
 
     /** Returns the message for other processes about [upstream], or null if nothing is known. */
     public fun message(upstream: UpstreamStart): LimitMessage? {
-        val limit = limits[upstream] ?: return null
+        val limit = limits[upstream]
+        val ofCold = cold.message(upstream)
+        if (limit == null && ofCold == null) return null
         val message = LimitMessage.newBuilder()
             .setUpstream(upstream.id)
             .setStartedAtEpochMillis(upstream.startedAtEpochMillis ?: 0)
-            .setAgeMillis(clock.nowMillis() - limit.observedAtMillis)
-        limit.requestsPerSecond?.let(message::setRequestsPerSecond)
+            .setHasNoStatement(limit == null)
+        ofCold?.let(message::setCold)
+        if (limit != null) {
+            message.setAgeMillis(clock.nowMillis() - limit.observedAtMillis)
+            limit.requestsPerSecond?.let(message::setRequestsPerSecond)
+        }
         return message.build()
     }
 
-    /** Returns the messages about all known upstreams. */
-    public fun messages(): List<LimitMessage> = limits.keys.mapNotNull(::message)
+    /** Returns the messages about all upstreams that state a limit or are cold. */
+    public fun messages(): List<LimitMessage> = (limits.keys + cold.cold).mapNotNull(::message)
 
     /** Returns what this process has learned since the last call. */
-    public fun takeUnsent(): List<LimitMessage> =
-        unsent.mapNotNull(::message).also { unsent.clear() }
+    public fun takeUnsent(): List<LimitMessage> {
+        cold.expire()
+        return unsent.mapNotNull(::message).also { unsent.clear() }
+    }
 
     /** Has all that is known reported again, for instance to another coordinator. */
     public fun markUnsent() {
-        unsent += limits.keys
+        unsent += limits.keys + cold.cold
     }
 
     /** Stores [next]; returns whether the limit differs from the [known] one, and reports it. */
@@ -125,7 +148,7 @@
             limit.observedAtMillis < beforeMillis &&
                 (limit.requestsPerSecond == null || !isRegistered(start))
         }
-        unsent.retainAll(limits.keys)
+        unsent.retainAll(limits.keys + cold.cold)
     }
 
     public companion object {
--- a/entry/src/test/kotlin/cactusfold/entry/EntrySettingsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/EntrySettingsTest.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry
 
+import cactusfold.decisions.rate.ColdBounds
 import cactusfold.settings.schema.SettingsResult
 import cactusfold.settings.schema.readSettings
 import java.nio.file.Files
@@ -11,22 +12,30 @@
 import org.junit.jupiter.api.Test
 
 class EntrySettingsTest {
+    private val list = Regex("\\{\\{#zones}}\n(.*\n)\\{\\{/zones}}\n")
     private val placeholder = Regex("\\{\\{([^}]*)}}")
 
     /** The platform's settings template, with a sample value for each kind of placeholder. */
-    private fun filled(): String =
-        placeholder.replace(Files.readString(Path.of("../platform/entry.ini"))) { match ->
+    private fun filled(boundsLeftOut: Set<String> = emptySet()): String =
+        placeholder.replace(template()) { match ->
             val name = match.groupValues[1]
             when {
                 name.startsWith("listen.") || name.endsWith("address") -> "10.1.0.2:8221"
                 name == "ip" -> "10.1.0.2"
                 name.startsWith("port-range") -> "7600"
+                name in boundsLeftOut -> ""
                 name.startsWith("bounds.") -> "5"
                 name.startsWith("limits.") -> "0.5"
                 else -> "some-name"
             }
         }
 
+    /** The template with its list of zones filled in. */
+    private fun template(): String = list.replace(
+        Files.readString(Path.of("../platform/entry.ini")),
+        "dk-east-a = dk-east\ndk-west-b = dk-west\n"
+    )
+
     @Nested
     inner class Template {
         @Test
@@ -36,6 +45,20 @@
             assertEquals(5_000, settings.bounds.stopMillis)
             assertEquals(0.25, settings.cores)
             assertEquals(5, settings.bounds.keyWithdrawalMillis)
+            assertEquals(
+                mapOf("dk-east-a" to "dk-east", "dk-west-b" to "dk-west"),
+                settings.regionsByZone
+            )
+            assertEquals(ColdBounds(5.0, 5.0), settings.bounds.cold)
+        }
+
+        @Test
+        fun `bounds that a deployment does not state have defaults`() {
+            val text =
+                filled(setOf("bounds.cold-overage", "bounds.cold-slack", "bounds.evacuate-ms"))
+            val valid = assertIs<SettingsResult.Valid>(readSettings(entrySchema, text))
+            val bounds = entrySettings(valid.settings).bounds
+            assertEquals(ColdBounds(1.5, 5.0) to 5_000L, bounds.cold to bounds.evacuateMillis)
         }
     }
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -16,7 +16,8 @@
 import kotlinx.coroutines.withTimeout
 
 /** An entry process with its own store and runners, all on the loopback interface. */
-class EntryFixture(stopMillis: Long = 8_000) : AutoCloseable {
+class EntryFixture(stopMillis: Long = 8_000, regionsByZone: Map<String, String> = emptyMap()) :
+    AutoCloseable {
     private val platform = PlatformFixture()
     private val entryVertx = Vertx.vertx(io.vertx.core.VertxOptions().setEventLoopPoolSize(1))
     val store get() = platform.store
@@ -42,7 +43,8 @@
                 100.0,
                 RateTolerance(8_000, 0.1, 100.0),
                 5_000
-            )
+            ),
+            regionsByZone = regionsByZone
         ),
         entryVertx,
         entryVertx.orCreateContext.dispatcher(),
--- a/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
@@ -63,6 +63,8 @@
  *   not ask.
  * @property limit the rate that the upstream accepts from all VMs together.
  * @property isEventStream whether the body is one of events; also if its type is not stated.
+ * @property coldMillis how long the upstream stays cold, zero if it is warm; null if the response
+ *   does not state it.
  */
 public data class ResponseMetadata(
     public val id: String?,
@@ -72,7 +74,8 @@
     public val isLeaving: Boolean = false,
     public val pauseMillis: Long? = null,
     public val limit: StatedLimit = StatedLimit.None,
-    public val isEventStream: Boolean = true
+    public val isEventStream: Boolean = true,
+    public val coldMillis: Long? = null
 )
 
 /**
--- a/ports/src/main/kotlin/cactusfold/ports/serving/ServingConfig.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/ServingConfig.kt
@@ -3,6 +3,8 @@
 import cactusfold.decisions.residency.ModelCost
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.persistentSetOf
 
 /** How often a request may be executed. */
 public enum class Repeatability {
@@ -33,6 +35,7 @@
  * @property maxAttempts maximum number of executions of one request, each on some upstream.
  * @property priority 0 is the most urgent.
  * @property allowsAnonymous whether requests are served without an API key.
+ * @property homeRegions the only regions whose upstreams may get the requests; empty for any.
  */
 public data class ServingRoute(
     public val name: String,
@@ -45,7 +48,8 @@
     public val patienceMillis: Long?,
     public val maxAttempts: Int,
     public val priority: Int,
-    public val allowsAnonymous: Boolean
+    public val allowsAnonymous: Boolean,
+    public val homeRegions: ImmutableSet<String> = persistentSetOf()
 ) {
     /** Whether a request may be retried after an upstream may have executed it. */
     public val mayRunAgain: Boolean
@@ -79,8 +83,20 @@
     public val models: ImmutableMap<String, ModelCost>
 )
 
-/** A group of upstreams; [engine] is null for a plain service. */
-public data class ServiceSpec(public val name: String, public val engine: EngineSpec?)
+/**
+ * A group of upstreams.
+ *
+ * @property engine null for a plain service.
+ * @property coldStartMillis how long an upstream is cold after it starts; 0 if none ever is.
+ * @property coldRequestsPerSecond requests that a cold upstream tolerates from all VMs together;
+ *   null if the service has no cold upstreams.
+ */
+public data class ServiceSpec(
+    public val name: String,
+    public val engine: EngineSpec?,
+    public val coldStartMillis: Long = 0,
+    public val coldRequestsPerSecond: Double? = null
+)
 
 /**
  * A workspace with its API keys and its rate limit.
@@ -90,6 +106,7 @@
  * @property defaultRequestTokens tokens charged for a request that does not state its tokens.
  * @property ratePerSecond null if the workspace is not rate-limited.
  * @property burst tokens or requests that may be spent at once.
+ * @property homeRegions the only regions whose upstreams may get the requests; empty for any.
  */
 public data class ServingWorkspace(
     public val name: String,
@@ -98,7 +115,8 @@
     public val isRateInTokens: Boolean,
     public val defaultRequestTokens: Long,
     public val ratePerSecond: Double?,
-    public val burst: Double
+    public val burst: Double,
+    public val homeRegions: ImmutableSet<String> = persistentSetOf()
 )
 
 /** Size limits and timeouts for the connections and requests of callers. */
--- a/ports/src/main/kotlin/cactusfold/ports/serving/UpstreamEntry.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/UpstreamEntry.kt
@@ -15,6 +15,7 @@
  * @property modelsInHostMemory models whose weights can be loaded from host memory.
  * @property modelsOnDisk models whose weights can be loaded from the upstream's disk.
  * @property softwareVersion the version of the upstream's software, not of any weights.
+ * @property warmupMillis how long the upstream stays cold, as of the writing of the registration.
  */
 public data class UpstreamEntry(
     public val id: String,
@@ -29,7 +30,8 @@
     public val adaptersByModel: ImmutableMap<String, ImmutableSet<String>>,
     public val modelsInHostMemory: ImmutableSet<String>,
     public val modelsOnDisk: ImmutableSet<String>,
-    public val softwareVersion: String
+    public val softwareVersion: String,
+    public val warmupMillis: Long = 0
 )
 
 /**
@@ -42,6 +44,7 @@
  *   state this number.
  * @property startedAtEpochMillis when the runner started, which identifies the start; null if it
  *   does not say so.
+ * @property coldMillis how long the runner stays cold; null if it does not say so.
  */
 public data class RunnerReport(
     public val adaptersByModel: ImmutableMap<String, ImmutableSet<String>>,
@@ -50,7 +53,8 @@
     public val acceptedOrderCount: Long,
     public val modelsInHostMemory: ImmutableSet<String>,
     public val modelsOnDisk: ImmutableSet<String>,
-    public val startedAtEpochMillis: Long? = null
+    public val startedAtEpochMillis: Long? = null,
+    public val coldMillis: Long? = null
 )
 
 /** An order to a runner to change which models or adapters it has loaded. */
--- a/settings/src/main/kotlin/cactusfold/settings/schema/RenderReference.kt
+++ b/settings/src/main/kotlin/cactusfold/settings/schema/RenderReference.kt
@@ -8,6 +8,7 @@
         append("### `$name`\n\n${section.help}\n\n")
         append("| key | expected | default | meaning |\n|---|---|---|---|\n")
         for (key in section.keys) append(rowOf(key))
+        section.others?.let { append("| any | ${it.expected} | none | |\n") }
         append('\n')
     }
 }
--- a/settings/src/main/kotlin/cactusfold/settings/schema/Schema.kt
+++ b/settings/src/main/kotlin/cactusfold/settings/schema/Schema.kt
@@ -51,25 +51,30 @@
  *
  * @property default value if the key is missing; null makes the key mandatory unless [optional] is
  *   set.
+ * @property isBlankMissing whether a key without a value counts as missing, as a template leaves it
+ *   if the platform does not give the value.
  */
 public data class KeySpec(
     public val name: String,
     public val type: ValueType,
     public val default: String?,
     public val optional: Boolean,
-    public val help: String
+    public val help: String,
+    public val isBlankMissing: Boolean = false
 )
 
 /**
  * A kind of section.
  *
  * @property named whether the section has a name in addition to its kind, as in `[class bookings]`.
+ * @property others the type of the values of keys that are not listed; null if there are none.
  */
 public data class SectionSpec(
     public val kind: String,
     public val named: Boolean,
     public val help: String,
-    public val keys: List<KeySpec>
+    public val keys: List<KeySpec>,
+    public val others: ValueType? = null
 )
 
 /** The kinds of sections that a document may contain. */
@@ -99,6 +104,11 @@
         sections += SectionSpec(kind, true, help, SectionBuilder().apply(build).build())
     }
 
+    /** Adds the section `[kind]` with any keys, whose values are of [type]. */
+    public fun mapSection(kind: String, type: ValueType, help: String) {
+        sections += SectionSpec(kind, false, help, emptyList(), type)
+    }
+
     internal fun build(): Schema = Schema(title, sections.toList())
 }
 
@@ -117,6 +127,11 @@
         keys += KeySpec(name, type, default, optional, help)
     }
 
+    /** Adds a key that takes its [default] if it is missing or has no value. */
+    public fun defaulted(name: String, type: ValueType, help: String, default: String) {
+        keys += KeySpec(name, type, default, optional = false, help, isBlankMissing = true)
+    }
+
     /** Adds a key for an integer. */
     public fun whole(
         name: String,
--- a/settings/src/main/kotlin/cactusfold/settings/schema/SchemaValidator.kt
+++ b/settings/src/main/kotlin/cactusfold/settings/schema/SchemaValidator.kt
@@ -22,7 +22,9 @@
     /** Returns [values] and, for missing keys, the defaults of [spec]. */
     public fun withDefaults(spec: SectionSpec, values: Map<String, String>): Map<String, String> {
         val defaults = spec.keys.mapNotNull { key -> key.default?.let { key.name to it } }
-        return defaults.toMap() + values
+        val blank = spec.keys.filter { it.isBlankMissing }.map { it.name }
+            .filter { values[it]?.isBlank() == true }
+        return defaults.toMap() + (values - blank.toSet())
     }
 
     private fun sectionProblems(
@@ -45,10 +47,14 @@
 
     private fun valueProblem(spec: SectionSpec, key: String, value: String): String? {
         val known = spec.keys.find { it.name == key }
+        val others = spec.others
         return when {
+            known == null && others != null ->
+                if (others.accepts(value)) null else "$key is '$value'; expected ${others.expected}"
             known == null -> "unknown key $key; expected one of ${spec.keys.joinToString {
                 it.name
             }}"
+            known.isBlankMissing && value.isBlank() -> null
             known.type.accepts(value) -> null
             else -> "$key is '$value'; expected ${known.type.expected}"
         }
--- a/settings/src/main/kotlin/cactusfold/settings/schema/SectionReader.kt
+++ b/settings/src/main/kotlin/cactusfold/settings/schema/SectionReader.kt
@@ -2,6 +2,9 @@
 
 /** Typed access to the values of a section, which must have passed validation. */
 public class SectionReader(private val values: Map<String, String>) {
+    /** All values by key. */
+    public val all: Map<String, String> get() = values
+
     /** Returns the text of [key], or null if it is missing or blank. */
     public fun textOrNull(key: String): String? = values[key]?.takeIf { it.isNotBlank() }
 
