Evacuations: confirmed only once absent members have read the row

Cause: a coordinator that has just taken the lease hears of few members, and could have confirmed an evacuation while others still sent. Requests that waited for a model went on waiting when no upstream of their homes was left.

Change: registered members that do not report are waited for, up to evacuate-millis; a wait for a model ends when no usable upstream is in the homes.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -213,7 +213,14 @@
         ownStreams::markUnsent
     ) { coordinator.announceVersions(it) }
     private val evacuationStatus =
-        EvacuationStatus(store, evacuations, events) { lease.isCoordinator }
+        EvacuationStatus(
+            store,
+            evacuations,
+            events,
+            clock,
+            bounds.evacuateMillis,
+            { coordinator.memberCount }
+        ) { lease.isCoordinator }
     private val coordinator: FleetCoordinator =
         FleetCoordinator(
             CoordinatorDependencies(
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -73,7 +73,7 @@
             val isUnrecorded = !placement.isBound && placement.hasOthers()
             if (candidates.isEmpty() && model != null && !isUnrecorded) {
                 when (val wait = patience.awaitModel(placement, model, reply.hasBegun)) {
-                    ModelWait.Ready, ModelWait.VersionGone -> continue
+                    ModelWait.Ready, ModelWait.VersionGone, ModelWait.HomesGone -> continue
                     is ModelWait.Refused ->
                         return refuse(placement.absentModelCode, wait.retryAfterMillis)
                 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -89,7 +89,7 @@
 
     /** Returns why no upstream in the request's homes can serve it; null if one may. */
     fun homeRefusal(): ErrorAnswer? {
-        if (homes == HomeRegions.ANY) return null
+        if (homes == HomeRegions.ANY || !dependencies.directory.isKnown) return null
         val registered = dependencies.directory.inHomes(service, homes)
         if (registered.any { it.isUsable }) return null
         // Those that are registered may return; otherwise it is not known that there will be any.
--- a/entry/src/main/kotlin/cactusfold/entry/places/EvacuationStatus.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/places/EvacuationStatus.kt
@@ -3,6 +3,7 @@
 import cactusfold.decisions.places.EvacuationRevision
 import cactusfold.entry.places.ZoneEvacuations.Companion.revision
 import cactusfold.entry.process.EventLog
+import cactusfold.node.time.MonotonicClock
 import cactusfold.platform.EvacuationRows
 import cactusfold.ports.table.ReadResult
 import cactusfold.ports.table.RowKey
@@ -17,22 +18,35 @@
 /**
  * Confirms evacuations to the operator, while this process is the coordinator: a row for each zone
  * to which every member in contact sends nothing any more. It is removed when the evacuation ends.
+ *
+ * Registered members that do not report are waited for until they have read the row themselves.
+ *
+ * @param evacuateMillis by when a member without contact has read it.
+ * @param memberCount number of registered members; null if it is not known.
  */
 public class EvacuationStatus(
     private val store: TableStore,
     private val evacuations: ZoneEvacuations,
     private val events: EventLog,
+    private val clock: MonotonicClock,
+    private val evacuateMillis: Long,
+    private val memberCount: () -> Int?,
     private val isCoordinator: () -> Boolean
 ) {
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private val appliedByMember = HashMap<String, EvacuationRevision>()
 
+    /** Since when this process is the coordinator, and since when it knows of each evacuation. */
+    private var leasedAtMillis = clock.nowMillis()
+    private val knownAtMillis = HashMap<String, Long>()
+
     /** Versions of the rows in the store; null if they have to be read first. */
     private var written: MutableMap<String, Long>? = null
 
     /** Has the rows of an earlier coordinator read. */
     public fun leaseAcquired() {
         appliedByMember.clear()
+        leasedAtMillis = clock.nowMillis()
         written = null
         wake.trySend(Unit)
     }
@@ -61,21 +75,44 @@
     public suspend fun run() {
         var failures = 0
         while (true) {
-            if (failures == 0) {
+            // A confirmation is worth one call now and then while the store takes no writes.
+            val retryMillis = (RETRY_MILLIS shl (failures - 1).coerceIn(0, MAX_DOUBLINGS))
+                .takeIf { failures > 0 }
+            val pauseMillis = listOfNotNull(retryMillis, waitMillis()).minOrNull()
+            if (pauseMillis == null) {
                 wake.receive()
             } else {
-                // A confirmation is worth one call now and then while the store takes no writes.
-                val pauseMillis = RETRY_MILLIS shl (failures - 1).coerceAtMost(MAX_DOUBLINGS)
                 withTimeoutOrNull(pauseMillis) { wake.receive() }
             }
             failures = if (!isCoordinator() || isWritten()) 0 else failures + 1
         }
     }
 
-    private fun confirmed(): Set<String> = evacuations.zones.filterValues { since ->
-        appliedByMember.isNotEmpty() && appliedByMember.values.all { it >= since }
+    private fun confirmed(): Set<String> = evacuations.zones.filter { (zone, since) ->
+        appliedByMember.isNotEmpty() &&
+            appliedByMember.values.all { it >= since } &&
+            (areAllInContact() || dueAtMillis(zone) <= clock.nowMillis())
     }.keys
 
+    private fun areAllInContact(): Boolean =
+        memberCount()?.let { appliedByMember.size >= it } ?: false
+
+    /** Returns by when members without contact have read the row of [zone]. */
+    private fun dueAtMillis(zone: String): Long {
+        knownAtMillis.keys.retainAll(evacuations.zones.keys)
+        val knownMillis = knownAtMillis.getOrPut(zone) { clock.nowMillis() }
+        return maxOf(knownMillis, leasedAtMillis) + evacuateMillis
+    }
+
+    /** Returns how long a zone waits for members without contact; null if none does. */
+    private fun waitMillis(): Long? {
+        if (!isCoordinator() || areAllInContact()) return null
+        val rows = written?.keys.orEmpty()
+        val nowMillis = clock.nowMillis()
+        return (evacuations.zones.keys - rows).map { dueAtMillis(it) - nowMillis }
+            .filter { it > 0 }.minOrNull()
+    }
+
     private fun pending(): Set<String> {
         val rows = written?.keys ?: return confirmed()
         return confirmed() - rows
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.places.HomeRegions
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.entry.Demand
@@ -96,10 +97,15 @@
                 ModelWait.Ready
             version != null && !directory.isServing(need.service, version) ->
                 ModelWait.VersionGone
+            hasNoHome(need) -> ModelWait.HomesGone
             else -> null
         }
     }
 
+    private fun hasNoHome(need: ModelNeed): Boolean = need.homes != HomeRegions.ANY &&
+        directory.isKnown &&
+        directory.inHomes(need.service, need.homes).none { it.isUsable }
+
     private companion object {
         /** Minimum retry delay sent to a caller whose model will not be ready in time. */
         const val MIN_RETRY_AFTER_MILLIS = 1_000L
--- a/entry/src/test/kotlin/cactusfold/entry/places/EvacuationStatusTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/places/EvacuationStatusTest.kt
@@ -20,7 +20,9 @@
 import org.junit.jupiter.api.Test
 
 class EvacuationStatusTest {
-    private val clock = { 10_000L }
+    private var nowMillis = 10_000L
+    private val clock = { nowMillis }
+    private var memberCount = 2
     private val events = EventLog("vm", clock, linesPerSecond = 100)
     private var position = 0L
 
@@ -46,7 +48,8 @@
 
     private val store = FakeStore()
     private val coordinator = evacuations()
-    private val status = EvacuationStatus(store, coordinator, events) { true }
+    private val status =
+        EvacuationStatus(store, coordinator, events, clock, 5_000, { memberCount }) { true }
 
     private fun evacuations() = ZoneEvacuations(clock, events, SimpleMeterRegistry())
 
@@ -91,16 +94,20 @@
     }
 
     @Test
-    fun `a member that has lost contact is not waited for`() = running {
-        report("vm1", coordinator.also { read("y", isEvacuated = false) })
-        status.reported(MemberReport.newBuilder().setVm("vm2").build())
-        report("vm2", coordinator)
-        read("z", isEvacuated = true)
-        report("vm1", coordinator)
-        status.left("vm2")
-        yield()
-        assertEquals(setOf("evacuate/z"), store.rows.keys)
-    }
+    fun `a member that has lost contact is waited for until it has read the row itself`() =
+        running {
+            report("vm1", coordinator.also { read("y", isEvacuated = false) })
+            report("vm2", coordinator)
+            read("z", isEvacuated = true)
+            report("vm1", coordinator)
+            status.left("vm2")
+            yield()
+            assertEquals(emptySet(), store.rows.keys, "it may still send")
+            nowMillis += 5_000
+            status.changed()
+            yield()
+            assertEquals(setOf("evacuate/z"), store.rows.keys)
+        }
 
     // Guards against a confirmation that outlasts its evacuation when the coordinator changes.
     @Test
