--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -64,6 +64,7 @@
  * @property softwareVersion the version of the runner's software.
  * @property freeAtMillis when a runner without a pending load that is busy, or has adapter orders,
  *   is expected to take the next order; 0 if that is not known.
+ * @property region the region of the runner; null if its zone has none.
  */
 public data class RunnerState(
     public val id: String,
@@ -80,7 +81,8 @@
     public val lastUsedMillis: ImmutableMap<String, Long>,
     public val requestsPerSecond: Double? = null,
     public val softwareVersion: String = "",
-    public val freeAtMillis: Long = 0
+    public val freeAtMillis: Long = 0,
+    public val region: String? = null
 ) {
     /** Returns the source from which the runner would load the weights of [model]. */
     public fun sourceOf(model: String): WeightSource = when (model) {
@@ -100,6 +102,7 @@
  * @property softwareVersion the only version whose runners can serve the requests, which continue
  *   streams that began there; null for any.
  * @property byPriority the waiting requests by priority, the most urgent first.
+ * @property homeRegions the only regions whose runners can serve the requests; empty for any.
  */
 public data class ModelDemand(
     public val model: String,
@@ -109,11 +112,13 @@
     public val deadlineAtMillis: Long,
     public val refusedSinceLoad: Int = 0,
     public val softwareVersion: String? = null,
-    public val byPriority: ImmutableList<PriorityDemand> = persistentListOf()
+    public val byPriority: ImmutableList<PriorityDemand> = persistentListOf(),
+    public val homeRegions: Set<String> = emptySet()
 ) {
     /** Returns whether [runner] can serve the requests once it has the model. */
     public fun accepts(runner: RunnerState): Boolean =
-        softwareVersion == null || softwareVersion == runner.softwareVersion
+        (softwareVersion == null || softwareVersion == runner.softwareVersion) &&
+            (homeRegions.isEmpty() || runner.region in homeRegions)
 }
 
 /** Where the weights of a model are loaded from. */
@@ -163,11 +168,19 @@
     public val obstacle: Obstacle
 )
 
-/** When [model] should be ready at a runner of [softwareVersion]. */
+/**
+ * When [model] should be ready for requests that only some runners can serve.
+ *
+ * @property softwareVersion the version of these runners; null for any.
+ * @property homeRegions the regions of these runners; empty for any.
+ * @property isTooLate whether that is after the deadlines of all that wait.
+ */
 public data class VersionForecast(
     public val model: String,
-    public val softwareVersion: String,
-    public val readyAtMillis: Long
+    public val softwareVersion: String?,
+    public val readyAtMillis: Long,
+    public val homeRegions: Set<String> = emptySet(),
+    public val isTooLate: Boolean = false
 )
 
 /**
@@ -175,7 +188,8 @@
  *
  * @property tooLate models that will be ready only after the deadlines of all waiting requests.
  * @property readyAtMillis when each model that requests wait for should be ready.
- * @property atVersions forecasts for requests that wait for a runner of one software version.
+ * @property atVersions forecasts for requests that only runners of one version or of some regions
+ *   can serve.
  */
 public data class ResidencyPlan(
     public val steps: List<ResidencyOrder>,
--- a/entry/src/main/kotlin/cactusfold/entry/callers/ModelPatience.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/ModelPatience.kt
@@ -36,7 +36,8 @@
             minOf(deadlineAtMillis, patienceEndsMillis) - FIRST_PIECE_RESERVE_MILLIS,
             arrivedAtMillis = sinceMillis,
             priority = priority,
-            tokens = (request.facts.promptTokens ?: 0) + (request.facts.outputTokens ?: 0)
+            tokens = (request.facts.promptTokens ?: 0) + (request.facts.outputTokens ?: 0),
+            homes = placement.homes
         )
         return dependencies.waits.await(need).also { log(need, it, startedAtMillis) }
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.decisions.places.HomeRegions
 import cactusfold.entry.residency.ModelWait
 import cactusfold.entry.upstream.ExpectedSend
 import cactusfold.entry.upstream.ModelUse
@@ -42,7 +43,16 @@
         val route = admitted.route
         val deadlineAtMillis = admitted.deadlineAtMillis
         val placement =
-            StreamPlacement(dependencies, request, route, selectService(route, request.facts))
+            StreamPlacement(
+                dependencies,
+                request,
+                route,
+                selectService(route, request.facts),
+                HomeRegions.of(
+                    route.homeRegions,
+                    admitted.workspace?.homeRegions.orEmpty()
+                )
+            )
         placement.locate(deadlineAtMillis)?.let { return failOrAbort(it) }
         val service = placement.service
         val model = request.facts.model
@@ -58,13 +68,14 @@
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
             val candidates = placement.candidates()
+            if (candidates.isEmpty()) placement.homeRefusal()?.let { return failOrAbort(it) }
             if (candidates.isEmpty() && placement.isVersionGone()) {
                 return refuse("stream-version-gone", null)
             }
             val isUnrecorded = !placement.isBound && placement.hasOthers()
             if (candidates.isEmpty() && model != null && !isUnrecorded) {
                 when (val wait = patience.awaitModel(placement, model, reply.hasBegun)) {
-                    ModelWait.Ready, ModelWait.VersionGone -> continue
+                    ModelWait.Ready, ModelWait.VersionGone, ModelWait.HomesGone -> continue
                     is ModelWait.Refused ->
                         return refuse(placement.absentModelCode, wait.retryAfterMillis)
                 }
@@ -138,7 +149,7 @@
             ),
             body = request.body,
             isStream = route.isStream,
-            mayWrite = { permit == null || dependencies.sendLimiter.use(permit) },
+            mayWrite = { dependencies.sendLimiter.mayWrite(upstream, permit) },
             onFirstData = { tookMillis ->
                 if (expected != null) recordTook(upstream, expected, route.isStream, tookMillis)
             }
@@ -239,6 +250,7 @@
                 when (end.status) {
                     null -> {
                         upstream.recordUnreachable(nowMillis)
+                        dependencies.sendLimiter.connectionFailed(upstream)
                         dependencies.suspects.recordDown(upstream)
                     }
                     MISDIRECTED -> {
@@ -254,6 +266,7 @@
             is SendEnd.Broken -> {
                 runs++
                 upstream.recordFailure(nowMillis)
+                if (end.closed != null) dependencies.sendLimiter.connectionFailed(upstream)
             }
             is SendEnd.Whole, SendEnd.Streamed -> runs++
         }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberMessages.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberMessages.kt
@@ -3,6 +3,7 @@
 import cactusfold.decisions.fleet.RowsRead
 import cactusfold.entry.callers.SharedPromptBlocks
 import cactusfold.entry.callers.SharedSuspects
+import cactusfold.entry.places.ZoneEvacuations
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.streams.OwnStreams
 import cactusfold.entry.streams.RecordedVersions
@@ -30,6 +31,7 @@
     private val limits: UpstreamLimits,
     private val recordedVersions: RecordedVersions,
     private val ownStreams: OwnStreams,
+    private val evacuations: ZoneEvacuations,
     private val clock: MonotonicClock
 ) {
     private var newsFence = 0L
@@ -45,7 +47,8 @@
             }
         }
         directory.usable.forEach { it.load.recordReported() }
-        return MemberReport.newBuilder()
+        evacuations.expire()
+        val report = MemberReport.newBuilder()
             .setVm(self.vm)
             .setBoot(self.boot)
             .addAllDemands(waits.takeDemands())
@@ -60,6 +63,8 @@
             .setReadsSharedNews(true)
             .setNewsFence(newsFence)
             .setNewsPosition(newsPosition)
+        evacuations.report()?.let(report::setEvacuations)
+        return report
     }
 
     /**
@@ -68,6 +73,9 @@
      * @param reportedAtMillis when the report that the notice names was sent; null if not known.
      */
     public fun apply(notice: FleetNotice, reportedAtMillis: Long? = null) {
+        if (notice.config.hasEvacuations()) {
+            evacuations.heard(notice.config.evacuations, "coordinator")
+        }
         val shared = if (notice.sharedNews.isEmpty) {
             FleetNotice.getDefaultInstance()
         } else {
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/SharedRows.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/SharedRows.kt
@@ -37,7 +37,9 @@
         val notice = FleetNotice.newBuilder().addUpstreamRows(message).build()
         news.put(rowKey(entry.id), notice, entry.adaptersByModel.keys)
         val hasBegunToLeave = entry.isDraining && before?.isDraining != true
-        return if (hasBegunToLeave) NewsUrgency.ALL else NewsUrgency.CONCERNED
+        // Another start under the same id gets what is sent to the one before.
+        val hasBecomeCold = entry.warmupMillis > 0 && before?.warmupMillis == 0L
+        return if (hasBegunToLeave || hasBecomeCold) NewsUrgency.ALL else NewsUrgency.CONCERNED
     }
 
     /** Passes on that [upstream] is not registered as of [version]. */
--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -109,7 +109,8 @@
                 member.atMillis + demand.limitInMillis
             },
             softwareVersion = key.softwareVersion,
-            byPriority = PriorityDemand.mergeAll(group.flatMap(::byPriority)).toImmutableList()
+            byPriority = PriorityDemand.mergeAll(group.flatMap(::byPriority)).toImmutableList(),
+            homeRegions = key.homeRegions
         )
 
     private fun byPriority(demand: Pair<ReceivedReport, Demand>): List<PriorityDemand> {
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelNeed.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelNeed.kt
@@ -1,5 +1,7 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.places.HomeRegions
+
 /**
  * What a request waits for: an upstream of [service] with [model] and, if not null, [adapter].
  *
@@ -9,6 +11,7 @@
  * @property arrivedAtMillis since when the caller waits; its age counts from then.
  * @property priority 0 is the most urgent.
  * @property tokens the request's work: prompt and maximum output tokens; 0 if not stated.
+ * @property homes the regions in one of which the upstream has to be.
  */
 public data class ModelNeed(
     public val service: String,
@@ -19,5 +22,6 @@
     public val deadlineAtMillis: Long,
     public val arrivedAtMillis: Long = targetAtMillis,
     public val priority: Int = 0,
-    public val tokens: Long = 0
+    public val tokens: Long = 0,
+    public val homes: HomeRegions = HomeRegions.ANY
 )
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.places.HomeRegions
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.entry.Demand
@@ -58,6 +59,7 @@
         val retryAfterMillis = forecast.readyInMillis.coerceAtLeast(MIN_RETRY_AFTER_MILLIS)
         waiting.filter { it.need.model == forecast.model }
             .filter { it.need.softwareVersion.orEmpty() == forecast.softwareVersion }
+            .filter { it.need.key.homeRegions == forecast.homeRegionsList.toSet() }
             .filter { it.need.deadlineAtMillis < readyAtMillis }
             .forEach { it.result.complete(ModelWait.Refused(retryAfterMillis)) }
     }
@@ -70,6 +72,7 @@
         val demands = waiting.map { it.need }.groupBy { it.key }.map { (key, group) ->
             Demand.newBuilder().setModel(key.model).setAdapter(key.adapter.orEmpty())
                 .setSoftwareVersion(key.softwareVersion.orEmpty())
+                .addAllHomeRegions(key.homeRegions)
                 .setWaiting(group.size)
                 .setTargetInMillis(group.minOf { it.targetAtMillis } - nowMillis)
                 .setLimitInMillis(group.maxOf { it.deadlineAtMillis } - nowMillis)
@@ -116,15 +119,21 @@
     private fun resultOf(need: ModelNeed): ModelWait? {
         val version = need.softwareVersion
         val serving = directory.serving(need.service, need.model, need.adapter)
+            .filter { need.homes.accepts(it.region) }
         return when {
             serving.any { version == null || it.entry.softwareVersion == version } ->
                 ModelWait.Ready
             version != null && !directory.isServing(need.service, version) ->
                 ModelWait.VersionGone
+            hasNoHome(need) -> ModelWait.HomesGone
             else -> null
         }
     }
 
+    private fun hasNoHome(need: ModelNeed): Boolean = need.homes != HomeRegions.ANY &&
+        directory.isKnown &&
+        directory.inHomes(need.service, need.homes).none { it.isUsable }
+
     private companion object {
         const val PERMILLE = 1_000
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
@@ -89,7 +89,8 @@
                 nowMillis + ADAPTER_LOAD_MILLIS
             } else {
                 availability.freeAtMillis(nowMillis)
-            }
+            },
+            region = upstream.region
         )
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -1,5 +1,7 @@
 package cactusfold.entry.upstream
 
+import cactusfold.decisions.fleet.RowsRead
+import cactusfold.decisions.places.HomeRegions
 import cactusfold.decisions.rate.UpstreamStart
 import cactusfold.entry.process.EventLog
 import cactusfold.node.time.MonotonicClock
@@ -20,6 +22,7 @@
     private val clock: MonotonicClock,
     private val events: EventLog,
     zone: String,
+    private val eligibility: UpstreamEligibility = UpstreamEligibility(),
     polling: () -> UpstreamPolling
 ) {
     private val pendingWake = Channel<Unit>(Channel.CONFLATED)
@@ -38,6 +41,11 @@
     private val unreported = mutableSetOf<UpstreamStart>()
     private var storeFailedAtMillis = Long.MIN_VALUE / 2
 
+    private val readings = RowReadings()
+
+    /** Follows what reads of the rows show, by this process or the coordinator. */
+    public var readListener: RowReadListener? = null
+
     /** Is told of the rows that this process reads itself. */
     public var rowListener: UpstreamRowListener? = null
 
@@ -91,9 +99,18 @@
     public fun isServing(service: String, softwareVersion: String): Boolean = upstreams.values.any {
         it.entry.service == service &&
             it.entry.softwareVersion == softwareVersion &&
-            !it.isGoing
+            !it.isGoing &&
+            !it.isEvacuated
     }
 
+    /** Returns the registered upstreams in [zone]. */
+    public fun inZone(zone: String): List<Upstream> =
+        upstreams.values.filter { it.entry.zone == zone }
+
+    /** Returns the registered upstreams of [service] in [homes], also those that are not usable. */
+    public fun inHomes(service: String, homes: HomeRegions): List<Upstream> =
+        upstreams.values.filter { it.entry.service == service && homes.accepts(it.region) }
+
     /** Returns the ids of upstreams to which connections failed recently. */
     public fun down(): List<String> {
         val nowMillis = clock.nowMillis()
@@ -140,12 +157,17 @@
         if (!follower.accepts(news.read)) return false
         val revisionBefore = revision
         val changes = news.rows.filter { follower.isNews(it, news.read) }
-        for (row in changes) if (row.value == null) drop(row.sort) else apply(row)
+        for (row in changes) {
+            if (row.value == null) drop(row.sort) else apply(row, news.read, news.beganAtMillis)
+        }
         if (news.isFull && follower.provesAbsence(news.read)) {
             (upstreams.keys - news.rows.mapTo(mutableSetOf()) { it.sort }).forEach(::drop)
         }
         val wereUnregistered = upstreams.values.count { it.unregisteredAtMillis != null }
-        if (news.isComplete) news.beganAtMillis?.let(::confirmRegistered)
+        if (news.isComplete && news.beganAtMillis != null) {
+            confirmRegistered(news.beganAtMillis)
+            allRead(news.read, news.beganAtMillis)
+        }
         follower.applied(news)
         val isFirst = !isKnown
         isKnown = true
@@ -265,8 +287,14 @@
             get() = missingSinceMillis.values.minOrNull()?.plus(ROW_RETURN_MILLIS)
 
         override fun read(rows: List<RowChange>, isSnapshot: Boolean, beganAtMillis: Long) {
-            if (isSnapshot) replaceAll(rows) else rows.forEach(::apply)
+            val read = checkNotNull(follower.lastRead).read
+            if (isSnapshot) {
+                replaceAll(rows, read, beganAtMillis)
+            } else {
+                rows.forEach { apply(it, read, beganAtMillis) }
+            }
             confirmRegistered(beganAtMillis)
+            allRead(read, beganAtMillis)
             isKnown = true
             changed()
             rowListener?.readCompleted()
@@ -276,16 +304,25 @@
             storeFailedAtMillis = clock.nowMillis()
         }
 
-        override fun dropExpired(): Unit = this@UpstreamDirectory.dropExpired()
+        override fun dropExpired() {
+            readListener?.active()
+            this@UpstreamDirectory.dropExpired()
+        }
+    }
+
+    /** Records that all rows are known as of [read], which began at [begunAtMillis]. */
+    private fun allRead(read: RowsRead, begunAtMillis: Long) {
+        readings.completed(read, begunAtMillis)
+        readListener?.allRead(begunAtMillis)
     }
 
-    private fun replaceAll(rows: List<RowChange>) {
-        rows.forEach(::apply)
+    private fun replaceAll(rows: List<RowChange>, read: RowsRead, begunAtMillis: Long) {
+        rows.forEach { apply(it, read, begunAtMillis) }
         val present = rows.mapTo(mutableSetOf()) { it.sort }
         (upstreams.keys - present).forEach(::markMissing)
     }
 
-    private fun apply(row: RowChange) {
+    private fun apply(row: RowChange, read: RowsRead, begunAtMillis: Long?) {
         val value = row.value ?: return markMissing(row.sort)
         when (val decoded = UpstreamDecoder.entry(row.sort, value)) {
             is Decoded.Valid -> {
@@ -293,6 +330,7 @@
                 val registered = RegisteredRow(decoded.value, row)
                 rows[row.sort] = registered
                 rowListener?.registered(registered)
+                readListener?.rowRead(decoded.value, readings.of(row, read, begunAtMillis))
             }
             is Decoded.Invalid -> {
                 events.write(
@@ -323,7 +361,7 @@
         if (entry.isDraining) leavingStarts.add(start, clock.nowMillis())
         if (known == null || known.start != start) {
             known?.unregisteredAtMillis = clock.nowMillis()
-            upstreams[entry.id] = Upstream(entry).also {
+            upstreams[entry.id] = Upstream(entry, eligibility).also {
                 it.isLeaving = start in leavingStarts
                 it.silence.onFirstPending = { pendingWake.trySend(Unit) }
                 resumePause(it)
