Runners are chosen by the expected time of the request

Cause: a load header with four figures was treated as absent, stated loads were used regardless of their age, a VM knew only its own requests, and all VMs sent prompts with the same first block to the same runner.

Change: where a service has a model engine, a request goes to the runner at which it is expected to cost the least time, out of a small random sample. The estimate uses the stated load and slowdown, which fade; requests and tokens of other VMs (RunnerLoad in notices, summed by the coordinator from RunnerUse); the learned speed of the start, relative to its service; the memory for tokens (kv-capacity); and the prompt tokens that are probably cached. Prefix affinity is a saving in that estimate, with two holders for each chain of blocks and more for popular ones. Plain services are chosen by latency and load as before, but an old stated load fades. `sent` states the expected time, and metrics compare it with the observed one.

Not measured on a fleet.

Soak and local tests were not run.

--- a/bench/src/main/kotlin/cactusfold/bench/capacity/DecisionSlopes.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/capacity/DecisionSlopes.kt
@@ -34,8 +34,15 @@
 import cactusfold.decisions.rate.RateLimit
 import cactusfold.decisions.rate.RouterRegistry
 import cactusfold.decisions.rate.TokenGrantSettings
+import cactusfold.decisions.routing.ChoiceContext
+import cactusfold.decisions.routing.ExpectedTimes
+import cactusfold.decisions.routing.PrefixCaches
+import cactusfold.decisions.routing.PromptBlock
 import cactusfold.decisions.routing.ReplicaChoice
 import cactusfold.decisions.routing.ReplicaView
+import cactusfold.decisions.routing.RequestWork
+import cactusfold.decisions.routing.RunnerChoice
+import cactusfold.decisions.routing.RunnerView
 import cactusfold.node.rows.toMessage
 import cactusfold.settings.fleet.FleetConfig
 import kotlinx.collections.immutable.persistentMapOf
@@ -62,6 +69,7 @@
         configChange(),
         configMemory(),
         routingChoice(),
+        runnerChoice(),
         queueDispatch()
     )
 
@@ -283,6 +291,29 @@
         }
     )
 
+    private fun runnerChoice() = Slope(
+        "routing: one choice among the runners of an engine",
+        "µs",
+        "runners with the model",
+        CELL_RUNNERS,
+        points(listOf(2, 8, 32, 128)) { n ->
+            val choice = RunnerChoice(ExpectedTimes(1.0))
+            val caches = PrefixCaches()
+            val blocks = listOf(PromptBlock("a", 300), PromptBlock("b", 500))
+            val work = RequestWork.of("model", 1_200, 60, blocks)
+            val views = (1..n).map {
+                RunnerView("runner-$it", "zone-${it % 8}", 32, 90_000, it % 5, it % 5 * 900L)
+            }
+            val runners = views.map { it.upstream }
+            val context = ChoiceContext("zone-1", 84, 10)
+            var i = 0
+            Meter.microsPerCall {
+                val cached = caches.locate(work, runners, 84, 10)
+                choice.choose(views, work, cached, context) { bound -> i++ % bound }
+            }
+        }
+    )
+
     private fun queueDispatch() = Slope(
         "queue: one request in and out",
         "µs",
--- a/decisions/src/main/kotlin/cactusfold/decisions/Rendezvous.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/Rendezvous.kt
@@ -17,6 +17,11 @@
     public fun preferred(key: String, members: Sequence<String>): String? =
         members.maxByOrNull { weight(key, it) }
 
+    /** Returns the [count] members of [members] that [key] prefers, the most preferred first. */
+    public fun ranked(key: String, members: List<String>, count: Int): List<String> =
+        members.map { it to weight(key, it) }.sortedByDescending { it.second }.take(count)
+            .map { it.first }
+
     /** Returns the bucket from 0 until [buckets] that [key] falls into. */
     public fun bucket(key: String, buckets: Int): Int =
         Math.floorMod(hash.hashUnencodedChars(key).asLong(), buckets)
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -295,6 +295,9 @@
         events.write("process-start", "zone" to settings.zone, "peer" to peerAddress.toString())
         coordinator.onLocalNotice = ::handleNotice
         directory.listen(coordinator::announceLeaving)
+        directory.chooser.engineOf = { table?.service(it)?.engine }
+        directory.chooser.vmCount = { coordinatorClient.memberCount }
+        directory.chooser.onChosen = meters::recordChoice
         registerGauges()
         tasks.keepRunning("configuration") { config.run() }
         tasks.keepRunning("upstreams") { directory.run() }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
@@ -37,6 +37,24 @@
     public fun recordResumption(outcome: String): Unit =
         registry.counter(RESUMPTIONS, "outcome", outcome).increment()
 
+    /**
+     * Records the time to the first data of an answer of a runner of [service], and the time that
+     * was expected when the request was sent.
+     */
+    public fun recordExpected(service: String, expectedMillis: Double, tookMillis: Long) {
+        firstData(service, "expected").record(expectedMillis.toLong(), TimeUnit.MILLISECONDS)
+        firstData(service, "observed").record(tookMillis, TimeUnit.MILLISECONDS)
+    }
+
+    private fun firstData(service: String, figure: String): Timer =
+        timers.getOrPut("$service $figure") {
+            timer(FIRST_DATA).tags("service", service, "figure", figure).register(registry)
+        }
+
+    /** Counts a choice among the upstreams of [service], and its [reason]. */
+    public fun recordChoice(service: String, reason: String): Unit =
+        registry.counter(CHOICES, "service", service, "reason", reason).increment()
+
     private fun timer(name: String): Timer.Builder =
         Timer.builder(name).serviceLevelObjectives(*BUCKETS)
 
@@ -44,6 +62,8 @@
         const val REQUESTS = "cactusfold.requests"
         const val LIMITED = "cactusfold.sends.limited"
         const val RESUMPTIONS = "cactusfold.streams.resumed"
+        const val FIRST_DATA = "cactusfold.upstream.first.data"
+        const val CHOICES = "cactusfold.upstream.choices"
         const val FIRST_PIECES = "cactusfold.stream.first.piece"
 
         /** Upper bounds of the histogram buckets, placed around the usual latency targets. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.callers
 
 import cactusfold.entry.residency.ModelWait
+import cactusfold.entry.upstream.ExpectedSend
 import cactusfold.entry.upstream.ModelUse
 import cactusfold.entry.upstream.Upstream
 import cactusfold.ports.serving.ServingRoute
@@ -117,6 +118,7 @@
     ): SendEnd {
         val (upstream, permit) = selected
         val facts = request.facts
+        val expected = dependencies.directory.expect(upstream, facts)
         val upstreamRequest = UpstreamRequest(
             id = facts.id,
             method = request.method,
@@ -135,7 +137,10 @@
             ),
             body = request.body,
             isStream = route.isStream,
-            mayWrite = { permit == null || dependencies.sendLimiter.use(permit) }
+            mayWrite = { permit == null || dependencies.sendLimiter.use(permit) },
+            onFirstData = { tookMillis ->
+                if (expected != null) recordTook(upstream, expected, route.isStream, tookMillis)
+            }
         )
         sends++
         dependencies.events.write(
@@ -147,23 +152,38 @@
             "after" to (reply.lastEventId ?: facts.lastEventId),
             "send" to sends,
             "in_flight" to upstream.inFlight,
+            "expected_ms" to expected?.millis(route.isStream)?.toLong(),
             "left_ms" to deadlineAtMillis - dependencies.clock.nowMillis(),
             "workspace" to workspace?.name
         )
         val wasUncertain = mayHaveRun
         mayHaveRun = true
         val use = facts.model?.let { ModelUse(it, facts.adapter) }
-        upstream.requestStarted(use)
+        val tokens = expected?.tokens ?: 0
+        upstream.requestStarted(use, tokens)
         try {
             val end = sendOrAbandon(upstream, upstreamRequest, mayAbandon)
             recordResult(upstream, end, wasUncertain)
             return end
         } finally {
-            upstream.requestEnded(use)
+            upstream.requestEnded(use, tokens)
             permit?.let(dependencies.sendLimiter::release)
         }
     }
 
+    /** Learns from the time that the first data took, and records it beside the expected time. */
+    private fun recordTook(
+        upstream: Upstream,
+        expected: ExpectedSend,
+        isStream: Boolean,
+        tookMillis: Long
+    ) {
+        val expectedMillis = expected.millis(isStream)
+        dependencies.meters.recordExpected(upstream.entry.service, expectedMillis, tookMillis)
+        val nowMillis = dependencies.clock.nowMillis()
+        dependencies.directory.chooser.learn(upstream, expected, isStream, tookMillis, nowMillis)
+    }
+
     /** Sends [upstreamRequest]; abandons a silent upstream when [mayAbandon] agrees. */
     private suspend fun sendOrAbandon(
         upstream: Upstream,
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
@@ -34,7 +34,7 @@
 
     /** Selects one of [candidates], which all can serve the request. */
     suspend fun select(candidates: List<Upstream>): Selection {
-        val chosen = dependencies.directory.choose(candidates, request.facts.promptPrefixId)
+        val chosen = dependencies.directory.choose(candidates, request.facts)
         if (chosen != null && !isLimited(chosen)) return Selection.Selected(chosen, null)
         val limited = limitedCandidates(candidates, chosen)
         return if (limited.isEmpty()) {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -28,6 +28,8 @@
  * A request in the form in which it is sent to an upstream.
  *
  * @property mayWrite evaluated right before the request is written; nothing is sent if it is false.
+ * @property onFirstData called with the milliseconds from the sending to the first piece of a stream,
+ *   or to the head of another successful answer.
  */
 public class UpstreamRequest(
     public val id: String?,
@@ -37,7 +39,8 @@
     public val headers: MultiMap,
     public val body: Buffer,
     public val isStream: Boolean,
-    public val mayWrite: () -> Boolean = { true }
+    public val mayWrite: () -> Boolean = { true },
+    public val onFirstData: (Long) -> Unit = {}
 )
 
 private val SUCCESS = 200..299
@@ -199,12 +202,14 @@
             if (facts.wasNotExecuted) return notRun(response, start)
             val isSuccess = start.status in SUCCESS
             if (isSuccess && !facts.isSealed) return SendEnd.Broken("an answer without a seal")
-            upstream.recordAnswer(facts.load)
+            upstream.recordAnswer(facts.load, clock.nowMillis())
             if (isSuccess && upstreamRequest.isStream && sink != null) {
                 if (facts.isEventStream) return relay(response, start, sink, startedAtMillis)
                 if (sink.isContinued) return SendEnd.Broken("the answer is no event stream")
             }
-            upstream.recordLatency(clock.nowMillis() - startedAtMillis)
+            val tookMillis = clock.nowMillis() - startedAtMillis
+            upstream.recordLatency(tookMillis)
+            if (isSuccess) upstreamRequest.onFirstData(tookMillis)
             val body = bodies.read(response) ?: return SendEnd.Broken("the answer is too long")
             if (ForeignAnswer.isDelimitedByClose(response.headers()) && ForeignAnswer.isIn(body)) {
                 return SendEnd.Broken("another answer follows")
@@ -251,6 +256,7 @@
                 if (firstPieceAtMillis == null) {
                     firstPieceAtMillis = nowMillis
                     upstream.recordLatency(nowMillis - startedAtMillis)
+                    upstreamRequest.onFirstData(nowMillis - startedAtMillis)
                 }
                 val check = sink.write(piece)
                 if (check is StreamCheck.Unsound) return SendEnd.Broken(check.reason)
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -68,6 +68,7 @@
     private val sessions = mutableSetOf<MemberSession>()
     private val holdingsByRunner = LinkedHashMap<String, Holdings>()
     private val announcedDepartures = RecentDepartures()
+    private val runnerLoads = RunnerLoadNews(dependencies.demand, dependencies.directory)
     private var announcedRevision = 0L
 
     /** Moving average of how much later than planned this process continues after a pause. */
@@ -235,6 +236,7 @@
             .associateByTo(session.completedBlocks) { it.block }
         dependencies.limits.messages().associateByTo(session.limits) { it.start }
         dependencies.streams.messages.associateByTo(session.versions) { it.service }
+        runnerLoads.current.associateByTo(session.runnerLoads) { it.runner }
         sessions += session
         dependencies.events.write("member-attached", "member" to session.vm)
     }
@@ -252,6 +254,7 @@
         val pausedAtMillis = dependencies.clock.nowMillis()
         delay(pauseMillis)
         recordLag(dependencies.clock.nowMillis() - pausedAtMillis - pauseMillis)
+        runnerLoads.spread(sessions, dependencies.lease.fence, dependencies.clock.nowMillis())
         return session.takeNews()
             .setFence(dependencies.lease.fence)
             .setMemberCount(memberCount ?: 0)
@@ -359,6 +362,7 @@
 
     private fun handleLeaseAcquired(fence: Long) {
         holdingsByRunner.clear()
+        runnerLoads.clear()
         announcedDepartures.clear()
         // What this process has told an earlier coordinator is news for its own members.
         dependencies.directory.markDeparturesUnsent()
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberMessages.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberMessages.kt
@@ -34,9 +34,11 @@
         val uses = directory.usable.flatMap { upstream ->
             upstream.uses.map { (use, count) ->
                 RunnerUse.newBuilder().setRunner(upstream.entry.id).setModel(use.model)
-                    .setAdapter(use.adapter.orEmpty()).setInFlight(count).build()
+                    .setAdapter(use.adapter.orEmpty()).setInFlight(count)
+                    .setTokens(upstream.tokensOf(use)).build()
             }
         }
+        directory.usable.forEach { it.load.recordReported() }
         return MemberReport.newBuilder()
             .setVm(self.vm)
             .setBoot(self.boot)
@@ -67,6 +69,7 @@
         notice.completedBlocksList.forEach(promptBlocks::reported)
         notice.limitsList.forEach { limits.heard(it, "coordinator") }
         notice.versionsList.forEach(recordedVersions::heard)
+        directory.applyLoads(notice)
     }
 
     private fun apply(holdings: Holdings) {
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSession.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSession.kt
@@ -8,6 +8,7 @@
 import cactusfold.protocol.entry.Forecast
 import cactusfold.protocol.entry.Holdings
 import cactusfold.protocol.entry.PromptCrash
+import cactusfold.protocol.entry.RunnerLoad
 import cactusfold.protocol.entry.ServiceVersions
 import cactusfold.protocol.entry.UpstreamLimit
 import kotlinx.coroutines.channels.Channel
@@ -22,6 +23,7 @@
     val completedBlocks = LinkedHashMap<String, CompletedBlock>()
     val limits = LinkedHashMap<UpstreamStart, UpstreamLimit>()
     val versions = LinkedHashMap<String, ServiceVersions>()
+    val runnerLoads = LinkedHashMap<String, RunnerLoad>()
     val wake = Channel<Unit>(Channel.CONFLATED)
     var reportSequence = 0L
 
@@ -36,6 +38,7 @@
             .addAllCompletedBlocks(completedBlocks.values)
             .addAllLimits(limits.values)
             .addAllVersions(versions.values)
+            .addAllRunnerLoads(runnerLoads.values)
         pending.clear()
         forecasts.clear()
         suspects.clear()
@@ -44,6 +47,7 @@
         completedBlocks.clear()
         limits.clear()
         versions.clear()
+        runnerLoads.clear()
         return notice
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/FleetDemand.kt
@@ -5,6 +5,13 @@
 import cactusfold.protocol.entry.Demand
 import cactusfold.protocol.entry.MemberReport
 
+/** Requests in flight at a runner, and the tokens that they may hold in its memory. */
+public data class RunnerTotals(public val inFlight: Int, public val tokens: Long) {
+    /** Returns the sum of both. */
+    public operator fun plus(other: RunnerTotals): RunnerTotals =
+        RunnerTotals(inFlight + other.inFlight, tokens + other.tokens)
+}
+
 /** Demand and use of models over the fleet, merged from the members' latest reports. */
 public class FleetDemand {
     private class ReceivedReport(val report: MemberReport, val atMillis: Long)
@@ -53,6 +60,28 @@
             uses.groupBy { it.model }.mapValues { (_, same) -> same.sumOf { it.inFlight } }
         }
 
+    /** Returns the in-flight requests and their tokens, per runner that is in use. */
+    public fun runnerUse(nowMillis: Long): Map<String, RunnerTotals> {
+        val totals = HashMap<String, RunnerTotals>()
+        for (member in current(nowMillis)) {
+            for (use in member.report.usesList) {
+                totals.merge(use.runner, RunnerTotals(use.inFlight, use.tokens), RunnerTotals::plus)
+            }
+        }
+        return totals
+    }
+
+    /** Returns the mean age of the members' reports, which the sums above consist of. */
+    public fun reportAgeMillis(nowMillis: Long): Long {
+        val reports = current(nowMillis)
+        return if (reports.isEmpty()) {
+            0
+        } else {
+            reports.sumOf { nowMillis - it.atMillis } /
+                reports.size
+        }
+    }
+
     /** Returns, per runner, the (model, adapter) pairs that in-flight requests use. */
     public fun adaptersInFlight(nowMillis: Long): Map<String, Set<Pair<String, String>>> =
         current(nowMillis).flatMap { it.report.usesList }.filter { it.adapter.isNotEmpty() }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -1,7 +1,9 @@
 package cactusfold.entry.upstream
 
 import cactusfold.decisions.rate.UpstreamStart
+import cactusfold.decisions.routing.OtherUse
 import cactusfold.decisions.routing.ReplicaView
+import cactusfold.decisions.routing.RunnerView
 import cactusfold.ports.serving.ReportedLoad
 import cactusfold.ports.serving.UpstreamEntry
 import cactusfold.protocol.entry.Departure
@@ -31,7 +33,9 @@
     private var excludedUntilMillis = 0L
     private var downUntilMillis = 0L
     private var failures = 0
-    private var load: ReportedLoad? = null
+
+    /** Load and speed of this start of the upstream. */
+    public val load: UpstreamLoad = UpstreamLoad()
 
     /** Measures how long the upstream has sent no data although answers are outstanding. */
     public val silence: SilenceMonitor = SilenceMonitor()
@@ -65,8 +69,7 @@
     public val departure: Departure get() = departureOf(start)
 
     /** Number of requests that this process has in flight at the upstream. */
-    public var inFlight: Int = 0
-        private set
+    public val inFlight: Int get() = load.inFlight
 
     /** In-flight requests of this process by model and adapter. */
     public val uses: Map<ModelUse, Int> get() = inFlightByUse
@@ -106,25 +109,34 @@
         return adapter == null || adapter in adapters
     }
 
-    /** Counts a request that is sent to the upstream; [use] is null if it needs no model. */
-    public fun requestStarted(use: ModelUse?) {
-        inFlight++
+    /** Returns the tokens of in-flight requests of this process with [use]. */
+    public fun tokensOf(use: ModelUse): Long = load.tokensOf(use)
+
+    /**
+     * Counts a request that is sent to the upstream; [use] is null if it needs no model. It may
+     * hold [tokens] in the upstream's memory.
+     */
+    public fun requestStarted(use: ModelUse?, tokens: Long = 0) {
+        load.requestStarted(use, tokens)
         if (use != null) inFlightByUse.merge(use, 1, Int::plus)
     }
 
-    /** Removes a request from the count of in-flight requests. */
-    public fun requestEnded(use: ModelUse?) {
-        inFlight--
+    /** Removes a request, started with the same arguments, from those in flight. */
+    public fun requestEnded(use: ModelUse?, tokens: Long = 0) {
+        load.requestEnded(use, tokens)
         if (use == null) return
         val left = (inFlightByUse[use] ?: 1) - 1
         if (left > 0) inFlightByUse[use] = left else inFlightByUse.remove(use)
     }
 
-    /** Records that an answer has begun, which ends the backoff for refused connections. */
-    public fun recordAnswer(reported: ReportedLoad?) {
+    /**
+     * Records that an answer has begun, which ends the backoff for refused connections, and the
+     * load that it states.
+     */
+    public fun recordAnswer(reported: ReportedLoad?, nowMillis: Long) {
         failures = 0
         downUntilMillis = 0
-        if (reported != null) load = reported
+        if (reported != null) load.recordStated(reported, nowMillis)
     }
 
     /** Records the time to a complete answer, or to the first piece of a stream. */
@@ -180,13 +192,34 @@
         excludedUntilMillis = maxOf(excludedUntilMillis, pausedUntilMillis)
     }
 
-    /** Returns the data on which the choice among replicas is based. */
+    /**
+     * Returns the data on which the choice among the runners of a model engine is based.
+     *
+     * @param memoryTokens tokens that fit into the memory of a runner; null if not known.
+     * @param others what other VMs have in flight there; null if not known.
+     */
+    public fun runnerView(memoryTokens: Long?, others: OtherUse?, nowMillis: Long): RunnerView =
+        RunnerView(
+            upstream = entry.id,
+            zone = entry.zone,
+            slots = entry.slots,
+            memoryTokens = memoryTokens,
+            inFlight = inFlight,
+            inFlightTokens = load.inFlightTokens,
+            stated = load.stated(nowMillis),
+            others = others,
+            speed = load.speed(nowMillis),
+            silentMillis = silence.silentMillis(nowMillis),
+            excludedUntilMillis = maxOf(excludedUntilMillis, limitedUntilMillis)
+        )
+
+    /** Returns the data on which the choice among replicas of a plain service is based. */
     public fun view(nowMillis: Long): ReplicaView = ReplicaView(
         upstream = entry.id,
         zone = entry.zone,
         slots = entry.slots,
-        reportedRunning = load?.running ?: 0,
-        reportedWaiting = load?.waiting ?: 0,
+        reportedRunning = load.running(nowMillis),
+        reportedWaiting = load.waiting(nowMillis),
         inFlight = inFlight,
         latencyMillis = maxOf(latencyMillis, silence.silentMillis(nowMillis).toDouble()),
         excludedUntilMillis = maxOf(excludedUntilMillis, limitedUntilMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -1,18 +1,17 @@
 package cactusfold.entry.upstream
 
-import cactusfold.decisions.Rendezvous
 import cactusfold.decisions.rate.UpstreamStart
-import cactusfold.decisions.routing.ReplicaChoice
 import cactusfold.entry.process.EventLog
 import cactusfold.node.time.MonotonicClock
 import cactusfold.platform.UpstreamDecoder
 import cactusfold.ports.serving.Decoded
+import cactusfold.ports.serving.RequestMetadata
 import cactusfold.ports.serving.UpstreamEntry
 import cactusfold.ports.table.ChangeFeed
 import cactusfold.ports.table.FeedResult
 import cactusfold.ports.table.RowChange
 import cactusfold.protocol.entry.Departure
-import kotlin.random.Random
+import cactusfold.protocol.entry.FleetNotice
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -22,7 +21,7 @@
     private val feed: ChangeFeed,
     private val clock: MonotonicClock,
     private val events: EventLog,
-    private val zone: String,
+    zone: String,
     private val polling: () -> UpstreamPolling
 ) {
     private val wake = Channel<Unit>(Channel.CONFLATED)
@@ -30,7 +29,6 @@
     private var isOutdated = true
 
     private val upstreams = LinkedHashMap<String, Upstream>()
-    private val choice = ReplicaChoice(ZONE_CROSSING_MILLIS, AFFINITY_LOAD_GAP)
     private val listeners = mutableListOf<() -> Unit>()
     private val missingSinceMillis = HashMap<String, Long>()
     private val departed = mutableSetOf<Departure>()
@@ -42,6 +40,12 @@
     private var storeFailedAtMillis = Long.MIN_VALUE / 2
     private var readsBegun = 0L
 
+    /** Requests of other VMs at each runner. */
+    private val fleetLoads: FleetLoads = FleetLoads()
+
+    /** Chooses among upstreams that can serve a request. */
+    public val chooser: UpstreamChooser = UpstreamChooser(zone, fleetLoads)
+
     /** Number of times that an upstream joined, left or restarted, as seen by this process. */
     public var revision: Long = 0
         private set
@@ -129,27 +133,25 @@
     /**
      * Returns the best of [candidates], or null when all are full or backed off. Silent upstreams
      * are considered only if all candidates are silent.
-     *
-     * @param affinity key that selects the same upstream each time as long as loads are similar.
      */
-    public fun choose(candidates: List<Upstream>, affinity: String?): Upstream? {
+    public fun choose(candidates: List<Upstream>, request: RequestMetadata): Upstream? {
         val nowMillis = clock.nowMillis()
         val responsive = candidates.filterNot { it.isSilent(nowMillis) }.ifEmpty { candidates }
-        val views = responsive.map { it.view(nowMillis) }
-        val preferred = affinity?.let {
-            Rendezvous.preferred(it, responsive.map { c -> c.entry.id })
-        }
-        val chosen = choice.choose(
-            views,
-            zone,
-            preferred,
-            Random.nextInt(Int.MAX_VALUE),
-            Random.nextInt(Int.MAX_VALUE),
-            nowMillis
-        ) ?: return null
-        return upstreams[chosen.upstream]
+        return chooser.choose(responsive, request, nowMillis)
     }
 
+    /** Applies the loads of runners that the coordinator announced in [notice]. */
+    public fun applyLoads(notice: FleetNotice): Unit =
+        fleetLoads.apply(notice, clock.nowMillis()) { upstreams[it]?.load }
+
+    /** Returns what is expected of [request], which is about to be sent to [upstream]. */
+    public fun expect(upstream: Upstream, request: RequestMetadata): ExpectedSend? = chooser.expect(
+        upstream,
+        usable.filter { it.entry.service == upstream.entry.service },
+        request,
+        clock.nowMillis()
+    )
+
     /**
      * Returns the time until the first of [candidates] may be sent requests again, if all of them
      * have asked for a pause; otherwise null.
@@ -364,12 +366,6 @@
     }
 
     private companion object {
-        /** Added to the cost of an upstream in another availability zone. */
-        const val ZONE_CROSSING_MILLIS = 1.0
-
-        /** Additional load, as a share of slots, accepted at the upstream with affinity. */
-        const val AFFINITY_LOAD_GAP = 0.1
-
         const val POLL_CHECK_MILLIS = 200L
         const val SILENCE_CHECK_MILLIS = 100L
 
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/UpstreamTest.kt
@@ -1,5 +1,7 @@
 package cactusfold.entry.upstream
 
+import cactusfold.decisions.routing.StatedLoad
+import cactusfold.ports.serving.ReportedLoad
 import cactusfold.ports.serving.UpstreamEntry
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -71,7 +73,7 @@
             assertFalse(upstream.isDown(2_000))
             upstream.recordUnreachable(3_000)
             assertTrue(upstream.isDown(4_999), "longer after the second consecutive failure")
-            upstream.recordAnswer(null)
+            upstream.recordAnswer(null, 1_500)
             assertFalse(upstream.isDown(3_001))
         }
 
@@ -153,4 +155,27 @@
             assertEquals(0 to emptyMap(), upstream.inFlight to upstream.uses)
         }
     }
+
+    @Nested
+    inner class Load {
+        @Test
+        fun `a stated load is corrected by what this process has sent and ended since`() {
+            upstream.requestStarted(null)
+            upstream.recordAnswer(ReportedLoad(5, 2, 8, 250.0), nowMillis = 100)
+            upstream.requestStarted(null)
+            upstream.requestStarted(null)
+            assertEquals(StatedLoad(9, 2.5, 50), upstream.load.stated(150))
+            repeat(3) { upstream.requestEnded(null) }
+            assertEquals(6, upstream.load.stated(150)?.requests)
+        }
+
+        // A plain service that was busy once was avoided until it answered again.
+        @Test
+        fun `a stated load fades at a plain service`() {
+            upstream.recordAnswer(ReportedLoad(4, 4, 4), nowMillis = 0)
+            assertEquals(8, upstream.view(0).expectedLoad)
+            assertEquals(4, upstream.view(1_000).expectedLoad)
+            assertEquals(0, upstream.view(10_000).expectedLoad)
+        }
+    }
 }
--- a/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
@@ -1,7 +1,9 @@
 package cactusfold.ports.serving
 
+import cactusfold.decisions.routing.PromptBlock
 import io.vertx.core.MultiMap
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
 
 /**
  * Metadata from the headers of a caller's request. A field is null if its header is missing or does
@@ -18,6 +20,9 @@
  * @property lastEventId last event that the caller received of a stream that it resumes.
  * @property resumedId id of the request that brought the first event of a stream that the caller
  *   resumes.
+ * @property cacheableBlocks the blocks of the prompt, from its beginning, that an engine may have in
+ *   its prefix cache: those that may be shared, or the only one. A block has no tokens if their
+ *   number is not stated.
  */
 public data class RequestMetadata(
     public val id: String?,
@@ -30,7 +35,8 @@
     public val promptPrefixId: String?,
     public val sharedBlocks: ImmutableList<String>,
     public val lastEventId: String?,
-    public val resumedId: String? = null
+    public val resumedId: String? = null,
+    public val cacheableBlocks: ImmutableList<PromptBlock> = persistentListOf()
 )
 
 /**
@@ -81,11 +87,14 @@
  * @property running requests being processed.
  * @property waiting requests in the queue.
  * @property slots requests that the upstream processes concurrently.
+ * @property slowdownPercent how long work takes there at this moment, as a percentage of the usual
+ *   time; null if it is not stated.
  */
 public data class ReportedLoad(
     public val running: Int,
     public val waiting: Int,
-    public val slots: Int
+    public val slots: Int,
+    public val slowdownPercent: Double? = null
 )
 
 /** Translates between the headers of callers and upstreams and the metadata of requests. */
--- a/ports/src/main/kotlin/cactusfold/ports/serving/ServingConfig.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/ServingConfig.kt
@@ -70,13 +70,16 @@
  * @property adapterSlots adapters that one runner can have loaded.
  * @property storeLoadsPerSecond maximum rate at which loads from the weight store start, over all
  *   runners; null if it is unlimited.
+ * @property memoryTokens tokens of requests in progress that fit into the memory of one runner;
+ *   null if it is not stated.
  */
 public data class EngineSpec(
     public val slots: Int,
     public val weightMegabytes: Double,
     public val adapterSlots: Int,
     public val storeLoadsPerSecond: Double?,
-    public val models: ImmutableMap<String, ModelCost>
+    public val models: ImmutableMap<String, ModelCost>,
+    public val memoryTokens: Long? = null
 )
 
 /** A group of upstreams; [engine] is null for a plain service. */
