--- a/training/src/main/kotlin/cactusfold/training/MergedJar.kt
+++ b/training/src/main/kotlin/cactusfold/training/MergedJar.kt
@@ -1,6 +1,7 @@
 package cactusfold.training
 
 import java.io.ByteArrayOutputStream
+import java.io.DataOutputStream
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.jar.Attributes
@@ -13,6 +14,10 @@
 /**
  * Merges the jars of a directory into one. Lists of services are joined; of other entries with the
  * same name, the one of the first jar is kept, as by a class path in the order of their names.
+ *
+ * The list of Log4j's plugins is replaced by one that names only the console appender. Log4j loads
+ * each class that is listed, and an entry process configures it without plugins; with an empty list
+ * it would search its packages.
  */
 internal class MergedJar(private val directory: Path) {
     private val services = sortedMapOf<String, ByteArrayOutputStream>()
@@ -30,7 +35,11 @@
 
     private fun add(source: Path, merged: JarOutputStream) = JarFile(source.toFile()).use { jar ->
         for (entry in jar.entries().asSequence().filter(::isNeeded)) {
-            val bytes = jar.getInputStream(entry).use { it.readBytes() }
+            val bytes = if (entry.name == PLUGINS) {
+                pluginList()
+            } else {
+                jar.getInputStream(entry).use { it.readBytes() }
+            }
             if (entry.name.startsWith(SERVICES)) {
                 val lines = services.getOrPut(entry.name) { ByteArrayOutputStream() }
                 lines.write(bytes)
@@ -48,6 +57,18 @@
         merged.closeEntry()
     }
 
+    private fun pluginList(): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        val output = DataOutputStream(bytes)
+        output.writeInt(1)
+        output.writeUTF("core")
+        output.writeInt(1)
+        listOf("console", CONSOLE, "Console").forEach(output::writeUTF)
+        output.writeBoolean(true)
+        output.writeBoolean(false)
+        return bytes.toByteArray()
+    }
+
     private fun isNeeded(entry: ZipEntry): Boolean = !entry.isDirectory &&
         entry.name != JarFile.MANIFEST_NAME &&
         !entry.name.startsWith("META-INF/maven/") &&
@@ -55,6 +76,9 @@
 
     private companion object {
         const val SERVICES = "META-INF/services/"
+        const val PLUGINS =
+            "META-INF/org/apache/logging/log4j/core/config/plugins/Log4j2Plugins.dat"
+        const val CONSOLE = "org.apache.logging.log4j.core.appender.ConsoleAppender"
 
         /** Of modules and for compilers, which the class path does not use. */
         val UNUSED_ENDINGS = listOf(
