Order of waiting requests by rank, with a forecast of their wait

Cause: requests that waited for tokens of a workspace or for a place polled, and whoever asked at the right moment won. All of them were refused after half of their target, whatever their priority, and were told to come back into a backlog of seconds.

Change: decisions/queue has one waiting list whose order is a value: shares of workspaces (the router, as before) or the rank of a request. A rank consists of priority, whether the target can be met, slack, work and age. A forecast tells whether a request can be served before its limit, from the capacity that more urgent requests leave. The coordinator keeps a list for each limited workspace behind TakeTokens; each VM keeps one for each service in place of the poll for a free upstream. Requests raised by age get a tenth of the work: without that bound, late ones delayed those in time until all were late. Limits on the wait change only where a deployment has different priorities.

--- a/bench/src/main/kotlin/cactusfold/bench/capacity/DecisionSlopes.kt
+++ b/bench/src/main/kotlin/cactusfold/bench/capacity/DecisionSlopes.kt
@@ -25,8 +25,8 @@
 import cactusfold.decisions.placement.PlacementSettings
 import cactusfold.decisions.placement.RouterDemand
 import cactusfold.decisions.placement.RunnerSpec
-import cactusfold.decisions.queue.FairQueue
 import cactusfold.decisions.queue.QueueState
+import cactusfold.decisions.queue.WaitingList
 import cactusfold.decisions.queue.WaitingRequest
 import cactusfold.decisions.rate.BucketMachine
 import cactusfold.decisions.rate.BucketState
@@ -289,7 +289,7 @@
         "requests waiting",
         1_000.0,
         points(listOf(10, 100, 1_000, 4_000)) { n ->
-            val queue = FairQueue(10_000, 10_000)
+            val queue = WaitingList(10_000, 10_000)
             val full = (1..n).fold(QueueState()) { state, i ->
                 queue.add(state, waiting(i), 0).state
             }
--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketMachine.kt
@@ -190,6 +190,10 @@
         return state.copy(promisedTokens = minOf(state.promisedTokens + tokens, maxTokens))
     }
 
+    /** Sets what is promised to [tokens], of which the caller has added up what came before. */
+    public fun promiseInAll(state: BucketState, tokens: Double): BucketState =
+        promise(state.copy(promisedTokens = 0.0), tokens)
+
     /** Removes [tokens] that were used without being asked for, as far as there are any. */
     public fun charge(state: BucketState, tokens: Double, nowMillis: Long): BucketState {
         val current = refill(state, nowMillis)
@@ -303,12 +307,12 @@
         return reserved.coerceIn(0, settings.routerSlots)
     }
 
-    private fun refillTokensPerSecond(state: BucketState): Double =
-        state.limit.rateTokensPerSecond *
-            (1 - reservedSlots(state) / settings.routerSlots.toDouble())
+    /** Returns the rate at which tokens become available for grants, less the reserves. */
+    public fun refillTokensPerSecond(state: BucketState): Double = state.limit.rateTokensPerSecond *
+        (1 - reservedSlots(state) / settings.routerSlots.toDouble())
 
     /** The capacity left for the level: the burst less reserves and outstanding tokens. */
-    private fun capacityTokens(state: BucketState): Double {
+    public fun capacityTokens(state: BucketState): Double {
         val reserved = state.limit.burstTokens * reservedSlots(state) / settings.routerSlots
         val outstanding = state.contacts.values.sumOf { it.outstandingTokens }
         return (state.limit.burstTokens - reserved - outstanding)
--- a/decisions/src/test/kotlin/cactusfold/decisions/queue/FairQueueTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/queue/FairQueueTest.kt
@@ -6,7 +6,7 @@
 import org.junit.jupiter.api.Nested
 
 class FairQueueTest {
-    private val queue = FairQueue(maxTotal = 100, maxPerWorkspace = 40)
+    private val queue = WaitingList(maxTotal = 100, maxPerWorkspace = 40)
 
     private fun request(
         id: String,
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -27,6 +27,7 @@
 import cactusfold.entry.process.ShutdownBudget
 import cactusfold.entry.process.StatusServer
 import cactusfold.entry.process.TaskSupervisor
+import cactusfold.entry.queueing.RequestQueues
 import cactusfold.entry.rate.FleetLimits
 import cactusfold.entry.rate.FleetTokenBuckets
 import cactusfold.entry.rate.GrantMember
@@ -236,6 +237,7 @@
         limits,
         { coordinatorClient.place }
     ) { coordinatorClient.requestSend(it) }
+    private val queues = RequestQueues(directory, clock, scope) { limits.find(it.start) != null }
     private val peerServer = PeerServer(peerAddress, eventLoops, listOf(coordinator))
     private val callers = CallerServer(
         vertx,
@@ -275,7 +277,8 @@
                     { resumableServices().keptMillis }
                 ) { coordinatorClient.findStream(it) },
                 StartCheck(scope, directory, clock, events, sendLimiter, orders::report)
-            ) { resumableServices().keptMillis }
+            ) { resumableServices().keptMillis },
+            queues = queues
         ),
         events,
         ByteBudget(memory.callerBodyBytes)
@@ -322,6 +325,10 @@
     private fun registerGauges() {
         metrics.gauge("cactusfold.requests.running", callers) { it.running.toDouble() }
         metrics.gauge("cactusfold.requests.waiting.for.model", waits) { it.count.toDouble() }
+        metrics.gauge("cactusfold.requests.waiting.for.place", queues) { it.count.toDouble() }
+        metrics.gauge("cactusfold.requests.waiting.for.tokens", coordinator) {
+            it.waitingForTokens.toDouble()
+        }
         metrics.gauge("cactusfold.coordinator", lease) { if (it.isCoordinator) 1.0 else 0.0 }
         metrics.gauge("cactusfold.streams.known", fleetStreams) { it.count.toDouble() }
         metrics.gauge("cactusfold.log.lines.dropped", events) { it.droppedLines.toDouble() }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
@@ -8,6 +8,7 @@
 /** Duration histograms of callers' requests by outcome, and of the first piece of streams. */
 public class CallerMeters(private val registry: MeterRegistry) {
     private val timers = HashMap<String, Timer>()
+    private val waits = HashMap<Pair<String, Int>, Timer>()
     private val firstPieces = timer(FIRST_PIECES).register(registry)
 
     /** Records a request that ended with [outcome]; text after a colon is left out of the label. */
@@ -33,6 +34,18 @@
         registry.find(LIMITED).tag("upstream", upstream).counters().forEach(registry::remove)
     }
 
+    /** Records the wait of a request in a list: [kind] is what it waited for. */
+    public fun recordQueued(kind: String, priority: Int, millis: Long) {
+        waits.getOrPut(kind to priority) {
+            timer(WAITS).tag("for", kind).tag("priority", priority.toString()).register(registry)
+        }.record(millis, TimeUnit.MILLISECONDS)
+    }
+
+    /** Counts a request that was refused since it could not be served in time. */
+    public fun recordRefused(kind: String, priority: Int, reason: String): Unit = registry
+        .counter(REFUSALS, "for", kind, "priority", priority.toString(), "reason", reason)
+        .increment()
+
     /** Counts a stream that a caller resumed: from where its version was known, or the refusal. */
     public fun recordResumption(outcome: String): Unit =
         registry.counter(RESUMPTIONS, "outcome", outcome).increment()
@@ -43,6 +56,8 @@
     private companion object {
         const val REQUESTS = "cactusfold.requests"
         const val LIMITED = "cactusfold.sends.limited"
+        const val WAITS = "cactusfold.queue.wait"
+        const val REFUSALS = "cactusfold.queue.refused"
         const val RESUMPTIONS = "cactusfold.streams.resumed"
         const val FIRST_PIECES = "cactusfold.stream.first.piece"
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.entry.config.RouteTable
 import cactusfold.entry.process.EventLog
+import cactusfold.entry.queueing.RequestQueues
 import cactusfold.entry.rate.UpstreamRateLimiter
 import cactusfold.entry.rate.WorkspaceRateLimiter
 import cactusfold.entry.residency.ModelWaitQueue
@@ -43,7 +44,8 @@
     public val clock: MonotonicClock,
     public val events: EventLog,
     public val meters: CallerMeters,
-    public val streams: StreamBindings
+    public val streams: StreamBindings,
+    public val queues: RequestQueues
 )
 
 /** How the processing of a request ended. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestAdmission.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestAdmission.kt
@@ -1,6 +1,9 @@
 package cactusfold.entry.callers
 
+import cactusfold.decisions.queue.RequestRank
+import cactusfold.entry.queueing.RequestTimes
 import cactusfold.entry.rate.RateDecision
+import cactusfold.entry.rate.TokenNeed
 import cactusfold.ports.serving.ServingRoute
 import cactusfold.ports.serving.ServingWorkspace
 
@@ -28,7 +31,7 @@
     private val request: CallerRequest
 ) {
 
-    /** Admits or refuses the request; waits up to half of the latency target for rate tokens. */
+    /** Admits or refuses the request; waits for rate tokens as long as it can be answered in time. */
     public suspend fun admit(): AdmissionDecision {
         val table =
             dependencies.table()
@@ -70,27 +73,53 @@
         }
     }
 
+    /** Returns what the rank of an admitted request depends on. */
+    public fun timesOf(admitted: AdmissionDecision.Admitted): RequestTimes =
+        timesOf(admitted.route, admitted.workspace, admitted.deadlineAtMillis)
+
+    private fun timesOf(
+        route: ServingRoute,
+        workspace: ServingWorkspace?,
+        deadlineAtMillis: Long
+    ): RequestTimes = RequestTimes.of(
+        request.facts,
+        route,
+        workspace,
+        request.arrivedAtMillis,
+        deadlineAtMillis,
+        dependencies.queues.times,
+        dependencies.table()?.priorities.orEmpty()
+    )
+
     private suspend fun spend(
         workspace: ServingWorkspace,
         route: ServingRoute,
         deadlineAtMillis: Long
     ): ErrorAnswer? {
-        val targetWaitEndsAtMillis =
-            request.arrivedAtMillis + route.targetMillis / TARGET_SHARE_DIVISOR
-        val tokens = costOf(workspace)
-        val untilMillis = minOf(deadlineAtMillis, targetWaitEndsAtMillis)
+        val times = timesOf(route, workspace, deadlineAtMillis)
+        val startedAtMillis = dependencies.clock.nowMillis()
+        val rank = times.rank(startedAtMillis)
         val limitWaitMillis = (deadlineAtMillis - request.arrivedAtMillis) / LIMIT_SHARE_DIVISOR
         val patienceMillis = route.patienceMillis?.let { it / PATIENCE_SHARE_DIVISOR }
         val undecidedWaitMillis = minOf(limitWaitMillis, patienceMillis ?: limitWaitMillis)
-        return when (
-            val decision = dependencies.rateLimiter.admit(
-                workspace,
-                tokens,
-                untilMillis,
-                maxOf(untilMillis, request.arrivedAtMillis + undecidedWaitMillis)
-            )
-        ) {
-            RateDecision.Admitted -> null
+        val need = TokenNeed(
+            tokens = costOf(workspace),
+            times = times,
+            untilMillis = times.latestAtMillis,
+            undecidedUntilMillis = request.arrivedAtMillis +
+                maxOf(undecidedWaitMillis, route.targetMillis / TARGET_SHARE_DIVISOR)
+        )
+        val decision = dependencies.rateLimiter.admit(workspace, need)
+        val waitedMillis = dependencies.clock.nowMillis() - startedAtMillis
+        if (workspace.ratePerSecond != null) {
+            dependencies.meters.recordQueued(TOKENS, times.priority, waitedMillis)
+        }
+        return when (decision) {
+            RateDecision.Admitted -> null.also {
+                if (waitedMillis >= LOGGED_WAIT_MILLIS) {
+                    logQueued("queued", workspace, rank, waitedMillis)
+                }
+            }
             RateDecision.Unknown ->
                 ErrorAnswer.NotRun("rate-unsure", UNVERIFIABLE_RETRY_AFTER_MILLIS)
             is RateDecision.OverRate -> {
@@ -98,16 +127,41 @@
                     "over-rate",
                     "request" to request.facts.id,
                     "workspace" to workspace.name,
-                    "tokens" to tokens,
+                    "tokens" to need.tokens,
                     "rate_per_s" to workspace.ratePerSecond,
                     "burst" to workspace.burst,
                     "retry_after_ms" to decision.retryAfterMillis
                 )
+                dependencies.meters.recordRefused(TOKENS, times.priority, "over-rate")
+                logQueued(
+                    "refused",
+                    workspace,
+                    rank,
+                    waitedMillis,
+                    "reason" to "over-rate",
+                    "retry_after_ms" to decision.retryAfterMillis
+                )
                 ErrorAnswer.OverRate(decision.retryAfterMillis)
             }
         }
     }
 
+    private fun logQueued(
+        event: String,
+        workspace: ServingWorkspace,
+        rank: RequestRank,
+        waitedMillis: Long,
+        vararg more: Pair<String, Any?>
+    ) = dependencies.events.write(
+        event,
+        "request" to request.facts.id,
+        "for" to TOKENS,
+        "workspace" to workspace.name,
+        "rank" to rank.toString(),
+        "waited_ms" to waitedMillis,
+        *more
+    )
+
     private fun costOf(workspace: ServingWorkspace): Long {
         val tokens = request.facts.promptTokens?.let { it + (request.facts.outputTokens ?: 0) }
         return when {
@@ -121,9 +175,18 @@
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
 
-        /** A request waits for tokens for at most the latency target divided by this. */
+        /**
+         * A request waits for a coordinator for at least the latency target divided by this, and at
+         * least the shares of its other limits below.
+         */
         const val TARGET_SHARE_DIVISOR = 2
 
+        /** What the request waits for, in logs and metrics. */
+        const val TOKENS = "tokens"
+
+        /** A request that is granted tokens sooner has not waited, but was on its way. */
+        const val LOGGED_WAIT_MILLIS = 20L
+
         /**
          * While no coordinator decides about rates, a request waits for at most its time limit
          * divided by this. Another coordinator takes over within seconds, and callers retry only a
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -1,10 +1,10 @@
 package cactusfold.entry.callers
 
+import cactusfold.entry.queueing.RequestTimes
 import cactusfold.entry.residency.ModelWait
 import cactusfold.entry.upstream.ModelUse
 import cactusfold.entry.upstream.Upstream
 import cactusfold.ports.serving.ServingRoute
-import cactusfold.ports.serving.ServingWorkspace
 import cactusfold.ports.serving.UpstreamRequestMetadata
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
@@ -49,8 +49,9 @@
         model?.let(dependencies.waits::arrived)
         val suspicion = RequestSuspicion(dependencies, request, admitted.workspace)
         var last: SendEnd? = null
+        val times = admission.timesOf(admitted)
         val selection =
-            UpstreamSelection(dependencies, request, route.targetMillis, deadlineAtMillis)
+            UpstreamSelection(dependencies, request, route, placement, times, deadlineAtMillis)
         val versions = VersionWait(dependencies, route.targetMillis, deadlineAtMillis)
         val patience = ModelPatience(dependencies, request, route, deadlineAtMillis)
         while (true) {
@@ -79,20 +80,27 @@
             }
             val upstream = selected.upstream
             if (sends > 0 && !hasReservedRetry && !dependencies.retries.tryAcquireRetry(service)) {
-                selected.permit?.let(dependencies.sendLimiter::release)
+                leave(selected, service)
                 return stopRetrying(last, "retry-budget")
             }
             hasReservedRetry = false
             admission.recheck(admitted)?.let {
-                selected.permit?.let(dependencies.sendLimiter::release)
+                leave(selected, service)
                 return failOrAbort(it)
             }
-            reply.beforeFirstEvent = { placement.began(upstream) }
-            val end = sendTo(selected, route, admitted.workspace, deadlineAtMillis) {
+            val sentAtMillis = dependencies.clock.nowMillis()
+            reply.beforeFirstEvent = {
+                dependencies.queues.times.recordFirst(route.name, millisSince(sentAtMillis))
+                placement.began(upstream)
+            }
+            val end = sendTo(selected, admitted, times) {
                 mayAbandon(upstream, route, placement)
             }
             last = end
-            if (end.isSuccess) suspicion.recordCompleted()
+            if (end.isSuccess) {
+                suspicion.recordCompleted()
+                dependencies.queues.times.recordTotal(route.name, millisSince(sentAtMillis))
+            }
             when (end) {
                 SendEnd.Streamed -> return RequestOutcome.Answered(null)
                 is SendEnd.Whole -> if (!isRetryableError(end, route)) return relay(end)
@@ -108,14 +116,23 @@
         }
     }
 
+    private fun millisSince(atMillis: Long): Long = dependencies.clock.nowMillis() - atMillis
+
+    /** Leaves the place and the token of [selected] to others. */
+    private fun leave(selected: Selection.Selected, service: String) {
+        selected.permit?.let(dependencies.sendLimiter::release)
+        dependencies.queues.placeFreed(service)
+    }
+
     private suspend fun sendTo(
         selected: Selection.Selected,
-        route: ServingRoute,
-        workspace: ServingWorkspace?,
-        deadlineAtMillis: Long,
+        admitted: AdmissionDecision.Admitted,
+        times: RequestTimes,
         mayAbandon: () -> Boolean
     ): SendEnd {
         val (upstream, permit) = selected
+        val deadlineAtMillis = admitted.deadlineAtMillis
+        val nowMillis = dependencies.clock.nowMillis()
         val facts = request.facts
         val upstreamRequest = UpstreamRequest(
             id = facts.id,
@@ -126,15 +143,14 @@
                 request.headers,
                 UpstreamRequestMetadata(
                     upstream = upstream.entry.id,
-                    workspace = workspace?.name,
-                    requestTimeoutMillis =
-                    (deadlineAtMillis - dependencies.clock.nowMillis()).coerceAtLeast(1),
-                    urgency = (workspace?.priority ?: route.priority).coerceIn(0, LEAST_URGENT),
+                    workspace = admitted.workspace?.name,
+                    requestTimeoutMillis = (deadlineAtMillis - nowMillis).coerceAtLeast(1),
+                    urgency = times.urgency(nowMillis, dependencies.table()?.priorities.orEmpty()),
                     lastEventId = reply.lastEventId
                 )
             ),
             body = request.body,
-            isStream = route.isStream,
+            isStream = admitted.route.isStream,
             mayWrite = { permit == null || dependencies.sendLimiter.use(permit) }
         )
         sends++
@@ -147,8 +163,8 @@
             "after" to (reply.lastEventId ?: facts.lastEventId),
             "send" to sends,
             "in_flight" to upstream.inFlight,
-            "left_ms" to deadlineAtMillis - dependencies.clock.nowMillis(),
-            "workspace" to workspace?.name
+            "left_ms" to deadlineAtMillis - nowMillis,
+            "workspace" to admitted.workspace?.name
         )
         val wasUncertain = mayHaveRun
         mayHaveRun = true
@@ -160,6 +176,7 @@
             return end
         } finally {
             upstream.requestEnded(use)
+            dependencies.queues.placeFreed(upstream.entry.service)
             permit?.let(dependencies.sendLimiter::release)
         }
     }
@@ -300,9 +317,6 @@
         const val MISDIRECTED = 421
         const val SERVER_ERROR = 500
 
-        /** Urgency ranges from 0, the most urgent, to this. */
-        const val LEAST_URGENT = 9
-
         /** Number of sends after which a request that no upstream executed is refused. */
         const val MAX_SENDS = 4
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
@@ -1,8 +1,14 @@
 package cactusfold.entry.callers
 
+import cactusfold.decisions.queue.RequestRank
+import cactusfold.decisions.queue.WaitingRequest
+import cactusfold.entry.queueing.PlaceNeed
+import cactusfold.entry.queueing.PlaceResult
+import cactusfold.entry.queueing.RequestTimes
 import cactusfold.entry.rate.SendDecision
 import cactusfold.entry.rate.SendPermit
 import cactusfold.entry.upstream.Upstream
+import cactusfold.ports.serving.ServingRoute
 import kotlinx.coroutines.delay
 
 /** Which upstream a request is sent to next. */
@@ -19,26 +25,32 @@
 
 /**
  * Selects upstreams for one request: the choice among those that are available, the limits on their
- * requests, and the wait if none accepts it. A request waits for up to half of its latency target,
- * and not for a token that comes after its deadline.
+ * requests, and the wait if none accepts it. A request waits for a place while it can be answered
+ * in time, behind those that rank before it. It waits for a token of a limited upstream for up to
+ * half of its latency target, and not for one that comes after its deadline.
  */
 internal class UpstreamSelection(
     private val dependencies: RequestFlowDependencies,
     private val request: CallerRequest,
-    targetMillis: Long,
+    private val route: ServingRoute,
+    private val placement: StreamPlacement,
+    private val times: RequestTimes,
     private val deadlineAtMillis: Long
 ) {
-    private val maxWaitMillis = targetMillis / TARGET_SHARE_DIVISOR
+    private val maxWaitMillis = route.targetMillis / TARGET_SHARE_DIVISOR
     private var waitingSinceMillis: Long? = null
     private var hasAsked = false
 
     /** Selects one of [candidates], which all can serve the request. */
     suspend fun select(candidates: List<Upstream>): Selection {
         val chosen = dependencies.directory.choose(candidates, request.facts.promptPrefixId)
-        if (chosen != null && !isLimited(chosen)) return Selection.Selected(chosen, null)
+        if (chosen != null && !isLimited(chosen)) {
+            val isFirst = dependencies.queues.places(placement.service).count == 0
+            return if (isFirst) Selection.Selected(chosen, null) else awaitPlace(candidates)
+        }
         val limited = limitedCandidates(candidates, chosen)
         return if (limited.isEmpty()) {
-            awaitFree(candidates)
+            awaitPlace(candidates)
         } else {
             acquire(limited, canMoveOn(candidates))
         }
@@ -110,17 +122,69 @@
         waitedMillis(nowMillis) + waitMillis <= maxWaitMillis &&
             nowMillis + waitMillis < deadlineAtMillis
 
-    private suspend fun awaitFree(candidates: List<Upstream>): Selection {
-        val waitedMillis = waitedMillis(dependencies.clock.nowMillis())
-        val pauseMillis = dependencies.directory.pauseMillis(candidates) ?: 0
-        if (waitedMillis + pauseMillis > maxWaitMillis && pauseMillis > 0) {
-            return Selection.Refused("upstreams-paused", pauseMillis)
+    private suspend fun awaitPlace(candidates: List<Upstream>): Selection {
+        val startedAtMillis = dependencies.clock.nowMillis()
+        val waiting = waitingRequest(candidates, startedAtMillis)
+        val rank = RequestRank.of(waiting, startedAtMillis)
+        val result = dependencies.queues.places(placement.service).await(waiting, placeNeed())
+        val waitedMillis = dependencies.clock.nowMillis() - startedAtMillis
+        dependencies.meters.recordQueued(PLACE, times.priority, waitedMillis)
+        return when (result) {
+            is PlaceResult.Free -> Selection.Selected(result.upstream, null).also {
+                if (waitedMillis > 0) logQueued("queued", rank, waitedMillis)
+            }
+            PlaceResult.Changed -> Selection.Again
+            is PlaceResult.Refused -> {
+                val retryAfterMillis = result.retryAfterMillis.takeIf { it > 0 }
+                dependencies.meters.recordRefused(PLACE, times.priority, result.code)
+                logQueued(
+                    "refused",
+                    rank,
+                    waitedMillis,
+                    "reason" to result.code,
+                    "retry_after_ms" to retryAfterMillis
+                )
+                Selection.Refused(result.code, retryAfterMillis)
+            }
         }
-        if (waitedMillis > maxWaitMillis) return Selection.Refused("all-full", null)
-        delay(FULL_RECHECK_MILLIS)
-        return Selection.Again
     }
 
+    private fun placeNeed() = PlaceNeed(
+        group = Triple(request.facts.model, request.facts.adapter, placement.softwareVersion),
+        affinity = request.facts.promptPrefixId,
+        serviceMillis = dependencies.queues.times.totalMillis(route.name),
+        needsModel = request.facts.model != null || placement.isBound,
+        candidates = placement::candidates
+    )
+
+    private fun waitingRequest(candidates: List<Upstream>, nowMillis: Long): WaitingRequest {
+        val waiting = times.waiting(dependencies.queues.nextId(), costTokens = 1)
+        val shortWaitEndsAtMillis =
+            minOf(deadlineAtMillis, nowMillis - waitedMillis(nowMillis) + maxWaitMillis)
+        val endsAtMillis = when {
+            // There is no place that could become free.
+            candidates.isEmpty() -> shortWaitEndsAtMillis
+            // A request that was sent before, or whose stream has begun, may be late already.
+            else -> maxOf(waiting.deadlineMillis, shortWaitEndsAtMillis)
+        }
+        return waiting.copy(deadlineMillis = endsAtMillis)
+    }
+
+    private fun logQueued(
+        event: String,
+        rank: RequestRank,
+        waitedMillis: Long,
+        vararg more: Pair<String, Any?>
+    ) = dependencies.events.write(
+        event,
+        "request" to request.facts.id,
+        "for" to PLACE,
+        "service" to placement.service,
+        "rank" to rank.toString(),
+        "waited_ms" to waitedMillis,
+        *more
+    )
+
     private fun waitedMillis(nowMillis: Long): Long =
         nowMillis - (waitingSinceMillis ?: nowMillis.also { waitingSinceMillis = it })
 
@@ -146,8 +210,8 @@
     private companion object {
         const val TARGET_SHARE_DIVISOR = 2
 
-        /** Interval at which a request that waits for a free upstream checks for one. */
-        const val FULL_RECHECK_MILLIS = 10L
+        /** What the request waits for, in logs and metrics. */
+        const val PLACE = "place"
 
         /**
          * Time after which a request may ask again if the coordinator did not answer; another one
--- a/entry/src/main/kotlin/cactusfold/entry/config/RouteTable.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/config/RouteTable.kt
@@ -11,6 +11,11 @@
     /** The services with streams that may be resumed. */
     public val resumableServices: ResumableServices = ResumableServices.of(config)
 
+    /** The different priorities that requests may have, in ascending order. */
+    public val priorities: List<Int> =
+        (config.routes.map { it.priority } + config.workspaces.mapNotNull { it.priority })
+            .distinct().sorted()
+
     private val routesByHost: Map<String, List<ServingRoute>> = config.routes
         .groupBy { it.host }
         .mapValues { (_, routes) -> routes.sortedByDescending { it.prefix.length } }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -6,6 +6,7 @@
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.rate.FleetTokenBuckets
 import cactusfold.entry.rate.SendGrants
+import cactusfold.entry.rate.TokenWaitingLists
 import cactusfold.entry.residency.FleetDemand
 import cactusfold.entry.residency.LoadCoordinator
 import cactusfold.entry.streams.FleetStreams
@@ -65,6 +66,9 @@
     context: CoroutineContext
 ) : CoordinatorCoroutineImplBase(context) {
     private val sends = SendGrants(dependencies.rates, dependencies.limits)
+    private val tokens = TokenWaitingLists(dependencies.rates, dependencies.clock) {
+        dependencies.lease.isCoordinator
+    }
     private val sessions = mutableSetOf<MemberSession>()
     private val holdingsByRunner = LinkedHashMap<String, Holdings>()
     private val announcedDepartures = RecentDepartures()
@@ -187,12 +191,13 @@
         }
     }
 
-    override suspend fun takeTokens(request: TokenRequest): TokenGrant = grant(request)
-        ?: TokenGrant.newBuilder().setOutcome(TokenGrant.Outcome.NOT_HOLDER).build()
+    override suspend fun takeTokens(request: TokenRequest): TokenGrant = tokens.take(request)
 
-    /** Returns the grant for [request], or null if this process is not the coordinator. */
-    public fun grant(request: TokenRequest): TokenGrant? =
-        if (dependencies.lease.isCoordinator) dependencies.rates.ask(request) else null
+    /** Returns the grant for [request], which may wait for it for a while. */
+    public suspend fun grant(request: TokenRequest): TokenGrant = tokens.take(request)
+
+    /** Number of requests that wait for tokens here. */
+    public val waitingForTokens: Int get() = tokens.count
 
     override suspend fun takeSend(request: SendRequest): SendGrant = grant(request)
         ?: SendGrant.newBuilder().setOutcome(SendGrant.Outcome.NOT_HOLDER).build()
@@ -362,12 +367,14 @@
         announcedDepartures.clear()
         // What this process has told an earlier coordinator is news for its own members.
         dependencies.directory.markDeparturesUnsent()
+        tokens.clear()
         dependencies.rates.start(fence)
         dependencies.loads.start()
     }
 
     private fun handleLeaseLost(fence: Long) {
         releasedFence = maxOf(releasedFence, fence)
+        tokens.clear()
         dependencies.loads.stop()
         sessions.forEach { it.wake.trySend(Unit) }
     }
--- a/entry/src/main/kotlin/cactusfold/entry/rate/FleetTokenBuckets.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/FleetTokenBuckets.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.rate
 
+import cactusfold.decisions.queue.ServingCapacity
 import cactusfold.decisions.rate.BucketMachine
 import cactusfold.decisions.rate.BucketState
 import cactusfold.decisions.rate.GrantResponse
@@ -98,7 +99,12 @@
     public fun ask(request: TokenRequest): TokenGrant {
         val subject = RateSubject.Workspace(request.workspace)
         val member = GrantMember(request.router, request.routerIncarnation)
-        val answer = take(subject, member, request.neededTokens)
+        return grant(subject, member, request.neededTokens)
+    }
+
+    /** Returns the grant of [tokens] of [subject] to [member], or the time to wait for them. */
+    internal fun grant(subject: RateSubject, member: GrantMember, tokens: Long): TokenGrant {
+        val answer = take(subject, member, tokens)
             ?: return TokenGrant.newBuilder().setOutcome(TokenGrant.Outcome.NOT_HOLDER).build()
         val grant = TokenGrant.newBuilder().setValidMillis(settings.grantValidMillis)
             .setContactMillis(settings.contactMillis)
@@ -118,6 +124,29 @@
         return step.answer
     }
 
+    /** Returns the tokens of [subject] that members can be granted; null if it has no limit. */
+    internal fun capacity(subject: RateSubject): ServingCapacity? {
+        val bucket = machine.refill(bucketOf(subject) ?: return null, clock.nowMillis())
+        buckets[subject] = bucket
+        return ServingCapacity(
+            workPerSecond = machine.refillTokensPerSecond(bucket),
+            availableWork = bucket.levelTokens + bucket.toleratedTokens,
+            promisedWork = bucket.promisedTokens
+        )
+    }
+
+    /** Whether the bucket of [subject] can hold [tokens] at a time, so that a wait is of use. */
+    internal fun canHold(subject: RateSubject, tokens: Long): Boolean {
+        val bucket = bucketOf(subject) ?: return true
+        return tokens <= machine.capacityTokens(bucket) + bucket.toleratedTokens
+    }
+
+    /** Sets the tokens of [subject] that refused requests were told to come back for. */
+    internal fun promised(subject: RateSubject, tokens: Double) {
+        val bucket = bucketOf(subject) ?: return
+        buckets[subject] = machine.promiseInAll(bucket, tokens)
+    }
+
     /**
      * Removes a token of [subject] that was used without being asked for, such as by an order to a
      * runner, which does not wait.
--- a/entry/src/main/kotlin/cactusfold/entry/rate/WorkspaceRateLimiter.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/WorkspaceRateLimiter.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.rate
 
 import cactusfold.decisions.rate.RateLimit
+import cactusfold.entry.queueing.RequestTimes
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.ServingWorkspace
 import cactusfold.protocol.TokenGrant
@@ -19,6 +20,20 @@
     public data object Unknown : RateDecision
 }
 
+/**
+ * The tokens that a request needs of its workspace's rate.
+ *
+ * @property times what its rank among waiting requests depends on.
+ * @property untilMillis when the wait ends if there are too few tokens.
+ * @property undecidedUntilMillis when it ends if no coordinator decides, such as between two.
+ */
+public data class TokenNeed(
+    public val tokens: Long,
+    public val times: RequestTimes,
+    public val untilMillis: Long,
+    public val undecidedUntilMillis: Long = untilMillis
+)
+
 /**
  * Applies the workspaces' rates at this process.
  *
@@ -33,6 +48,7 @@
     private val memberCount: () -> Int?,
     private val ask: suspend (TokenRequest) -> TokenGrant?
 ) {
+    private var lastRequest = 0L
     private val held = MemberTokens(clock) { FleetPlace(memberCount()) }
 
     /** Records that this process is registered; [wasRegistered] if its VM was so before. */
@@ -42,23 +58,21 @@
     public fun heard(): Unit = held.heard()
 
     /**
-     * Takes [tokens] from the rate of [workspace], waiting for them until [untilMillis]. While no
-     * coordinator decides, for instance between two of them, it waits until [undecidedUntilMillis].
+     * Takes the tokens that [need] states from the rate of [workspace]. The coordinator grants them
+     * in the order of the requests' ranks, and refuses at once what it cannot grant in time.
      */
-    public suspend fun admit(
-        workspace: ServingWorkspace,
-        tokens: Long,
-        untilMillis: Long,
-        undecidedUntilMillis: Long = untilMillis
-    ): RateDecision {
+    public suspend fun admit(workspace: ServingWorkspace, need: TokenNeed): RateDecision {
         val rate = workspace.ratePerSecond ?: return RateDecision.Admitted
         val limit = RateLimit(rate, workspace.burst)
         val subject = RateSubject.Workspace(workspace.name)
+        val tokens = need.tokens
+        val untilMillis = need.untilMillis
+        val requestId = (++lastRequest).toString()
         var refusal: RateDecision = RateDecision.Unknown
         do {
             if (held.trySpend(subject, limit, tokens)) return RateDecision.Admitted
             val askedAtMillis = clock.nowMillis()
-            val grant = ask(requestOf(workspace.name, tokens))
+            val grant = ask(requestOf(workspace.name, need, requestId))
             when (grant?.outcome) {
                 TokenGrant.Outcome.GRANTED -> {
                     held.heard(subject)
@@ -70,22 +84,38 @@
                         return RateDecision.OverRate(grant.retryAfterMillis)
                     }
                     refusal = RateDecision.OverRate(grant.retryAfterMillis)
-                    delay(grant.retryAfterMillis.coerceIn(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS))
+                    // A call that the coordinator has held is repeated without a pause.
+                    val pauseMillis =
+                        grant.retryAfterMillis.coerceIn(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS)
+                    delay(pauseMillis - (clock.nowMillis() - askedAtMillis))
+                }
+                TokenGrant.Outcome.REFUSED -> {
+                    held.heard(subject)
+                    return RateDecision.OverRate(grant.retryAfterMillis)
                 }
                 else -> delay(RETRY_MILLIS)
             }
             val limitMillis =
-                if (refusal == RateDecision.Unknown) undecidedUntilMillis else untilMillis
+                if (refusal == RateDecision.Unknown) need.undecidedUntilMillis else untilMillis
         } while (clock.nowMillis() < limitMillis)
         return if (held.trySpend(subject, limit, tokens)) RateDecision.Admitted else refusal
     }
 
-    private fun requestOf(workspace: String, tokens: Long): TokenRequest = TokenRequest.newBuilder()
-        .setWorkspace(workspace)
-        .setRouter(member)
-        .setRouterIncarnation(incarnation)
-        .setNeededTokens(tokens)
-        .build()
+    private fun requestOf(workspace: String, need: TokenNeed, id: String): TokenRequest {
+        val nowMillis = clock.nowMillis()
+        return TokenRequest.newBuilder()
+            .setWorkspace(workspace)
+            .setRouter(member)
+            .setRouterIncarnation(incarnation)
+            .setNeededTokens(need.tokens)
+            .setRequestId(id)
+            .setPriority(need.times.priority)
+            .setTargetInMillis(need.times.targetAtMillis - nowMillis)
+            .setLimitInMillis((need.untilMillis - nowMillis).coerceAtLeast(1))
+            .setWork(need.times.workTokens)
+            .setAgeMillis(nowMillis - need.times.arrivedAtMillis)
+            .build()
+    }
 
     private companion object {
         /** Pause after a request for tokens that no coordinator decided. */
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -5,6 +5,7 @@
 import cactusfold.entry.path.EntryFixture
 import cactusfold.entry.path.FreePorts
 import cactusfold.entry.process.EventLog
+import cactusfold.entry.queueing.RequestQueues
 import cactusfold.entry.rate.FleetPlace
 import cactusfold.entry.rate.GrantMember
 import cactusfold.entry.rate.RateTolerance
@@ -146,7 +147,8 @@
                 own,
                 StreamLookup(own, { null }, clock, { 0 }) { null },
                 StartCheck(scope, directory, clock, events, sendLimiter) { null }
-            ) { 0 }
+            ) { 0 },
+            queues = RequestQueues(directory, clock, scope) { false }
         )
         CallerServer(
             vertx,
--- a/entry/src/test/kotlin/cactusfold/entry/rate/CoordinatorLostRateTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/rate/CoordinatorLostRateTest.kt
@@ -1,6 +1,11 @@
 package cactusfold.entry.rate
 
+import cactusfold.entry.queueing.RequestTimes
+import cactusfold.entry.queueing.ServiceTimes
 import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.Repeatability
+import cactusfold.ports.serving.RequestMetadata
+import cactusfold.ports.serving.ServingRoute
 import cactusfold.ports.serving.ServingWorkspace
 import cactusfold.protocol.TokenGrant
 import kotlin.test.assertEquals
@@ -23,6 +28,10 @@
         ratePerSecond = 1_000.0,
         burst = 1_000.0
     )
+    private val route = ServingRoute(
+        "/", "h", "/", Repeatability.IDEMPOTENT, persistentListOf(), 16_000, TARGET_MILLIS, null,
+        maxAttempts = 1, priority = 1, allowsAnonymous = false
+    )
     private var asked = 0
 
     private fun limiter(answer: (Int) -> TokenGrant?) =
@@ -33,7 +42,16 @@
 
     private fun admit(limiter: WorkspaceRateLimiter): RateDecision = runBlocking {
         val nowMillis = clock.nowMillis()
-        limiter.admit(workspace, 500, nowMillis + TARGET_MILLIS, nowMillis + UNDECIDED_MILLIS)
+        limiter.admit(workspace, need(nowMillis + TARGET_MILLIS, nowMillis + UNDECIDED_MILLIS))
+    }
+
+    private fun need(untilMillis: Long, undecidedUntilMillis: Long = untilMillis): TokenNeed {
+        val facts = RequestMetadata(
+            "a", null, null, null, null, 400, 100, null, persistentListOf(), null
+        )
+        val times =
+            RequestTimes.of(facts, route, workspace, 0, untilMillis, ServiceTimes(), listOf(0, 1))
+        return TokenNeed(500, times, untilMillis, undecidedUntilMillis)
     }
 
     @Nested
@@ -64,6 +82,13 @@
             assertTrue(clock.nowMillis() - startedAtMillis < TARGET_MILLIS)
         }
 
+        // Guards against callers who learn only after a long wait that they cannot be served.
+        @Test
+        fun `a request that the coordinator refuses is refused at once with its time`() {
+            val refused = admit(limiter { grant(TokenGrant.Outcome.REFUSED, 3_000) })
+            assertEquals(RateDecision.OverRate(3_000) to 1, refused to asked)
+        }
+
         // Guards against a suspended process that spends tokens long after they were granted.
         @Test
         fun `a grant that arrives after it has expired is asked for again`() {
@@ -72,7 +97,7 @@
                 if (asked++ == 0) nowMillis += EXPIRED_MILLIS
                 grant(TokenGrant.Outcome.GRANTED)
             }
-            val decision = runBlocking { limiter.admit(workspace, 500, EXPIRED_MILLIS * 2) }
+            val decision = runBlocking { limiter.admit(workspace, need(EXPIRED_MILLIS * 2)) }
             assertEquals(RateDecision.Admitted to 2, decision to asked)
         }
 
--- a/router/src/main/kotlin/cactusfold/router/Router.kt
+++ b/router/src/main/kotlin/cactusfold/router/Router.kt
@@ -1,6 +1,6 @@
 package cactusfold.router
 
-import cactusfold.decisions.queue.FairQueue
+import cactusfold.decisions.queue.WaitingList
 import cactusfold.decisions.routing.ReplicaChoice
 import cactusfold.node.events.NodeEvent
 import cactusfold.node.launch.Daemon
@@ -42,7 +42,7 @@
     private val lanes = Lanes(
         core,
         LaneDependencies(
-            FairQueue(settings.queueMaxTotal, settings.queueMaxPerWorkspace),
+            WaitingList(settings.queueMaxTotal, settings.queueMaxPerWorkspace),
             ReplicaChoice(ZONE_CROSSING_MILLIS, AFFINITY_LOAD_GAP),
             upstreams,
             settings.node.zone,
--- a/router/src/main/kotlin/cactusfold/router/lane/Lane.kt
+++ b/router/src/main/kotlin/cactusfold/router/lane/Lane.kt
@@ -1,9 +1,9 @@
 package cactusfold.router.lane
 
-import cactusfold.decisions.queue.FairQueue
 import cactusfold.decisions.queue.QueueEffect
 import cactusfold.decisions.queue.QueueRefusal
 import cactusfold.decisions.queue.QueueState
+import cactusfold.decisions.queue.WaitingList
 import cactusfold.decisions.queue.WaitingRequest
 import cactusfold.decisions.routing.ReplicaChoice
 import cactusfold.node.state.GuardedState
@@ -24,7 +24,7 @@
 
 /** Collaborators shared by all lanes of a router. */
 public class LaneDependencies(
-    public val queue: FairQueue,
+    public val queue: WaitingList,
     public val choice: ReplicaChoice,
     public val upstreams: Upstreams,
     public val zone: String,
