--- a/decisions/src/test/kotlin/cactusfold/decisions/queue/WaitingLoadTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/queue/WaitingLoadTest.kt
@@ -1,6 +1,8 @@
 package cactusfold.decisions.queue
 
 import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import org.junit.jupiter.api.Nested
 
@@ -108,6 +110,73 @@
         }
     }
 
+    @Nested
+    inner class LargeRequests {
+        private val large = Kind("large", 2, 8_003, 35_000, 8_000, 0.0)
+
+        // Guards against large requests that never fit beside a constant stream of small ones.
+        @Test
+        fun `a large request is served before its limit under a constant stream of tips`() {
+            val tips = Kind("tip", 0, 802, 8_000, 50, 400.0)
+            val outcomes = serve(listOf(tips, Kind("large", 2, 8_003, 35_000, 8_000, 0.02)), 60)
+            val served = outcomes.getValue("large")
+            assertEquals(served.arrived, served.served, "$outcomes")
+            val inTime = outcomes.getValue("tip").inTime
+            assertTrue(inTime > TOKENS_PER_SECOND * 60 / 50 * 0.75, "$outcomes")
+        }
+
+        // Guards against aged requests that take all of the capacity from those still in time.
+        @Test
+        fun `requests raised by age get their share and no more`() {
+            var state = listOf(request(large, 1, 0), request(large, 2, 0))
+                .fold(QueueState()) { all, aged -> list.add(all, aged, 0).state }
+            val tip = Kind("tip", 0, 802, 8_000, 50, 0.0)
+            state = list.add(state, request(tip, 1, 30_000), 30_000).state
+            val order = list.dispatch(state, 30_000) { Room.FREE }.effects
+                .map { (it as QueueEffect.Dispatch).request.id }
+            assertEquals(listOf("large-1", "tip-1", "large-2"), order)
+        }
+
+        // Guards against a list that fills with what is least urgent.
+        @Test
+        fun `who ranks last is dropped from a full list`() {
+            val short = WaitingList(maxTotal = 1, order = QueueOrder.ByRank)
+            val state = short.add(QueueState(), request(large, 1, 0), 0).state
+            val tip = request(Kind("tip", 0, 802, 8_000, 50, 0.0), 1, 0)
+            val step = short.add(state, tip, 0)
+            val dropped = assertIs<QueueEffect.Refuse>(step.effects.single())
+            assertEquals("large-1" to listOf(tip), dropped.request.id to step.state.requests)
+        }
+    }
+
+    @Nested
+    inner class Forecasts {
+        // Guards against callers who are all told to come back at the same time.
+        @Test
+        fun `those who are refused are told to come back one after the other`() {
+            val kind = Kind("report", 2, 5_000, 35_000, 10_000, 0.0)
+            val waiting = List(60) { request(kind, it, 0) }
+            val first = assertIs<WaitOutlook.Hopeless>(
+                WaitForecast.of(waiting, request(kind, 99, 0), ServingCapacity(10_000.0), 0)
+            )
+            assertEquals(61_000, first.retryAfterMillis)
+            // This is later than its caller would come back, so nothing is set aside.
+            assertEquals(0.0, first.promisedWork)
+        }
+
+        // Guards against a runner at which a late report precedes a tip that is in time.
+        @Test
+        fun `urgencies of one priority lie between those of its neighbours`() {
+            val report = request(large(2), 1, 0)
+            val urgencies = listOf(0L, 7_900, 9_000, 20_000, 30_000).map {
+                RequestRank.of(report, it).urgency(listOf(0, 1, 2))
+            }
+            assertEquals(listOf(7, 6, 8, 5, 0), urgencies)
+        }
+
+        private fun large(priority: Int) = Kind("report", priority, 8_003, 35_000, 4_000, 0.0)
+    }
+
     private companion object {
         const val TOKENS_PER_SECOND = 10_000.0
         const val STEP_MILLIS = 10L
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestAdmission.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestAdmission.kt
@@ -99,15 +99,17 @@
         val times = timesOf(route, workspace, deadlineAtMillis)
         val startedAtMillis = dependencies.clock.nowMillis()
         val rank = times.rank(startedAtMillis)
-        val limitWaitMillis = (deadlineAtMillis - request.arrivedAtMillis) / LIMIT_SHARE_DIVISOR
+        val limitMillis = deadlineAtMillis - request.arrivedAtMillis
+        val limitWaitMillis = limitMillis / LIMIT_SHARE_DIVISOR
+        val targetWaitMillis = minOf(limitMillis, route.targetMillis / TARGET_SHARE_DIVISOR)
         val patienceMillis = route.patienceMillis?.let { it / PATIENCE_SHARE_DIVISOR }
         val undecidedWaitMillis = minOf(limitWaitMillis, patienceMillis ?: limitWaitMillis)
         val need = TokenNeed(
             tokens = costOf(workspace),
             times = times,
             untilMillis = times.latestAtMillis,
-            undecidedUntilMillis = request.arrivedAtMillis +
-                maxOf(undecidedWaitMillis, route.targetMillis / TARGET_SHARE_DIVISOR)
+            undecidedUntilMillis =
+            request.arrivedAtMillis + maxOf(undecidedWaitMillis, targetWaitMillis)
         )
         val decision = dependencies.rateLimiter.admit(workspace, need)
         val waitedMillis = dependencies.clock.nowMillis() - startedAtMillis
--- a/entry/src/main/kotlin/cactusfold/entry/queueing/PlaceQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/queueing/PlaceQueue.kt
@@ -65,7 +65,8 @@
         val result = CompletableDeferred<PlaceResult>()
     }
 
-    private var offered = OfferedWork()
+    /** What is asked for by group, since requests last began to wait. */
+    private val offered = HashMap<Any, OfferedWork>()
     private val list = WaitingList(MAX_WAITING, order = QueueOrder.ByRank)
     private var state = QueueState()
     private val waiters = HashMap<String, Waiter>()
@@ -80,7 +81,8 @@
 
     /** Returns when [request] gets a place, is refused, or has other candidates than before. */
     public suspend fun await(request: WaitingRequest, need: PlaceNeed): PlaceResult {
-        offered = offered.arrived(request.priority, 1, clock.nowMillis())
+        offered[need.group] = (offered[need.group] ?: OfferedWork())
+            .arrived(request.priority, 1, clock.nowMillis())
         val waiter = Waiter(request, need)
         waiters[request.id] = waiter
         refuse(list.add(state, request, clock.nowMillis()).also { state = it.state }.effects)
@@ -145,7 +147,7 @@
             ServingCapacity.ofPlaces(
                 candidates.sumOf { it.inFlight },
                 waiter.need.serviceMillis,
-                offered
+                offered[waiter.need.group] ?: OfferedWork()
             )
         return when (val outlook = WaitForecast.of(group, request, capacity, nowMillis)) {
             is WaitOutlook.Servable -> null
@@ -173,6 +175,7 @@
         val request = waiter.request
         waiters.remove(request.id)
         state = list.cancel(state, request.workspace, request.id).state
+        if (waiters.isEmpty()) offered.clear()
         if (!waiter.result.isCompleted) return
         val place = waiter.result.getCompleted() as? PlaceResult.Free ?: return
         given.computeIfPresent(place.upstream) { _, places -> (places - 1).takeIf { it > 0 } }
