Token lists are passed over only when the first request may be served

Cause: each call of a waiting request sorted the list and forecast all waits twice, up to some thousand times a second in a long list.

Change: the list is passed over when the first request may have its tokens, or a request arrives that ranks before it, at least each 100 ms. Only the first request's call looks after the list; the others sleep until they are granted or their hold ends. Tokens kept for a caller who leaves go to the next one at once.

--- a/entry/src/main/kotlin/cactusfold/entry/rate/TokenWaitingLists.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/TokenWaitingLists.kt
@@ -5,6 +5,7 @@
 import cactusfold.decisions.queue.QueueEffect
 import cactusfold.decisions.queue.QueueOrder
 import cactusfold.decisions.queue.QueueState
+import cactusfold.decisions.queue.RequestRank
 import cactusfold.decisions.queue.Room
 import cactusfold.decisions.queue.ServingCapacity
 import cactusfold.decisions.queue.WaitForecast
@@ -14,7 +15,10 @@
 import cactusfold.node.time.MonotonicClock
 import cactusfold.protocol.TokenGrant
 import cactusfold.protocol.TokenRequest
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
@@ -38,12 +42,20 @@
         val member: GrantMember,
         var call: CompletableDeferred<TokenGrant>?,
         var leftAtMillis: Long = 0
-    )
+    ) {
+        /** Receives when the request has become the first, which looks after the list. */
+        val isFirst = Channel<Unit>(Channel.CONFLATED)
+    }
 
     private class Line(val subject: RateSubject.Workspace) {
         var state = QueueState()
         var offered = OfferedWork()
         val places = HashMap<String, Place>()
+
+        /** The request that tokens are kept for, and when they may be there. */
+        var first: WaitingRequest? = null
+        var lastFirst: String? = null
+        var firstDueAtMillis = 0L
     }
 
     private val list = WaitingList(MAX_WAITING, order = QueueOrder.ByRank)
@@ -86,14 +98,20 @@
         val waiting = waitingRequest(request, nowMillis)
         line.places[waiting.id]?.call?.complete(NOT_HOLDER)
         remove(line, waiting.id)
+        if (line.lastFirst == waiting.id) line.lastFirst = null
         val call = CompletableDeferred<TokenGrant>()
-        line.places[waiting.id] =
-            Place(waiting, GrantMember(request.router, request.routerIncarnation), call)
+        val member = GrantMember(request.router, request.routerIncarnation)
+        val place = Place(waiting, member, call).also { line.places[waiting.id] = it }
         apply(line, list.add(line.state, waiting, nowMillis))
-        serve(line)
-        if (!call.isCompleted) refuseHopeless(line, waiting, call)
+        serve(line, waiting)
+        val waitMillis = if (call.isCompleted) 0 else refuseHopeless(line, waiting, call)
         try {
-            return hold(line, waiting, call)
+            return hold(line, place, nowMillis + waitMillis, call)
+        } catch (e: CancellationException) {
+            // The caller has left, so the tokens that were kept for it go to the next one.
+            if (line.places[waiting.id] === place) remove(line, waiting.id)
+            serve(line, null)
+            throw e
         } finally {
             left(line, waiting.id, call)
         }
@@ -101,43 +119,63 @@
 
     private suspend fun hold(
         line: Line,
-        waiting: WaitingRequest,
+        place: Place,
+        dueAtMillis: Long,
         call: CompletableDeferred<TokenGrant>
     ): TokenGrant {
         val heldUntilMillis = clock.nowMillis() + HOLD_MILLIS
         while (true) {
             val nowMillis = clock.nowMillis()
-            val expectedMillis = expectedMillis(line, waiting, nowMillis)
             if (!call.isCompleted && nowMillis >= heldUntilMillis) {
                 return TokenGrant.newBuilder().setOutcome(TokenGrant.Outcome.WAIT)
-                    .setRetryAfterMillis(expectedMillis).build()
+                    .setRetryAfterMillis((dueAtMillis - nowMillis).coerceAtLeast(1)).build()
             }
-            val pauseMillis = minOf(expectedMillis, heldUntilMillis - nowMillis).coerceAtLeast(1)
-            withTimeoutOrNull(pauseMillis) { call.await() }?.let { return it }
-            serve(line)
+            val isFirst = line.first?.id == place.request.id
+            val wakeAtMillis =
+                if (isFirst) minOf(line.firstDueAtMillis, heldUntilMillis) else heldUntilMillis
+            withTimeoutOrNull((wakeAtMillis - nowMillis).coerceAtLeast(MIN_PAUSE_MILLIS)) {
+                select {
+                    call.onAwait { it }
+                    place.isFirst.onReceive { null }
+                }
+            }?.let { return it }
+            serve(line, null)
         }
     }
 
-    /** Grants what the bucket has to those who are first in the list. */
-    private fun serve(line: Line) {
+    /**
+     * Grants what the bucket has to those who are first in the list. Passes over the list only if
+     * the first one may have its tokens by now, or [arrived] ranks before it.
+     */
+    private fun serve(line: Line, arrived: WaitingRequest?) {
         if (!mayGrant()) return clear()
         val nowMillis = clock.nowMillis()
+        val first = line.first
+        if (first != null && nowMillis < line.firstDueAtMillis) {
+            val isBefore = arrived != null &&
+                RequestRank.of(arrived, nowMillis) < RequestRank.of(first, nowMillis)
+            if (!isBefore) return
+        }
+        line.first = null
         line.places.values
             .filter { it.call == null && nowMillis - it.leftAtMillis > RETURN_MILLIS }
             .forEach { remove(line, it.request.id) }
         apply(line, list.expire(line.state, nowMillis))
-        val step = list.dispatch(line.state, nowMillis) { roomFor(line, it) }
-        line.state = step.state
+        line.state = list.dispatch(line.state, nowMillis) { roomFor(line, it, nowMillis) }.state
     }
 
-    private fun roomFor(line: Line, waiting: WaitingRequest): Room {
+    private fun roomFor(line: Line, waiting: WaitingRequest, nowMillis: Long): Room {
         val place = line.places.getValue(waiting.id)
-        val call = place.call ?: return Room.KEPT
+        val call = place.call ?: return keep(line, waiting, nowMillis + RETURN_MILLIS)
         val answer = buckets.grant(line.subject, place.member, waiting.costTokens)
         return when (answer.outcome) {
             TokenGrant.Outcome.WAIT ->
                 // The reserves of members without contact may leave less than the request needs.
-                if (buckets.canHold(line.subject, waiting.costTokens)) Room.KEPT else Room.SEPARATE
+                if (buckets.canHold(line.subject, waiting.costTokens)) {
+                    keep(line, waiting, nowMillis + answer.retryAfterMillis)
+                } else {
+                    Room.SEPARATE
+                }
             else -> {
                 call.complete(answer)
                 line.places.remove(waiting.id)
@@ -146,23 +184,30 @@
         }
     }
 
+    private fun keep(line: Line, waiting: WaitingRequest, dueAtMillis: Long): Room {
+        line.first = waiting
+        if (line.lastFirst != waiting.id) line.places[waiting.id]?.isFirst?.trySend(Unit)
+        line.lastFirst = waiting.id
+        // Ranks change with age, so the order is checked again meanwhile.
+        line.firstDueAtMillis = minOf(dueAtMillis, clock.nowMillis() + REORDER_MILLIS)
+        return Room.KEPT
+    }
+
+    /** Refuses [waiting] if it cannot be granted in time; returns the expected wait. */
     private fun refuseHopeless(
         line: Line,
         waiting: WaitingRequest,
         call: CompletableDeferred<TokenGrant>
-    ) {
-        val capacity = capacity(line) ?: return
+    ): Long {
+        val capacity = capacity(line) ?: return 0
         val outlook =
             WaitForecast.of(line.state.requests, waiting, capacity, clock.nowMillis())
-        if (outlook !is WaitOutlook.Hopeless) return
-        remove(line, waiting.id)
-        buckets.promised(line.subject, outlook.promisedWork)
-        call.complete(refusal(outlook.retryAfterMillis))
-    }
-
-    private fun expectedMillis(line: Line, waiting: WaitingRequest, nowMillis: Long): Long {
-        val capacity = capacity(line) ?: return 0
-        return WaitForecast.of(line.state.requests, waiting, capacity, nowMillis).waitMillis
+        if (outlook is WaitOutlook.Hopeless) {
+            remove(line, waiting.id)
+            buckets.promised(line.subject, outlook.promisedWork)
+            call.complete(refusal(outlook.retryAfterMillis))
+        }
+        return outlook.waitMillis
     }
 
     /** Answers those that the list refuses: they are full, or their time limit has passed. */
@@ -186,6 +231,7 @@
     private fun remove(line: Line, id: String) {
         val place = line.places.remove(id) ?: return
         line.state = list.cancel(line.state, place.request.workspace, id).state
+        if (line.first?.id == id) line.first = null
     }
 
     private fun capacity(line: Line): ServingCapacity? =
@@ -224,6 +270,10 @@
          */
         const val RETURN_MILLIS = 150L
 
+        /** Longest time between two passes over a list while requests wait in it. */
+        const val REORDER_MILLIS = 100L
+        const val MIN_PAUSE_MILLIS = 2L
+
         /** Requests are refused as soon as they cannot be served, so lists are shorter. */
         const val MAX_WAITING = 1_000
 
