--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -7,6 +7,7 @@
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.rate.FleetTokenBuckets
 import cactusfold.entry.rate.SendGrants
+import cactusfold.entry.rate.TokenWaitingLists
 import cactusfold.entry.residency.FleetDemand
 import cactusfold.entry.residency.LoadCoordinator
 import cactusfold.entry.streams.FleetStreams
@@ -70,6 +71,9 @@
     private val sessions = MemberSessions(dependencies.clock)
     private val rows =
         RowSender(dependencies.directory, sessions, dependencies.clock, dependencies.events)
+    private val tokens = TokenWaitingLists(dependencies.rates, dependencies.clock) {
+        dependencies.lease.isCoordinator
+    }
     private val announcedDepartures = RecentDepartures()
     private val leaseAcquired = Channel<Unit>(Channel.CONFLATED)
     private val runnerLoads = RunnerLoadNews(dependencies.demand, dependencies.directory)
@@ -205,12 +209,13 @@
         return MemberSession(report.vm, report.readsSharedNews, position).also(::join)
     }
 
-    override suspend fun takeTokens(request: TokenRequest): TokenGrant = grant(request)
-        ?: TokenGrant.newBuilder().setOutcome(TokenGrant.Outcome.NOT_HOLDER).build()
+    override suspend fun takeTokens(request: TokenRequest): TokenGrant = tokens.take(request)
 
-    /** Returns the grant for [request], or null if this process is not the coordinator. */
-    public fun grant(request: TokenRequest): TokenGrant? =
-        if (dependencies.lease.isCoordinator) dependencies.rates.ask(request) else null
+    /** Returns the grant for [request], which may wait for it for a while. */
+    public suspend fun grant(request: TokenRequest): TokenGrant = tokens.take(request)
+
+    /** Number of requests that wait for tokens here. */
+    public val waitingForTokens: Int get() = tokens.count
 
     override suspend fun takeSend(request: SendRequest): SendGrant = grant(request)
         ?: SendGrant.newBuilder().setOutcome(SendGrant.Outcome.NOT_HOLDER).build()
@@ -371,6 +376,7 @@
         announcedDepartures.clear()
         // What this process has told an earlier coordinator is news for its own members.
         dependencies.directory.markDeparturesUnsent()
+        tokens.clear()
         dependencies.rates.start(fence)
         dependencies.loads.start()
         dependencies.streams.wake()
@@ -381,6 +387,7 @@
 
     private fun handleLeaseLost(fence: Long) {
         releasedFence = maxOf(releasedFence, fence)
+        tokens.clear()
         dependencies.loads.stop()
         dependencies.streams.wake()
         rows.stop()
