--- a/decisions/src/main/kotlin/cactusfold/decisions/fleet/ReadPace.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/fleet/ReadPace.kt
@@ -32,7 +32,7 @@
 
     /** Returns the pause after the [failures]th failed read in a row, from one. */
     public fun retryMillis(failures: Int, members: Int?): Long =
-        (MIN_RETRY_MILLIS shl (failures - 1).coerceIn(0, 1)).coerceAtMost(rowsMillis(members))
+        (MIN_RETRY_MILLIS shl (failures - 1).coerceIn(0, 2)).coerceAtMost(rowsMillis(members))
 
     private const val MILLIS_PER_SECOND = 1_000L
     private const val ROWS_MILLIS_PER_MEMBER = 10L
--- a/entry/src/main/kotlin/cactusfold/entry/config/ConfigWatcher.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/config/ConfigWatcher.kt
@@ -106,7 +106,10 @@
                     position = result.position
                     result.rows.filter { it.sort == ConfigDecoder.KEY }
                         .forEach { row -> row.value?.let { apply(it) } }
-                    if (current != null) confirmedAtMillis = sentAtMillis
+                    // During a long poll a newer confirmation may have arrived.
+                    if (current != null) {
+                        confirmedAtMillis = maxOf(confirmedAtMillis ?: sentAtMillis, sentAtMillis)
+                    }
                     if (current == null) delay(MISSING_CONFIG_DELAY_MILLIS)
                 }
                 FeedResult.HistoryGone -> position = null
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/CoordinatorLeaseManager.kt
@@ -88,8 +88,10 @@
 
     /** Records that the coordinator with the fencing token [fence] has stopped acting. */
     public fun recordRelease(fence: Long) {
+        val before = state
         state = machine.promised(state, fence)
-        released.trySend(Unit)
+        // A process that is not the coordinator any more repeats it at each attempt to connect.
+        if (state != before) released.trySend(Unit)
     }
 
     /** Has the lease row read again, since the coordinator is not connected any more. */
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/FleetCoordinator.kt
@@ -169,29 +169,29 @@
             return@channelFlow
         }
         val joined = CompletableDeferred<MemberSession?>()
+        var session: MemberSession? = null
         val reader = launch {
             requests.collect { report ->
-                val session = if (joined.isCompleted) {
-                    joined.await()
-                } else {
-                    sessionOf(report).also { joined.complete(it) }
-                }
-                session?.let { sessions.reported(it, report) }
+                val current = session ?: sessionOf(report).also { session = it }
+                joined.complete(current)
+                sessions.reported(current, report)
                 report(report)
             }
         }
-        reader.invokeOnCompletion { joined.complete(null) }
-        val session = joined.await() ?: return@channelFlow
-        reader.invokeOnCompletion { session.wake() }
+        reader.invokeOnCompletion {
+            joined.complete(null)
+            session?.wake()
+        }
         try {
+            val current = joined.await() ?: return@channelFlow
             while (reader.isActive && dependencies.lease.isCoordinator) {
-                val notice = nextNotice(session)
+                val notice = nextNotice(current)
                 if (reader.isActive) send(notice)
             }
             if (!dependencies.lease.isCoordinator) send(releaseNotice())
         } finally {
             reader.cancel()
-            leave(session)
+            session?.let(::leave)
         }
     }
 
@@ -270,8 +270,9 @@
             dueAtMillis = dependencies.clock.nowMillis() + pauseMillis
             delay(pauseMillis)
         }
-        recordLag(dependencies.clock.nowMillis() - dueAtMillis)
-        return session.takeNews(sessions.news)
+        val nowMillis = dependencies.clock.nowMillis()
+        recordLag(nowMillis - dueAtMillis)
+        return session.takeNews(sessions.news, nowMillis)
             .setFence(dependencies.lease.fence)
             .setMemberCount(memberCount ?: 0)
             .setReportSequence(session.reportSequence)
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSession.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSession.kt
@@ -10,8 +10,30 @@
 import cactusfold.protocol.entry.PromptCrash
 import cactusfold.protocol.entry.ServiceVersions
 import cactusfold.protocol.entry.UpstreamLimit
+import kotlin.math.abs
 import kotlinx.coroutines.channels.Channel
 
+/** A [forecast] that was made at [madeAtMillis] and may be sent later. */
+internal class PendingForecast(val forecast: Forecast, val madeAtMillis: Long) {
+    private val readyAtMillis = madeAtMillis + forecast.readyInMillis
+
+    /** Returns the forecast as of [nowMillis]. */
+    fun message(nowMillis: Long): Forecast = if (nowMillis == madeAtMillis) {
+        forecast
+    } else {
+        forecast.toBuilder().setReadyInMillis((readyAtMillis - nowMillis).coerceAtLeast(0)).build()
+    }
+
+    /** Whether the expected times differ so little that requests are decided on alike. */
+    fun isLike(other: PendingForecast): Boolean =
+        abs(readyAtMillis - other.readyAtMillis) < MIN_CHANGE_MILLIS
+
+    private companion object {
+        /** As for the forecasts that the planner makes anew. */
+        const val MIN_CHANGE_MILLIS = 250L
+    }
+}
+
 /**
  * The connection of the member [vm], with the news that it has not been sent yet.
  *
@@ -24,7 +46,7 @@
     newsPosition: Long
 ) {
     /** Forecasts for models that the member's requests wait for, by model and version. */
-    val forecasts = LinkedHashMap<String, Forecast>()
+    val forecasts = LinkedHashMap<String, PendingForecast>()
     val suspects = linkedSetOf<SuspectReport>()
     val departures = linkedSetOf<Departure>()
     val crashes = LinkedHashMap<String, PromptCrash>()
@@ -58,8 +80,11 @@
         wake.trySend(Unit)
     }
 
-    /** Returns a notice with all news, those of [shared] included, which are sent once. */
-    fun takeNews(shared: SharedNews): FleetNotice.Builder {
+    /**
+     * Returns a notice at [nowMillis] with all news, those of [shared] included, which are sent
+     * once.
+     */
+    fun takeNews(shared: SharedNews, nowMillis: Long): FleetNotice.Builder {
         wake.tryReceive()
         val notice = FleetNotice.newBuilder()
         val batch = shared.after(newsPosition)
@@ -72,7 +97,7 @@
                 notice.setNewsPosition(batch.position).setIsFullNews(batch.isFull)
             }
         }
-        notice.addAllForecasts(forecasts.values)
+        notice.addAllForecasts(forecasts.values.map { it.message(nowMillis) })
             .addAllSuspects(suspects.bounded())
             .addAllDepartures(departures.bounded())
             .addAllPromptCrashes(crashes.values)
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSessions.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberSessions.kt
@@ -13,10 +13,8 @@
  * members that it concerns; other news is sent with their next heartbeat.
  */
 internal class MemberSessions(private val clock: MonotonicClock) {
-    private class RecentForecast(val forecast: Forecast, val atMillis: Long)
-
     private val sessions = mutableSetOf<MemberSession>()
-    private val recentForecasts = LinkedHashMap<String, RecentForecast>()
+    private val recentForecasts = LinkedHashMap<String, PendingForecast>()
 
     /** News that is the same for all members. */
     val news = SharedNews()
@@ -83,22 +81,27 @@
     fun wakeConcerned(): Unit =
         sessions.filter { news.concerns(it.waits, it.newsPosition) }.forEach { it.wake() }
 
-    /** Sends [forecasts] to the members whose requests wait for these models. */
+    /**
+     * Sends [forecasts] to the members whose requests wait for these models, at once if they have
+     * changed. Else they only concern requests that have begun to wait since.
+     */
     fun announceForecasts(forecasts: List<Forecast>) {
         val nowMillis = clock.nowMillis()
-        recentForecasts.values.removeIf { nowMillis - it.atMillis > FORECAST_KEPT_MILLIS }
+        recentForecasts.values.removeIf { nowMillis - it.madeAtMillis > FORECAST_KEPT_MILLIS }
         for (forecast in forecasts) {
             val key = forecast.key
+            val pending = PendingForecast(forecast, nowMillis)
             // A refusal is for those that wait now, not for later ones.
-            if (forecast.isRefused) {
+            val before = if (forecast.isRefused) {
                 recentForecasts.remove(key)
             } else {
-                recentForecasts[key] = RecentForecast(forecast, nowMillis)
+                recentForecasts.put(key, pending)
             }
+            val isRepeated = before != null && !forecast.isRefused && pending.isLike(before)
             for (session in sessions) {
                 if (forecast.model !in session.waits) continue
-                session.forecasts[key] = forecast
-                session.wake()
+                session.forecasts[key] = pending
+                if (!isRepeated) session.wake()
             }
         }
     }
@@ -110,11 +113,9 @@
         if (begun.isEmpty()) return
         val nowMillis = clock.nowMillis()
         for ((key, recent) in recentForecasts) {
-            val ageMillis = nowMillis - recent.atMillis
-            if (recent.forecast.model !in begun || ageMillis > FORECAST_KEPT_MILLIS) continue
-            val leftMillis = (recent.forecast.readyInMillis - ageMillis).coerceAtLeast(0)
-            session.forecasts[key] = recent.forecast.toBuilder().setReadyInMillis(leftMillis)
-                .build()
+            if (recent.forecast.model !in begun) continue
+            if (nowMillis - recent.madeAtMillis > FORECAST_KEPT_MILLIS) continue
+            session.forecasts[key] = recent
             session.wake()
         }
     }
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/SharedNews.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/SharedNews.kt
@@ -38,13 +38,14 @@
     /** Number of items. */
     val size: Int get() = items.size
 
-    /** Forgets all items, for a new term of the coordinator. */
+    /** Forgets all items, at the beginning and end of a term of the coordinator. */
     fun clear() {
         items.clear()
         positions.clear()
         batches.clear()
-        position = 0
-        forgottenPosition = 0
+        // Positions go on, since a session may last from one term to the next.
+        position++
+        forgottenPosition = position
         isComplete = false
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/ModelWaitQueue.kt
@@ -20,6 +20,9 @@
     private val waiting = LinkedHashSet<Waiting>()
     private val arrivals = HashMap<String, Int>()
 
+    /** What requests waited for at the last report; others that wait for it are no news. */
+    private var reported: Set<DemandKey> = emptySet()
+
     init {
         directory.listen(::release)
     }
@@ -37,7 +40,7 @@
         resultOf(need)?.let { return it }
         val request = Waiting(need)
         waiting += request
-        wake()
+        if (need.key !in reported) wake()
         try {
             val leftMillis = need.deadlineAtMillis - clock.nowMillis()
             return withTimeoutOrNull(leftMillis) { request.result.await() }
@@ -74,6 +77,7 @@
             Demand.newBuilder().setModel(model).setArrivals(count).build()
         }
         arrivals.clear()
+        reported = waiting.mapTo(mutableSetOf()) { it.need.key }
         return demands + counts
     }
 
--- a/entry/src/test/kotlin/cactusfold/entry/config/ConfigWatcherTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/config/ConfigWatcherTest.kt
@@ -10,7 +10,7 @@
 import kotlin.test.assertTrue
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -46,9 +46,13 @@
             )
         }
 
+        /** Ends a poll, without a change. */
+        val pollEnds = Channel<Unit>()
+
         override suspend fun changes(table: String, position: Long, waitMillis: Long): FeedResult {
             polls++
-            awaitCancellation()
+            pollEnds.receive()
+            return FeedResult.Changes(emptyList(), version)
         }
     }
 
@@ -108,6 +112,22 @@
                 delay(CHECK_MILLIS)
                 assertEquals(2 to 1, feed.snapshots to feed.polls)
             }
+
+        // Guards against members that poll for as long as they run: the end of each poll replaced
+        // the newer confirmation by the time at which the poll began.
+        @Test
+        fun `a process that finds a coordinator during a poll reads nothing after it`() = watching {
+            isMember = false
+            watcher.roleChanged()
+            delay(CHECK_MILLIS)
+            isMember = true
+            nowMillis += 1_800
+            watcher.confirmed(version = 1, atMillis = nowMillis)
+            feed.pollEnds.send(Unit)
+            delay(CHECK_MILLIS)
+            assertEquals(2 to 1, feed.snapshots to feed.polls)
+            assertEquals(0, watcher.ageMillis(nowMillis))
+        }
     }
 
     private companion object {
--- a/entry/src/test/kotlin/cactusfold/entry/fleet/MemberSessionsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/fleet/MemberSessionsTest.kt
@@ -42,7 +42,7 @@
 
     private fun MemberSession.isWoken() = wake.tryReceive().isSuccess
 
-    private fun MemberSession.take(): FleetNotice = takeNews(sessions.news).build()
+    private fun MemberSession.take(): FleetNotice = takeNews(sessions.news, nowMillis).build()
 
     private fun FleetNotice.shared(): FleetNotice = FleetNotice.parseFrom(sharedNews)
 
@@ -82,6 +82,20 @@
             assertEquals(0, other.take().forecastsCount)
             assertTrue(waiting.take().forecastsList.single().isRefused)
         }
+
+        // Guards against a notice for each repetition of a forecast, twice a second and model.
+        @Test
+        fun `a forecast that is repeated unchanged is sent with the heartbeat, as of then`() {
+            sessions.reported(waiting, report("waiting", "m"))
+            val forecast = Forecast.newBuilder().setModel("m").setReadyInMillis(2_000)
+            sessions.announceForecasts(listOf(forecast.build()))
+            assertTrue(waiting.isWoken())
+            nowMillis += 500
+            sessions.announceForecasts(listOf(forecast.setReadyInMillis(1_500).build()))
+            assertFalse(waiting.isWoken())
+            nowMillis += 400
+            assertEquals(listOf(1_100L), waiting.take().forecastsList.map { it.readyInMillis })
+        }
     }
 
     @Nested
@@ -116,6 +130,21 @@
             assertTrue(MemberSession("m", true, position).take().isFullNews)
         }
 
+        // Guards against a session that lasts over two terms and counts positions of the first.
+        @Test
+        fun `a member that stays attached in the next term is sent the complete set`() {
+            register(entry("u"), version = 1)
+            sessions.news.complete()
+            waiting.take()
+            sessions.clear()
+            rows.clear()
+            register(entry("w"), version = 2)
+            sessions.news.complete()
+            val notice = waiting.take()
+            assertTrue(notice.isFullNews)
+            assertEquals(listOf("w"), notice.shared().upstreamRowsList.map { it.upstream })
+        }
+
         // Guards against models of the start before that are taken for those of this one.
         @Test
         fun `what an upstream had loaded is not passed on after it restarted`() {
