--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
@@ -64,8 +64,8 @@
         if (cold.isEmpty()) return candidates
         val nowMillis = dependencies.clock.nowMillis()
         val pool = WarmingChoice.pool(
-            request.arrivedAtMillis + targetMillis - nowMillis,
-            targetMillis,
+            request.arrivedAtMillis + route.targetMillis - nowMillis,
+            route.targetMillis,
             hasCold = cold.any { it.isAvailable(nowMillis) },
             hasWarm = warm.any { it.isAvailable(nowMillis) }
         )
--- a/entry/src/main/kotlin/cactusfold/entry/queueing/PlaceQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/queueing/PlaceQueue.kt
@@ -14,6 +14,7 @@
 import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.RequestMetadata
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -24,14 +25,14 @@
  * What a request needs a place for.
  *
  * @property group requests of one group have the same candidates.
- * @property affinity as in [UpstreamDirectory.choose].
+ * @property facts what the choice among upstreams depends on.
  * @property serviceMillis how long the request is expected to occupy the place; zero if unknown.
  * @property needsModel whether the request waits for its model elsewhere if no upstream has it.
  * @property candidates returns the upstreams that can serve the request now.
  */
 public class PlaceNeed(
     public val group: Any,
-    public val affinity: String?,
+    public val facts: RequestMetadata,
     public val serviceMillis: Long,
     public val needsModel: Boolean,
     public val candidates: () -> List<Upstream>
@@ -124,7 +125,7 @@
             return waiter.need.needsModel && waiter.result.complete(PlaceResult.Changed)
         }
         val free = candidates.filter { it.inFlight + (given[it] ?: 0) < it.entry.slots }
-        val chosen = directory.choose(free, waiter.need.affinity) ?: return false
+        val chosen = directory.choose(free, waiter.need.facts) ?: return false
         if (isLimited(chosen)) return waiter.result.complete(PlaceResult.Changed)
         given.merge(chosen, 1, Int::plus)
         return waiter.result.complete(PlaceResult.Free(chosen))
