Cold upstreams: a member that is not aware of a suspicion does not end it

Cause: what any process told of a recently written row ended a suspicion of up to a second later. Only the coordinator has been told of all suspicions, so only its word may.

Change: the tolerance applies to what the coordinator tells; for others half a second of latency counts against it.

Measured: ColdStateTest (with a test of the case), ColdUpstreamsTest, SendGrantsTest and UpstreamLimitTest pass.

--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/ColdState.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/ColdState.kt
@@ -91,8 +91,13 @@
     public fun suspected(nowMillis: Long): ColdState =
         copy(suspectedAtMillis = maxOf(suspectedAtMillis ?: nowMillis, nowMillis))
 
-    /** Returns the state after another process told what it knows, as [other] on this clock. */
-    public fun heard(other: ColdState): ColdState {
+    /**
+     * Returns the state after another process told what it knows, as [other] on this clock.
+     *
+     * @param isCoordinator whether the other one is the coordinator, to which all suspicions are
+     *   reported, so that it has seen this one when it says that the row was written since.
+     */
+    public fun heard(other: ColdState, isCoordinator: Boolean): ColdState {
         // Without its latency a message seems to be newer than it is.
         val shown = other.statedAtMillis - MESSAGE_MARGIN_MILLIS
         val isExtended = other.coldUntilMillis > coldUntilMillis + MESSAGE_MARGIN_MILLIS
@@ -102,11 +107,12 @@
             this
         }
         val suspicion = other.suspectedAtMillis
+        val marginMillis = if (isCoordinator) SAME_EVENT_MILLIS else -MESSAGE_MARGIN_MILLIS
         return when {
             suspicion == null -> next.copy(
                 suspectedAtMillis = suspectedAtMillis?.takeIf {
                     it >
-                        other.rowAtMillis + SAME_EVENT_MILLIS
+                        other.rowAtMillis + marginMillis
                 },
                 rowAtMillis = maxOf(rowAtMillis, other.rowAtMillis)
             )
--- a/decisions/src/test/kotlin/cactusfold/decisions/rate/ColdStateTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/rate/ColdStateTest.kt
@@ -68,11 +68,20 @@
 
         @Test
         fun `it is taken over from others, and ends when another process has read the row`() {
-            val heard = warm.heard(suspected)
+            val heard = warm.heard(suspected, isCoordinator = true)
             assertTrue(heard.isSuspected)
             val cleared = suspected.rowRead(0, row(3, 2_800, 2_400), 2_810)
-            assertFalse(heard.heard(cleared).isSuspected)
-            assertFalse(cleared.heard(suspected).isSuspected, "an old report must not renew it")
+            assertFalse(heard.heard(cleared, isCoordinator = true).isSuspected)
+            assertFalse(
+                cleared.heard(suspected, isCoordinator = false).isSuspected,
+                "an old report must not renew it"
+            )
+        }
+
+        @Test
+        fun `a member that has not heard of it does not end it at the coordinator`() {
+            val unaware = warm.rowRead(0, row(2, 2_400, 1_900), 2_410)
+            assertTrue(suspected.heard(unaware, isCoordinator = false).isSuspected)
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/fleet/MemberMessages.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/fleet/MemberMessages.kt
@@ -73,7 +73,7 @@
         notice.suspectsList.forEach(suspects::reported)
         notice.promptCrashesList.forEach(promptBlocks::reported)
         notice.completedBlocksList.forEach(promptBlocks::reported)
-        notice.limitsList.forEach { limits.heard(it, "coordinator") }
+        notice.limitsList.forEach { limits.heard(it, "coordinator", isCoordinator = true) }
         notice.versionsList.forEach(recordedVersions::heard)
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/ColdUpstreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/ColdUpstreams.kt
@@ -120,8 +120,13 @@
         onSuspected()
     }
 
-    /** Records what another process told of [start]. */
-    public fun heard(start: UpstreamStart, message: ColdStart, source: String) {
+    /** Records what another process, perhaps the coordinator, told of [start]. */
+    public fun heard(
+        start: UpstreamStart,
+        message: ColdStart,
+        source: String,
+        isCoordinator: Boolean
+    ) {
         if (message.isWarm && start !in known) return
         val nowMillis = clock.nowMillis()
         val other = ColdState(
@@ -139,7 +144,7 @@
             }
         )
         val perSecond = message.requestsPerSecond.takeIf { it > 0 }
-        update(start, source, perSecond) { it.heard(other) }
+        update(start, source, perSecond) { it.heard(other, isCoordinator) }
         // The row of a later start has not been read here yet.
         val registered = registeredStart(start.id) ?: return
         if (isLater(start, registered) && known[registered]?.state?.isSuspected != true) {
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamLimits.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamLimits.kt
@@ -76,9 +76,9 @@
     }
 
     /** Records what another process has told, a member or the coordinator as named by [source]. */
-    public fun heard(message: LimitMessage, source: String) {
+    public fun heard(message: LimitMessage, source: String, isCoordinator: Boolean = false) {
         val start = message.start
-        if (message.hasCold()) cold.heard(start, message.cold, source)
+        if (message.hasCold()) cold.heard(start, message.cold, source, isCoordinator)
         if (message.hasNoStatement) return
         val reported = if (message.hasRequestsPerSecond()) message.requestsPerSecond else null
         val nowMillis = clock.nowMillis()
--- a/entry/src/test/kotlin/cactusfold/entry/upstream/ColdUpstreamsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/upstream/ColdUpstreamsTest.kt
@@ -39,7 +39,7 @@
         }
 
         fun tell(other: Process, start: UpstreamStart = first) =
-            other.cold.heard(start, assertNotNull(cold.message(start)), "member")
+            other.cold.heard(start, assertNotNull(cold.message(start)), "other", true)
     }
 
     private val process = Process()
