--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
@@ -170,8 +170,13 @@
     }
 
     private fun placeNeed() = PlaceNeed(
-        group = Triple(request.facts.model, request.facts.adapter, placement.softwareVersion),
-        affinity = request.facts.promptPrefixId,
+        group = listOf(
+            request.facts.model,
+            request.facts.adapter,
+            placement.softwareVersion,
+            placement.homes
+        ),
+        facts = request.facts,
         serviceMillis = dependencies.queues.times.totalMillis(route.name),
         needsModel = request.facts.model != null || placement.isBound,
         candidates = placement::candidates
--- a/entry/src/test/kotlin/cactusfold/entry/queueing/PlaceQueueTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/queueing/PlaceQueueTest.kt
@@ -7,6 +7,8 @@
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamPolling
 import cactusfold.node.time.MonotonicClock
+import cactusfold.platform.WireHeaders
+import io.vertx.core.MultiMap
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import kotlin.test.assertEquals
@@ -58,7 +60,7 @@
         }
 
     private fun need(runner: Upstream, serviceMillis: Long = 0) =
-        PlaceNeed("m", null, serviceMillis, needsModel = true) { listOf(runner) }
+        PlaceNeed("m", FACTS, serviceMillis, needsModel = true) { listOf(runner) }
 
     private fun request(id: String, priority: Int, limitMillis: Long = 10_000): WaitingRequest {
         val nowMillis = clock.nowMillis()
@@ -162,6 +164,7 @@
     }
 
     private companion object {
+        val FACTS = WireHeaders.call(MultiMap.caseInsensitiveMultiMap())
         const val SLOTS = 4
         const val SHORT_MILLIS = 50L
         const val TIMEOUT_MILLIS = 5_000L
