Waiting requests are refused before they time out, and at once for a pause

Cause: a trial of EntryPathTest with different priorities. A request whose upstream asked for pauses waited from one to the next and ended as timed out (504), since no service time was known and its wait ended with its limit.

The trial with different priorities was not run again.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
@@ -154,13 +154,13 @@
         affinity = request.facts.promptPrefixId,
         serviceMillis = dependencies.queues.times.totalMillis(route.name),
         needsModel = request.facts.model != null || placement.isBound,
+        pauseUntilMillis = shortWaitEndsAtMillis(dependencies.clock.nowMillis()),
         candidates = placement::candidates
     )
 
     private fun waitingRequest(candidates: List<Upstream>, nowMillis: Long): WaitingRequest {
         val waiting = times.waiting(dependencies.queues.nextId(), costTokens = 1)
-        val shortWaitEndsAtMillis =
-            minOf(deadlineAtMillis, nowMillis - waitedMillis(nowMillis) + maxWaitMillis)
+        val shortWaitEndsAtMillis = shortWaitEndsAtMillis(nowMillis)
         val endsAtMillis = when {
             // There is no place that could become free.
             candidates.isEmpty() -> shortWaitEndsAtMillis
@@ -170,6 +170,9 @@
         return waiting.copy(deadlineMillis = endsAtMillis)
     }
 
+    private fun shortWaitEndsAtMillis(nowMillis: Long): Long =
+        minOf(deadlineAtMillis, nowMillis - waitedMillis(nowMillis) + maxWaitMillis)
+
     private fun logQueued(
         event: String,
         rank: RequestRank,
--- a/entry/src/main/kotlin/cactusfold/entry/queueing/PlaceQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/queueing/PlaceQueue.kt
@@ -27,6 +27,8 @@
  * @property affinity as in [UpstreamDirectory.choose].
  * @property serviceMillis how long the request is expected to occupy the place; zero if unknown.
  * @property needsModel whether the request waits for its model elsewhere if no upstream has it.
+ * @property pauseUntilMillis the request is refused if all candidates have asked for a pause that
+ *   ends later.
  * @property candidates returns the upstreams that can serve the request now.
  */
 public class PlaceNeed(
@@ -34,6 +36,7 @@
     public val affinity: String?,
     public val serviceMillis: Long,
     public val needsModel: Boolean,
+    public val pauseUntilMillis: Long = Long.MAX_VALUE,
     public val candidates: () -> List<Upstream>
 )
 
@@ -136,7 +139,8 @@
         val nowMillis = clock.nowMillis()
         val candidates = waiter.need.candidates()
         val pauseMillis = directory.pauseMillis(candidates) ?: 0
-        if (nowMillis + pauseMillis > request.deadlineMillis) {
+        val pauseUntilMillis = minOf(request.deadlineMillis, waiter.need.pauseUntilMillis)
+        if (pauseMillis > 0 && nowMillis + pauseMillis > pauseUntilMillis) {
             return PlaceResult.Refused(PAUSED, pauseMillis)
         }
         val group = state.requests.filter { waiters[it.id]?.need?.group == waiter.need.group }
--- a/entry/src/main/kotlin/cactusfold/entry/queueing/RequestTimes.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/queueing/RequestTimes.kt
@@ -58,6 +58,12 @@
          */
         private const val MAX_SERVICE_DIVISOR = 2
 
+        /**
+         * Left of the limit at least, so that a request that was not served is refused as not run
+         * before it times out.
+         */
+        private const val MIN_SERVICE_MILLIS = 150L
+
         /**
          * A request of a deployment without different priorities waits for up to its latency target
          * divided by this: nothing says that its callers would rather wait than try again.
@@ -81,7 +87,8 @@
             val firstMillis = observed.firstMillis(route.name)
             val totalMillis = observed.totalMillis(route.name)
             val limitMillis = deadlineAtMillis - arrivedAtMillis
-            val inLimitMillis = limitMillis - bounded(totalMillis, limitMillis)
+            val inLimitMillis = limitMillis -
+                bounded(maxOf(totalMillis, MIN_SERVICE_MILLIS), limitMillis)
             val inPatienceMillis = route.patienceMillis?.let { it - bounded(firstMillis, it) }
             val latestMillis = if (priorities.size > 1) {
                 minOf(inLimitMillis, inPatienceMillis ?: inLimitMillis)
