--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -24,9 +24,9 @@
 import cactusfold.entry.fleet.FleetMeters
 import cactusfold.entry.fleet.MemberMessages
 import cactusfold.entry.fleet.MemberRegistration
-import cactusfold.entry.process.CountingStore
 import cactusfold.entry.places.EvacuationStatus
 import cactusfold.entry.places.ZoneEvacuations
+import cactusfold.entry.process.CountingStore
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.process.MemoryShares
 import cactusfold.entry.process.ShutdownBudget
