Places: one choice for all requests, and no refusals by a new coordinator's reserves

Cause, found in a review by reading: a request that waited for a place was given another upstream than the one that its own selection found, which could go on without suspension and block the event loop; silent upstreams were given to waiting requests; requests for other models waited behind the list; a new coordinator refused by the rate that is left while it sets reserves aside for members that have not reported yet; the forecast of a wait counted this VM's requests only; a request's expected time was computed over all runners of its service; suspected starts that were gone were kept. Change: the list asks the request's own choice, filters silent upstreams before full ones, and names the limited upstream; no refusal by forecast in a coordinator's first 1.5 s; the stated load counts as busy places; only runners with the model count; suspected starts are forgotten after a minute without a row.

--- a/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/rate/BucketMachine.kt
@@ -283,15 +283,21 @@
 
     private fun expire(state: BucketState, nowMillis: Long): BucketState {
         val grantLifetimeMillis = settings.grantValidMillis + settings.skewMillis
+        val isDue = state.contacts.values.any { contact ->
+            val isExpired = nowMillis - contact.grantedAtMillis >= grantLifetimeMillis
+            val hasNoTokens = isExpired || contact.outstandingTokens == 0.0
+            isExpired &&
+                contact.outstandingTokens != 0.0 ||
+                hasNoTokens &&
+                nowMillis >= contact.contactUntilMillis
+        }
+        if (!isDue) return state
         val kept = state.contacts.mapNotNull { (router, contact) ->
             val isExpired = nowMillis - contact.grantedAtMillis >= grantLifetimeMillis
             val outstanding = if (isExpired) 0.0 else contact.outstandingTokens
             val isRemovable = outstanding == 0.0 && nowMillis >= contact.contactUntilMillis
             if (isRemovable) null else router to contact.copy(outstandingTokens = outstanding)
         }
-        if (kept.size == state.contacts.size && kept.all { (r, c) -> state.contacts[r] == c }) {
-            return state
-        }
         return state.copy(contacts = persistentMapOf<String, RouterContact>().putAll(kept.toMap()))
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
@@ -12,6 +12,7 @@
 import cactusfold.entry.upstream.Upstream
 import cactusfold.ports.serving.ServingRoute
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.yield
 
 /** Which upstream a request is sent to next. */
 internal sealed interface Selection {
@@ -45,11 +46,10 @@
 
     /** Selects one of [candidates], which all can serve the request. */
     suspend fun select(candidates: List<Upstream>): Selection {
-        val chosen = dependencies.directory.choose(warmingPool(candidates), request.facts)
-        if (chosen != null && !isLimited(chosen)) {
-            val isFirst = dependencies.queues.places(placement.service).count == 0
-            return if (isFirst) Selection.Selected(chosen, null) else awaitPlace(candidates)
-        }
+        val places = dependencies.queues.places(placement.service)
+        val chosen = choose(candidates, places::hasPlace)
+        // Places that become free are given to waiting requests first.
+        if (chosen != null && !isLimited(chosen)) return Selection.Selected(chosen, null)
         val limited = limitedCandidates(candidates, chosen)
         return if (limited.isEmpty()) {
             awaitPlace(candidates)
@@ -58,6 +58,9 @@
         }
     }
 
+    private fun choose(candidates: List<Upstream>, hasPlace: (Upstream) -> Boolean): Upstream? =
+        dependencies.directory.choose(warmingPool(candidates), request.facts, hasPlace)
+
     /** Returns the candidates that suit the request best while some of them are cold. */
     private fun warmingPool(candidates: List<Upstream>): List<Upstream> {
         val (cold, warm) = candidates.partition(dependencies.sendLimiter::isWarming)
@@ -153,7 +156,12 @@
             is PlaceResult.Free -> Selection.Selected(result.upstream, null).also {
                 if (waitedMillis > 0) logQueued("queued", rank, waitedMillis)
             }
-            PlaceResult.Changed -> Selection.Again
+            is PlaceResult.Limited ->
+                acquire(listOf(result.upstream), canMoveOn(placement.candidates()))
+            PlaceResult.Changed -> {
+                yield()
+                Selection.Again
+            }
             is PlaceResult.Refused -> {
                 val retryAfterMillis = result.retryAfterMillis.takeIf { it > 0 }
                 dependencies.meters.recordRefused(PLACE, times.priority, result.code)
@@ -176,11 +184,11 @@
             placement.softwareVersion,
             placement.homes
         ),
-        facts = request.facts,
         serviceMillis = dependencies.queues.times.totalMillis(route.name),
         needsModel = request.facts.model != null || placement.isBound,
         pauseUntilMillis = shortWaitEndsAtMillis(dependencies.clock.nowMillis()),
-        candidates = placement::candidates
+        candidates = placement::candidates,
+        choose = ::choose
     )
 
     private fun waitingRequest(candidates: List<Upstream>, nowMillis: Long): WaitingRequest {
--- a/entry/src/main/kotlin/cactusfold/entry/queueing/PlaceQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/queueing/PlaceQueue.kt
@@ -14,7 +14,6 @@
 import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.node.time.MonotonicClock
-import cactusfold.ports.serving.RequestMetadata
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -25,20 +24,20 @@
  * What a request needs a place for.
  *
  * @property group requests of one group have the same candidates.
- * @property facts what the choice among upstreams depends on.
  * @property serviceMillis how long the request is expected to occupy the place; zero if unknown.
  * @property needsModel whether the request waits for its model elsewhere if no upstream has it.
  * @property pauseUntilMillis the request is refused if all candidates have asked for a pause that
  *   ends later.
  * @property candidates returns the upstreams that can serve the request now.
+ * @property choose returns the best of some candidates, or null if none can be sent the request.
  */
 public class PlaceNeed(
     public val group: Any,
-    public val facts: RequestMetadata,
     public val serviceMillis: Long,
     public val needsModel: Boolean,
     public val pauseUntilMillis: Long = Long.MAX_VALUE,
-    public val candidates: () -> List<Upstream>
+    public val candidates: () -> List<Upstream>,
+    public val choose: (candidates: List<Upstream>, hasPlace: (Upstream) -> Boolean) -> Upstream?
 )
 
 /** How the wait for a place has ended. */
@@ -46,7 +45,10 @@
     /** [upstream] has a place, to be taken before the coroutine is suspended again. */
     public data class Free(public val upstream: Upstream) : PlaceResult
 
-    /** The candidates have changed: there are none, or one that limits its requests is free. */
+    /** [upstream] has a place, but limits the requests of all VMs together. */
+    public data class Limited(public val upstream: Upstream) : PlaceResult
+
+    /** There are no candidates any more. */
     public data object Changed : PlaceResult
 
     /** No candidate has a place in time; [retryAfterMillis] is zero if unknown. */
@@ -122,14 +124,17 @@
         arm(nowMillis)
     }
 
+    /** Whether [upstream] has a place that was not given to a request that has yet to resume. */
+    public fun hasPlace(upstream: Upstream): Boolean =
+        upstream.inFlight + (given[upstream] ?: 0) < upstream.entry.slots
+
     private fun place(waiter: Waiter): Boolean {
         val candidates = waiter.need.candidates()
         if (candidates.isEmpty()) {
             return waiter.need.needsModel && waiter.result.complete(PlaceResult.Changed)
         }
-        val free = candidates.filter { it.inFlight + (given[it] ?: 0) < it.entry.slots }
-        val chosen = directory.choose(free, waiter.need.facts) ?: return false
-        if (isLimited(chosen)) return waiter.result.complete(PlaceResult.Changed)
+        val chosen = waiter.need.choose(candidates, ::hasPlace) ?: return false
+        if (isLimited(chosen)) return waiter.result.complete(PlaceResult.Limited(chosen))
         given.merge(chosen, 1, Int::plus)
         return waiter.result.complete(PlaceResult.Free(chosen))
     }
@@ -150,7 +155,7 @@
         if (isAlone && taken * 2 < candidates.sumOf { it.entry.slots }) return null
         val capacity =
             ServingCapacity.ofPlaces(
-                candidates.sumOf { it.inFlight },
+                candidates.sumOf { busyPlaces(it, nowMillis) },
                 waiter.need.serviceMillis,
                 offered[waiter.need.group] ?: OfferedWork()
             )
@@ -160,6 +165,11 @@
         }
     }
 
+    /** Other VMs use most places of an upstream, so its stated load counts as well. */
+    private fun busyPlaces(upstream: Upstream, nowMillis: Long): Int =
+        maxOf(upstream.inFlight, upstream.view(nowMillis).expectedLoad)
+            .coerceAtMost(upstream.entry.slots)
+
     private fun refuse(effects: List<QueueEffect>) {
         for (effect in effects) {
             val refused = effect as QueueEffect.Refuse
@@ -191,7 +201,8 @@
         val earliestMillis = state.earliestDeadlineMillis
         val nextMillis = earliestMillis
             ?.let { minOf(it, nextReturnMillis(nowMillis), nowMillis + RECHECK_MILLIS) }
-        if (nextMillis == timerAtMillis) return
+        // An earlier check sets the timer anew.
+        if (nextMillis != null && timerAtMillis in nowMillis..nextMillis) return
         timer?.cancel()
         timerAtMillis = nextMillis ?: Long.MAX_VALUE
         if (nextMillis == null) return
--- a/entry/src/main/kotlin/cactusfold/entry/rate/TokenWaitingLists.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/rate/TokenWaitingLists.kt
@@ -61,6 +61,14 @@
     private val list = WaitingList(MAX_WAITING, order = QueueOrder.ByRank)
     private val lines = HashMap<String, Line>()
 
+    private var clearedAtMillis = Long.MIN_VALUE / 2
+
+    /**
+     * Whether this process has not been the coordinator for long. Until the members have reported,
+     * their reserves are set aside, and nothing is refused for what is left.
+     */
+    private val isSettling: Boolean get() = clock.nowMillis() - clearedAtMillis < SETTLE_MILLIS
+
     /** Number of waiting requests. */
     public val count: Int get() = lines.values.sumOf { it.state.size }
 
@@ -68,6 +76,7 @@
     public fun clear() {
         val calls = lines.values.flatMap { it.places.values }.mapNotNull { it.call }
         lines.clear()
+        clearedAtMillis = clock.nowMillis()
         calls.forEach { it.complete(NOT_HOLDER) }
     }
 
@@ -86,7 +95,9 @@
         if (line.state.size == 0) {
             val answer = buckets.ask(request)
             if (answer.outcome != TokenGrant.Outcome.WAIT) return answer
-            if (!buckets.canHold(RateSubject.Workspace(request.workspace), request.neededTokens)) {
+            val canHold =
+                buckets.canHold(RateSubject.Workspace(request.workspace), request.neededTokens)
+            if (!canHold && !isSettling) {
                 return refusal(answer.retryAfterMillis)
             }
         }
@@ -199,7 +210,7 @@
         waiting: WaitingRequest,
         call: CompletableDeferred<TokenGrant>
     ): Long {
-        val capacity = capacity(line) ?: return 0
+        val capacity = capacity(line)?.takeUnless { isSettling } ?: return 0
         val outlook =
             WaitForecast.of(line.state.requests, waiting, capacity, clock.nowMillis())
         if (outlook is WaitOutlook.Hopeless) {
@@ -270,6 +281,9 @@
          */
         const val RETURN_MILLIS = 150L
 
+        /** Members connect to a new coordinator and report within this time. */
+        const val SETTLE_MILLIS = 1_500L
+
         /** Longest time between two passes over a list while requests wait in it. */
         const val REORDER_MILLIS = 100L
         const val MIN_PAUSE_MILLIS = 2L
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/ColdUpstreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/ColdUpstreams.kt
@@ -174,11 +174,14 @@
     public fun expire() {
         noteActive()
         for ((start, entry) in known.entries.toList()) report(start, entry, "time")
-        known.entries.removeIf { (start, entry) ->
-            !entry.wasCold &&
-                registeredStart(start.id) != start &&
-                entry.state.coldUntilMillis < clock.nowMillis() - KEPT_MILLIS
+        val beforeMillis = clock.nowMillis() - KEPT_MILLIS
+        val forgotten = known.filter { (start, entry) ->
+            registeredStart(start.id) != start &&
+                entry.state.coldUntilMillis < beforeMillis &&
+                (entry.state.suspectedAtMillis ?: Long.MIN_VALUE) < beforeMillis
         }
+        known -= forgotten.keys
+        forgotten.filterValues { it.wasCold }.keys.forEach(onChange)
     }
 
     /** Returns whether other processes have to know of the change. */
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -192,10 +192,14 @@
      * Returns the best of [candidates], or null when all are full or backed off. Silent upstreams
      * are considered only if all candidates are silent.
      */
-    public fun choose(candidates: List<Upstream>, request: RequestMetadata): Upstream? {
+    public fun choose(
+        candidates: List<Upstream>,
+        request: RequestMetadata,
+        hasPlace: (Upstream) -> Boolean = { true }
+    ): Upstream? {
         val nowMillis = clock.nowMillis()
         val responsive = candidates.filterNot { it.isSilent(nowMillis) }.ifEmpty { candidates }
-        return chooser.choose(responsive, request, nowMillis)
+        return chooser.choose(responsive.filter(hasPlace), request, nowMillis)
     }
 
     /** Applies the loads of runners that the coordinator announced in [notice]. */
@@ -205,7 +209,7 @@
     /** Returns what is expected of [request], which is about to be sent to [upstream]. */
     public fun expect(upstream: Upstream, request: RequestMetadata): ExpectedSend? = chooser.expect(
         upstream,
-        usable.filter { it.entry.service == upstream.entry.service },
+        serving(upstream.entry.service, request.model, request.adapter),
         request,
         clock.nowMillis()
     )
--- a/entry/src/test/kotlin/cactusfold/entry/queueing/PlaceQueueTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/queueing/PlaceQueueTest.kt
@@ -59,8 +59,12 @@
             currentCoroutineContext().cancelChildren()
         }
 
-    private fun need(runner: Upstream, serviceMillis: Long = 0) =
-        PlaceNeed("m", FACTS, serviceMillis, needsModel = true) { listOf(runner) }
+    private fun need(runner: Upstream, serviceMillis: Long = 0) = PlaceNeed(
+        group = "m",
+        serviceMillis = serviceMillis,
+        needsModel = true,
+        candidates = { listOf(runner) }
+    ) { candidates, hasPlace -> directory.choose(candidates, FACTS, hasPlace) }
 
     private fun request(id: String, priority: Int, limitMillis: Long = 10_000): WaitingRequest {
         val nowMillis = clock.nowMillis()
