Streams that wait for slow callers share one budget of memory

Cause: each stream held up to 64 KB in its write queue for a caller that did not read, without a common bound, and the kernel held up to 4 MB more. 200 such callers exceed a good part of the 16 MB of direct memory. The pause of the upstream had no bound in time either, so that a runner could cut its answer off.

Change: HeldStreams accounts for what was written and not sent. An upstream is paused for one second at most; then its answer is read on into the budget (MemoryShares.heldBytes, a ninth of the heap). Beyond the budget, HeldOutput decides which streams end: the least urgent first, those that may be resumed, those unread for longest. Their connections are reset, with a log line stream-dropped, a counter and a gauge. Send buffers of callers' sockets are set to 64 KB.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -8,6 +8,7 @@
 import cactusfold.entry.callers.CallerMeters
 import cactusfold.entry.callers.CallerServer
 import cactusfold.entry.callers.CrashDetector
+import cactusfold.entry.callers.HeldStreams
 import cactusfold.entry.callers.RequestFlowDependencies
 import cactusfold.entry.callers.RetryBudgets
 import cactusfold.entry.callers.SharedPromptBlocks
@@ -24,9 +25,9 @@
 import cactusfold.entry.fleet.FleetMeters
 import cactusfold.entry.fleet.MemberMessages
 import cactusfold.entry.fleet.MemberRegistration
-import cactusfold.entry.process.CountingStore
 import cactusfold.entry.places.EvacuationStatus
 import cactusfold.entry.places.ZoneEvacuations
+import cactusfold.entry.process.CountingStore
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.process.MemoryShares
 import cactusfold.entry.process.ShutdownBudget
@@ -96,7 +97,8 @@
     dispatcher: CoroutineDispatcher,
     private val clock: MonotonicClock,
     incarnation: String,
-    linesPerSecond: Int
+    linesPerSecond: Int,
+    private val memory: MemoryShares = MemoryShares.ofProcess()
 ) {
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val tasks = TaskSupervisor(dispatcher, metrics)
@@ -106,7 +108,6 @@
     private val bounds = settings.bounds
     private val peerAddress = HostPort(settings.address, settings.peerPort)
 
-    private val memory = MemoryShares.ofProcess()
     private val store = CountingStore(
         HttpTableStore(
             PlatformHttp(
@@ -324,7 +325,8 @@
             queues = queues
         ),
         events,
-        ByteBudget(memory.callerBodyBytes)
+        ByteBudget(memory.callerBodyBytes),
+        HeldStreams(memory.heldBytes, clock, events, metrics)
     )
     private val status = StatusServer(vertx, metrics, ::unreadyReason)
     private var isStopping = false
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -60,7 +60,7 @@
                 throw e
             }
         } catch (e: Throwable) {
-            if (reply.isClosed && e is Exception) return recordEnd("caller-left")
+            if (reply.isClosed && e is Exception) return recordEnd(leftOutcome())
             failed(e)
         }
         finish(outcome)
@@ -73,10 +73,13 @@
         if (dependencies.phase() == ServingPhase.ENDING && !reply.isClosed) {
             finish(stoppedOutcome())
         } else {
-            recordEnd("caller-left")
+            recordEnd(leftOutcome())
         }
     }
 
+    private fun leftOutcome(): String =
+        if (reply.held.isDropped) "cut: ${HeldStreams.REASON}" else "caller-left"
+
     private suspend fun process(): RequestOutcome {
         val body = when (val received = receive()) {
             is ReceivedBody.Complete -> received.body
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -6,19 +6,20 @@
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerResponse
-import kotlinx.coroutines.CompletableDeferred
 
 /**
  * Writes the response to a caller's request.
  *
  * @param closeDelimited null unless the caller takes the end of its connection for that of a
  *   stream.
+ * @property held accounts for the events of a stream that wait for the caller.
  */
 public class CallerReply(
     private val response: HttpServerResponse,
     private val translator: HeaderTranslator,
     private val clock: MonotonicClock,
     private val closeDelimited: CloseDelimitedConnection? = null,
+    public val held: HeldStreams.Stream,
     private val closesConnection: () -> Boolean
 ) : StreamSink {
     private var splitter = SseEventSplitter()
@@ -123,7 +124,8 @@
         recordPiece(clock.nowMillis())
         commitStart()
         lastWrite = response.write(events)
-        if (response.writeQueueFull()) awaitDrain()
+        held.written(events.length(), lastWrite)
+        held.awaitRoom()
     }
 
     override fun checkEnd(): StreamCheck = when {
@@ -185,12 +187,6 @@
         future.onComplete { action() }
     }
 
-    private suspend fun awaitDrain() {
-        val drained = CompletableDeferred<Unit>()
-        response.drainHandler { drained.complete(Unit) }
-        if (response.writeQueueFull()) drained.await()
-    }
-
     private companion object {
         val FOREIGN = StreamCheck.Unsound("another answer follows in the stream")
         val TOO_LONG = StreamCheck.Unsound("an event is too long")
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -23,6 +23,7 @@
  * HTTP server for callers' requests; each request runs as a coroutine of its own.
  *
  * @param bodies bounds the memory of all requests' bodies.
+ * @param held bounds the memory of streams that wait for their callers.
  */
 public class CallerServer(
     private val vertx: Vertx,
@@ -30,7 +31,8 @@
     private val scope: CoroutineScope,
     private val flow: RequestFlowDependencies,
     events: EventLog,
-    bodies: ByteBudget
+    bodies: ByteBudget,
+    private val held: HeldStreams
 ) {
     private val requestsJob = SupervisorJob(scope.coroutineContext[Job])
     private val connections =
@@ -59,6 +61,7 @@
             .setMaxHeaderSize(limits.headerMaxBytes)
             .setMaxInitialLineLength(limits.headerMaxBytes)
             .setTcpNoDelay(true)
+            .setSendBufferSize(SEND_BUFFER_BYTES)
             .setAcceptBacklog(ACCEPT_BACKLOG_CONNECTIONS)
             .setHandle100ContinueAutomatically(true)
         scope.launch { connections.watch() }
@@ -97,7 +100,12 @@
         val closeDelimited =
             CloseDelimitedConnection(request.connection(), VertxConnectionOutput)
                 .takeIf { request.version() == HttpVersion.HTTP_1_0 }
-        val reply = CallerReply(response, flow.translator, flow.clock, closeDelimited) {
+        val connection = request.connection()
+        val stream = held.open {
+            VertxConnectionOutput.resetOnClose(connection, isReset = true)
+            VertxConnectionOutput.cut(connection)
+        }
+        val reply = CallerReply(response, flow.translator, flow.clock, closeDelimited, stream) {
             isLeaving || isEnding
         }
         val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis)
@@ -127,6 +135,12 @@
     private companion object {
         const val ACCEPT_BACKLOG_CONNECTIONS = 1_024
 
+        /**
+         * Bounds what the kernel holds for a caller that does not read: by default up to 4 MB
+         * (`tcp_wmem`), which is more than the smallest VM has for hundreds of such callers.
+         */
+        const val SEND_BUFFER_BYTES = 64 * 1024
+
         /** Interval of checks whether all answers have been sent. */
         const val CLOSE_CHECK_MILLIS = 10L
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -6,6 +6,7 @@
 import cactusfold.entry.upstream.ExpectedSend
 import cactusfold.entry.upstream.ModelUse
 import cactusfold.entry.upstream.Upstream
+import cactusfold.ports.serving.Repeatability
 import cactusfold.ports.serving.ServingRoute
 import cactusfold.ports.serving.UpstreamRequestMetadata
 import kotlinx.coroutines.CompletableDeferred
@@ -58,6 +59,8 @@
         val model = request.facts.model
         dependencies.retries.recordRequest(service)
         val priority = admitted.workspace?.priority ?: route.priority
+        val isResumable = route.repeatability == Repeatability.STREAM_RESUMABLE
+        reply.held.describe(request.facts.id, priority, isResumable)
         model?.let { dependencies.waits.arrived(it, priority) }
         val suspicion = RequestSuspicion(dependencies, request, admitted.workspace)
         var last: SendEnd? = null
--- a/entry/src/main/kotlin/cactusfold/entry/process/MemoryShares.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/process/MemoryShares.kt
@@ -17,6 +17,12 @@
     /** For reports of runners and their answers to orders. */
     public val reportBytes: Long = heapBytes / 36
 
+    /**
+     * For events of streams that wait for callers: 4 MB, as deployed. They are in direct memory,
+     * of which a process has 16 MB, and their queue entries on the heap.
+     */
+    public val heldBytes: Long = heapBytes / 9
+
     public companion object {
         /** Returns the shares of this process. */
         public fun ofProcess(): MemoryShares = MemoryShares(Runtime.getRuntime().maxMemory())
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -156,7 +156,8 @@
             scope,
             flow,
             events,
-            ByteBudget(BODIES_MAX_BYTES)
+            ByteBudget(BODIES_MAX_BYTES),
+            HeldStreams(BODIES_MAX_BYTES.toLong(), clock, events, SimpleMeterRegistry())
         )
     }
 
--- a/entry/src/test/kotlin/cactusfold/entry/callers/EndlessAnswersTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/EndlessAnswersTest.kt
@@ -1,7 +1,9 @@
 package cactusfold.entry.callers
 
+import cactusfold.entry.process.EventLog
 import cactusfold.node.time.MonotonicClock
 import cactusfold.platform.WireHeaders
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.Future
 import io.vertx.core.Handler
 import io.vertx.core.MultiMap
@@ -91,7 +93,9 @@
 
         @Test
         fun `complete events before one without end reach the caller`() = runBlocking {
-            val reply = CallerReply(response, WireHeaders, MonotonicClock.SYSTEM) { false }
+            val clock = MonotonicClock.SYSTEM
+            val held = HeldStreams(1_000, clock, EventLog("vm", clock, 10), SimpleMeterRegistry())
+            val reply = CallerReply(response, WireHeaders, clock, null, held.open {}) { false }
             val headers = MultiMap.caseInsensitiveMultiMap()
             reply.begin(AnswerStart(200, headers, WireHeaders.answer(200, headers)))
             val complete = "id: 1\ndata: a\n\n"
--- a/entry/src/test/kotlin/cactusfold/entry/fleet/RunnerLoadNewsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/fleet/RunnerLoadNewsTest.kt
@@ -30,7 +30,10 @@
     /** Returns the runner's requests and tokens in the next notice, or null if it is not there. */
     private fun sent(nowMillis: Long): Pair<Int, Long>? {
         news.spread(listOf(session), fence = 1, nowMillis)
-        return session.takeNews(SharedNews(), nowMillis).runnerLoadsList.singleOrNull()?.let { it.inFlight to it.tokens }
+        return session.takeNews(SharedNews(), nowMillis).runnerLoadsList.singleOrNull()?.let {
+            it.inFlight to
+                it.tokens
+        }
     }
 
     // Guards against notices that grow with the runners although nothing happens there.
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -3,6 +3,7 @@
 import cactusfold.entry.EntryBounds
 import cactusfold.entry.EntryProcess
 import cactusfold.entry.EntrySettings
+import cactusfold.entry.process.MemoryShares
 import cactusfold.entry.rate.RateTolerance
 import cactusfold.node.time.MonotonicClock
 import cactusfold.platform.standin.CallerStandin
@@ -16,21 +17,25 @@
 import kotlinx.coroutines.withTimeout
 
 /** An entry process with its own store and runners, all on the loopback interface. */
-class EntryFixture(stopMillis: Long = 8_000, regionsByZone: Map<String, String> = emptyMap()) :
-    AutoCloseable {
+class EntryFixture(
+    stopMillis: Long = 8_000,
+    regionsByZone: Map<String, String> = emptyMap(),
+    memory: MemoryShares = MemoryShares.ofProcess()
+) : AutoCloseable {
     private val platform = PlatformFixture()
     private val entryVertx = Vertx.vertx(io.vertx.core.VertxOptions().setEventLoopPoolSize(1))
     val store get() = platform.store
     val operator get() = platform.operator
     val callers = FreePorts.next()
     private val ready = FreePorts.next()
+    val metrics = FreePorts.next()
     private val entry = EntryProcess(
         EntrySettings(
             vm = "vm1",
             address = "127.0.0.1",
             zone = "z1",
             peerPort = FreePorts.next(),
-            metricsPort = FreePorts.next(),
+            metricsPort = metrics,
             callers = HostPort("127.0.0.1", callers),
             ready = HostPort("127.0.0.1", ready),
             store = HostPort("127.0.0.1", store.port),
@@ -50,7 +55,8 @@
         entryVertx.orCreateContext.dispatcher(),
         MonotonicClock.SYSTEM,
         UUID.randomUUID().toString(),
-        linesPerSecond = 1_000
+        linesPerSecond = 1_000,
+        memory = memory
     )
 
     val caller = CallerStandin(callers)
