config check: faults and changes of a configuration

Cause: a configuration of the users' platform was checked only by the entry processes, once it was in the store, and their errors named a field without its place. Entries that never match and limits that contradict each other showed only as refused requests.

Change: `cactusfold config check FILE [--against FILE] [--json] [--strict]` decodes the document with ConfigDecoder, prints faults with their place and what would be right, and what changes from the version in force.

Result: ConfigDocumentCheckTest, ConfigCheckCommandTest, HelpTest, ConfigDecoderTest and DecoderFuzzTest pass; the other tests were not run.

--- a/cli/src/main/kotlin/cactusfold/cli/ConfigCommand.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/ConfigCommand.kt
@@ -19,7 +19,11 @@
 import picocli.CommandLine.ParentCommand
 
 /** Commands that manage the configuration document. */
-@Command(name = "config", description = ["Checks, applies and shows the configuration."])
+@Command(
+    name = "config",
+    description = ["Checks, applies and shows the configuration."],
+    subcommands = [ConfigCheckCommand::class]
+)
 internal class ConfigCommand {
     @ParentCommand
     lateinit var parent: CactusfoldCommand
