--- a/cli/src/test/kotlin/cactusfold/cli/ConfigCheckCommandTest.kt
+++ b/cli/src/test/kotlin/cactusfold/cli/ConfigCheckCommandTest.kt
@@ -1,6 +1,7 @@
 package cactusfold.cli
 
 import cactusfold.node.launch.ExitCode
+import cactusfold.platform.standin.ConfigDocuments
 import io.vertx.core.json.JsonObject
 import java.io.PrintWriter
 import java.io.StringWriter
@@ -19,10 +20,13 @@
 
     private val out = StringWriter()
 
-    private fun file(name: String, version: Int, key: String, service: String = "s"): String {
-        val text = """{"version": $version, "services": [{"name": "s"}], "routes": [{"name": "r",
-            "host": "h", "prefix": "/", "kind": "safe", "timeout-ms": 900, "service": "$service"}],
-            "tenants": [{"name": "w", "api-keys": [$key]}]}"""
+    private fun file(
+        name: String,
+        version: Int,
+        keys: List<String> = listOf("k"),
+        service: String = "s"
+    ): String {
+        val text = ConfigDocuments.plain(version, keys, service).encode()
         return Files.writeString(directory.resolve(name), text).toString()
     }
 
@@ -32,19 +36,19 @@
     /** Guards against scripts that write a faulty configuration because the check passed. */
     @Test
     fun `the exit code tells errors, and with --strict warnings, from success`() {
-        assertEquals(ExitCode.OK, run(file("a", 1, "\"k\"")))
-        assertEquals(ExitCode.DATA, run(file("b", 1, "\"k\"", service = "x")))
-        assertEquals(ExitCode.OK, run(file("c", 1, "")))
-        assertEquals(ExitCode.DATA, run("--strict", file("c", 1, "")))
+        assertEquals(ExitCode.OK, run(file("a", 1)))
+        assertEquals(ExitCode.DATA, run(file("b", 1, service = "x")))
+        assertEquals(ExitCode.OK, run(file("c", 1, emptyList())))
+        assertEquals(ExitCode.DATA, run("--strict", file("c", 1, emptyList())))
         assertEquals(ExitCode.DATA, run(directory.resolve("absent").toString()))
-        assertEquals(ExitCode.DATA, run(file("a", 1, "\"k\""), "--against", "$directory/absent"))
+        assertEquals(ExitCode.DATA, run(file("a", 1), "--against", "$directory/absent"))
     }
 
     /** Guards against API keys in the logs of scripts, and against output that is not JSON. */
     @Test
     fun `--json lists the findings and changes without API keys`() {
-        val next = file("next", 1, "\"secret2\"")
-        val code = run("--json", "--against", file("current", 1, "\"secret1\""), next)
+        val next = file("next", 1, listOf("secret2"))
+        val code = run("--json", "--against", file("current", 1, listOf("secret1")), next)
         assertEquals(ExitCode.DATA, code)
         val json = JsonObject(out.toString())
         val finding = json.getJsonArray("findings").getJsonObject(0)
