--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -98,7 +98,8 @@
     private val clock: MonotonicClock,
     incarnation: String,
     linesPerSecond: Int,
-    private val memory: MemoryShares = MemoryShares.ofProcess()
+    private val memory: MemoryShares = MemoryShares.ofProcess(),
+    callerSendBufferBytes: Int? = null
 ) {
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val tasks = TaskSupervisor(dispatcher, metrics)
@@ -326,7 +327,8 @@
         ),
         events,
         ByteBudget(memory.callerBodyBytes),
-        HeldStreams(memory.heldBytes, clock, events, metrics)
+        HeldStreams(memory.heldBytes, clock, events, metrics),
+        callerSendBufferBytes
     )
     private val status = StatusServer(vertx, metrics, ::unreadyReason)
     private var isStopping = false
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -24,6 +24,7 @@
  *
  * @param bodies bounds the memory of all requests' bodies.
  * @param held bounds the memory of streams that wait for their callers.
+ * @param sendBufferBytes size of the send buffers of callers' sockets; null for the system's.
  */
 public class CallerServer(
     private val vertx: Vertx,
@@ -32,7 +33,8 @@
     private val flow: RequestFlowDependencies,
     events: EventLog,
     bodies: ByteBudget,
-    private val held: HeldStreams
+    private val held: HeldStreams,
+    private val sendBufferBytes: Int? = null
 ) {
     private val requestsJob = SupervisorJob(scope.coroutineContext[Job])
     private val connections =
@@ -61,9 +63,9 @@
             .setMaxHeaderSize(limits.headerMaxBytes)
             .setMaxInitialLineLength(limits.headerMaxBytes)
             .setTcpNoDelay(true)
-            .setSendBufferSize(SEND_BUFFER_BYTES)
             .setAcceptBacklog(ACCEPT_BACKLOG_CONNECTIONS)
             .setHandle100ContinueAutomatically(true)
+        sendBufferBytes?.let(options::setSendBufferSize)
         scope.launch { connections.watch() }
         server = vertx.createHttpServer(options)
             .connectionHandler(connections::opened)
@@ -135,12 +137,6 @@
     private companion object {
         const val ACCEPT_BACKLOG_CONNECTIONS = 1_024
 
-        /**
-         * Bounds what the kernel holds for a caller that does not read: by default up to 4 MB
-         * (`tcp_wmem`), which is more than the smallest VM has for hundreds of such callers.
-         */
-        const val SEND_BUFFER_BYTES = 64 * 1024
-
         /** Interval of checks whether all answers have been sent. */
         const val CLOSE_CHECK_MILLIS = 10L
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -20,7 +20,8 @@
 class EntryFixture(
     stopMillis: Long = 8_000,
     regionsByZone: Map<String, String> = emptyMap(),
-    memory: MemoryShares = MemoryShares.ofProcess()
+    memory: MemoryShares = MemoryShares.ofProcess(),
+    callerSendBufferBytes: Int? = null
 ) : AutoCloseable {
     private val platform = PlatformFixture()
     private val entryVertx = Vertx.vertx(io.vertx.core.VertxOptions().setEventLoopPoolSize(1))
@@ -56,7 +57,8 @@
         MonotonicClock.SYSTEM,
         UUID.randomUUID().toString(),
         linesPerSecond = 1_000,
-        memory = memory
+        memory = memory,
+        callerSendBufferBytes = callerSendBufferBytes
     )
 
     val caller = CallerStandin(callers)
--- a/entry/src/test/kotlin/cactusfold/entry/path/SlowCallersTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/SlowCallersTest.kt
@@ -27,7 +27,8 @@
 
     @BeforeEach
     fun start() {
-        fixture = EntryFixture(memory = memory)
+        // On loopback the kernel would take whole streams, so nothing would wait in the process.
+        fixture = EntryFixture(memory = memory, callerSendBufferBytes = 64 * 1024)
         fixture.operator.timeoutMillis = TIMEOUT_MILLIS
         runner = fixture.runner("i-1", "engine", setOf("warm"))
         runner.eventText = "x".repeat(EVENT_BYTES)
