--- a/decisions/src/main/kotlin/cactusfold/decisions/queue/RequestRank.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/queue/RequestRank.kt
@@ -45,8 +45,9 @@
     }
 
     /**
-     * Returns the urgency for upstreams, from 0 to [LEAST_URGENT]. Each of [priorities] has a range
-     * of levels: the first for requests with little slack, the last for those whose target is lost.
+     * Returns the urgency for upstreams, from 0 to [LEAST_URGENT], over which [priorities] are
+     * spread. Slack does not count: a runner that is short of memory preempts what is less urgent,
+     * also in the middle of a stream, and the work done is lost.
      *
      * @param priorities the different priorities in use, in ascending order.
      */
@@ -54,12 +55,7 @@
         if (level == AGED_LEVEL) return 0
         val index = priorities.indexOfLast { it <= level }.coerceAtLeast(0)
         val width = ((LEAST_URGENT + 1) / priorities.size).coerceAtLeast(1)
-        val step = when {
-            isTargetLost -> width - 1
-            slackMillis < TIGHT_SLACK_MILLIS -> 0
-            else -> minOf(1, width - 1)
-        }
-        return (index * width + step).coerceAtMost(LEAST_URGENT)
+        return (index * width).coerceAtMost(LEAST_URGENT)
     }
 
     override fun toString(): String =
@@ -74,8 +70,6 @@
 
         private const val FIRST_BAND_MILLIS = 100L
 
-        /** Less slack than this is used up by one wait for a place at an engine. */
-        private const val TIGHT_SLACK_MILLIS = 400L
         private const val RAISED_AGE_SHARE = 0.5
         private const val AGED_SHARE = 0.75
 
