--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -39,7 +39,7 @@
 
     private val planner = ResidencyPlanner()
     private val overhead = LoadOverhead()
-    private val storeConcurrency = StoreConcurrency(INITIAL_STORE_LOADS)
+    private val storeConcurrency = StoreConcurrency()
     private val loaders = HashMap<String, RunnerLoader>()
     private val refusals = ModelRefusals()
     private val sentForecasts = HashMap<String, SentForecast>()
@@ -272,13 +272,6 @@
     )
 
     private companion object {
-        /**
-         * Loads from the store at once until some have been timed. Loads of a store that sustains
-         * only these took twice as long at the start of a day with four; one that sustains more
-         * is found out with the first loads that end.
-         */
-        const val INITIAL_STORE_LOADS = 2
-
         /** Minimum interval between two log lines about the same model and obstacle. */
         const val LOG_PERIOD_MILLIS = 1_000L
 
