Bytes written to a dropped stream are not counted as held

Cause: a stream that was dropped could still get the write that was on its way. Its bytes were added to those held and never taken off, so the budget of the process shrank with each dropped stream. Change: nothing is counted after the drop.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/HeldStreams.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/HeldStreams.kt
@@ -73,7 +73,8 @@
 
         /** Records that [bytes] were written to the caller; [write] completes when they are sent. */
         public fun written(bytes: Int, write: Future<Void>) {
-            if (write.isComplete) return
+            // What was on its way when the stream was dropped is not counted again.
+            if (write.isComplete || isDropped) return
             val takenBytes = bytes + WRITE_OVERHEAD_BYTES
             if (unsentBytes == 0L) {
                 behindSinceMillis = clock.nowMillis()
