Logging is held for the life of an entry process

Cause: Log4j's context selector holds contexts by weak references, and nothing kept the one that EntryLogging.start() initializes.

Change: EntryLogging keeps the context. No decision of the process changes.

--- a/entry/src/main/kotlin/cactusfold/entry/process/EntryLogging.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/process/EntryLogging.kt
@@ -2,6 +2,7 @@
 
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.core.LifeCycle
+import org.apache.logging.log4j.core.LoggerContext
 import org.apache.logging.log4j.core.appender.AsyncAppender
 import org.apache.logging.log4j.core.appender.ConsoleAppender
 import org.apache.logging.log4j.core.config.AbstractConfiguration
@@ -12,6 +13,9 @@
 
 /** Configures logging: one JSON object per line on standard output, written asynchronously. */
 public object EntryLogging {
+    /** Log4j itself holds contexts by weak references only, until their first logger is created. */
+    private var context: LoggerContext? = null
+
     /**
      * Starts logging. Lines are dropped if the queue is full; callers never block. Has to be called
      * before a library creates its first logger, which would load the default configuration.
@@ -20,7 +24,7 @@
         System.setProperty("vertx.logger-delegate-factory-class-name", VERTX_LOGGER)
         System.setProperty("log4j2.disableJmx", "true")
         System.setProperty("log4j.shutdownHookEnabled", "false")
-        Configurator.initialize(JsonLinesConfiguration())
+        context = Configurator.initialize(JsonLinesConfiguration())
     }
 
     /** Sets the minimum [level] of messages; events are written at any level. */
