A request that waits for its model through a stop: test and postmortem

What callers saw: under planned work, whole requests got neither an answer nor a refusal; their connections were closed 3.605 and 3.606 s after sending.

It passes on the present code.

--- a/entry/src/test/kotlin/cactusfold/entry/path/UnansweredRequestTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/UnansweredRequestTest.kt
@@ -6,6 +6,7 @@
 import cactusfold.platform.standin.RunnerBehavior
 import cactusfold.platform.standin.RunnerStandin
 import io.vertx.core.json.JsonObject
+import java.util.concurrent.CompletableFuture
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
@@ -30,6 +31,27 @@
             }
         }
 
+        // Guards against an idle timer that cuts a request which waits for its model while its VM
+        // drains.
+        @Test
+        fun `a request that waits for its model through a stop is answered`() {
+            EntryFixture().use { fixture ->
+                fixture.operator.limits = JsonObject().put("idle-timeout-ms", 3_000)
+                val runner = fixture.runner("i-1", "engine", setOf("warm"))
+                fixture.start()
+                runner.loadMillis = 60_000
+                CallerConnection(fixture.callers).use { connection ->
+                    val end = CompletableFuture.supplyAsync { connection.call("/draft/x", "cold") }
+                    Thread.sleep(1_000)
+                    val stop = CompletableFuture.runAsync { fixture.stop() }
+                    val answer = assertIs<CallEnd.Answered>(end.get(), "${end.get()}")
+                    assertEquals(503, answer.status)
+                    assertTrue(runner.ran.isEmpty())
+                    stop.get()
+                }
+            }
+        }
+
         // Guards against a caller that never reads and holds its answer in memory.
         @Test
         fun `an answer that its caller does not read is cut after the idle timeout`() {
