An entry process knows from which services it is cut off

ServiceReach observes sends, data and silence per service, performs the probes of the decision and logs service-cut and service-reached. A probe asks for a report on a connection of its own, since the system of an upstream accepts connections also for a process that is not reached; an upstream with a limit is only connected to, since a report takes a token of it. Requests are decided on as before: nothing asks for the result yet.

--- a/decisions/src/main/kotlin/cactusfold/decisions/reach/ReachMachine.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/reach/ReachMachine.kt
@@ -118,7 +118,9 @@
             signs = state.signs.filter { (upstream, signs) ->
                 upstream in present && nowMillis - signs.lastMillis <= settings.signMillis
             }.toPersistentMap(),
-            probing = state.probing.filterKeys { it in present }.toPersistentMap(),
+            probing = state.probing.filter { (upstream, beganMillis) ->
+                upstream in present && nowMillis - beganMillis <= settings.freshMillis
+            }.toPersistentMap(),
             probedAtMillis = state.probedAtMillis.filterKeys { it in present }.toPersistentMap()
         )
     }
--- a/decisions/src/test/kotlin/cactusfold/decisions/reach/ReachMachineTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/reach/ReachMachineTest.kt
@@ -36,7 +36,7 @@
         }
 
         @Test
-        fun `one failed connection leads to a cut within a second where several are silent`() {
+        fun `one failed connection leads to a cut within 1100 ms where several are silent`() {
             for (count in 2..40) {
                 val loop = ReachLoop(upstreams(count), { _, _ -> PROBE_SILENT })
                 loop.pass(1_000)
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -55,6 +55,7 @@
 import cactusfold.entry.streams.StreamLookup
 import cactusfold.entry.streams.StreamTables
 import cactusfold.entry.upstream.ColdReports
+import cactusfold.entry.upstream.ServiceReach
 import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamEligibility
@@ -63,6 +64,7 @@
 import cactusfold.node.peer.PeerClients
 import cactusfold.node.peer.PeerServer
 import cactusfold.node.time.MonotonicClock
+import cactusfold.platform.HttpReachProbe
 import cactusfold.platform.HttpRunnerApi
 import cactusfold.platform.HttpTableStore
 import cactusfold.platform.WireHeaders
@@ -283,6 +285,11 @@
         { coordinatorClient.place }
     ) { coordinatorClient.requestSend(it) }
     private val queues = RequestQueues(directory, clock, scope) { limits.find(it.start) != null }
+    private val probe = HttpReachProbe(vertx, ServiceReach.PROBE_TIMEOUT_MILLIS)
+    private val reach = ServiceReach(scope, clock, events, directory::usable) {
+        // A report takes a token of a limit, which belongs to requests.
+        probe.probe(it.entry, asks = limits.find(it.start) == null)
+    }
     private val peerServer = PeerServer(peerAddress, eventLoops, listOf(coordinator))
     private val callers = CallerServer(
         vertx,
@@ -304,6 +311,7 @@
                 clock,
                 AnswerBodies(maxTotalBytes = memory.answerBytes),
                 directory::recordLeaving,
+                reach::dataReceived,
                 ::handleAnswer
             ),
             translator = WireHeaders,
@@ -323,7 +331,8 @@
                 ) { coordinatorClient.findStream(it) },
                 StartCheck(scope, directory, clock, events, sendLimiter, orders::report)
             ) { resumableServices().keptMillis },
-            queues = queues
+            queues = queues,
+            reach = reach
         ),
         events,
         ByteBudget(memory.callerBodyBytes),
@@ -350,10 +359,12 @@
         directory.chooser.engineOf = { table?.service(it)?.engine }
         directory.chooser.vmCount = { coordinatorClient.memberCount }
         directory.chooser.onChosen = meters::recordChoice
+        directory.onSilenceChecked = reach::silenceChecked
         registerGauges()
         tasks.keepRunning("configuration") { config.run() }
         tasks.keepRunning("upstreams") { directory.run() }
         tasks.keepRunning("silent upstreams") { directory.watchSilence() }
+        tasks.keepRunning("reach") { reach.run() }
         tasks.keepRunning("lease") { lease.run() }
         tasks.keepRunning("coordinator") { coordinator.run() }
         tasks.keepRunning("evacuations") { evacuationStatus.run() }
@@ -387,6 +398,7 @@
         }
         metrics.gauge("cactusfold.coordinator", lease) { if (it.isCoordinator) 1.0 else 0.0 }
         metrics.gauge("cactusfold.streams.known", fleetStreams) { it.count.toDouble() }
+        metrics.gauge("cactusfold.services.cut", reach) { it.cutCount.toDouble() }
         metrics.gauge("cactusfold.log.lines.dropped", events) { it.droppedLines.toDouble() }
         metrics.gauge("cactusfold.config.age.millis", config) {
             it.ageMillis(clock.nowMillis())?.toDouble() ?: Double.NaN
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
@@ -7,6 +7,7 @@
 import cactusfold.entry.rate.WorkspaceRateLimiter
 import cactusfold.entry.residency.ModelWaitQueue
 import cactusfold.entry.streams.StreamBindings
+import cactusfold.entry.upstream.ServiceReach
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.HeaderTranslator
@@ -45,7 +46,8 @@
     public val events: EventLog,
     public val meters: CallerMeters,
     public val streams: StreamBindings,
-    public val queues: RequestQueues
+    public val queues: RequestQueues,
+    public val reach: ServiceReach
 )
 
 /** How the processing of a request ended. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -271,6 +271,7 @@
                 when (end.status) {
                     null -> {
                         upstream.recordUnreachable(nowMillis)
+                        dependencies.reach.connectionFailed(upstream)
                         dependencies.sendLimiter.connectionFailed(upstream)
                         dependencies.suspects.recordDown(upstream)
                     }
@@ -287,7 +288,10 @@
             is SendEnd.Broken -> {
                 runs++
                 upstream.recordFailure(nowMillis)
-                if (end.closed != null) dependencies.sendLimiter.connectionFailed(upstream)
+                if (end.closed != null) {
+                    dependencies.reach.connectionClosed(upstream)
+                    dependencies.sendLimiter.connectionFailed(upstream)
+                }
             }
             is SendEnd.Whole, SendEnd.Streamed -> runs++
         }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSender.kt
@@ -120,6 +120,7 @@
  * Sends requests to upstreams over pooled HTTP/1.1 connections, without pipelining.
  *
  * @param bodies reads complete bodies, within limits.
+ * @param onData called with an upstream when data arrived from it.
  * @param onLeaving called with an upstream whose answer to any request says that it is leaving.
  * @param onAnswer called with each answer of an upstream to the request that was sent to it, and
  *   when that was sent.
@@ -130,6 +131,7 @@
     private val clock: MonotonicClock,
     private val bodies: AnswerBodies,
     private val onLeaving: (UpstreamStart) -> Unit,
+    private val onData: (Upstream) -> Unit = {},
     private val onAnswer: (Upstream, ResponseMetadata, sentAtMillis: Long) -> Unit
 ) {
     private val connections = KeptConnections(
@@ -193,6 +195,7 @@
             upstream.silence.sendStarted(this, startedAtMillis, onSilent)
             val response = open.send(upstreamRequest.body).map(::held).coAwait()
             upstream.silence.dataReceived(clock.nowMillis())
+            onData(upstream)
             val facts = translator.answer(response.statusCode(), response.headers())
             val start = AnswerStart(response.statusCode(), response.headers(), facts, isFirst)
             if (facts.isLeaving) onLeaving(upstream.start)
@@ -253,6 +256,7 @@
                 val piece = pieces.next() ?: break
                 val nowMillis = clock.nowMillis()
                 upstream.silence.dataReceived(nowMillis)
+                onData(upstream)
                 if (firstPieceAtMillis == null) {
                     firstPieceAtMillis = nowMillis
                     upstream.recordLatency(nowMillis - startedAtMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -43,6 +43,9 @@
 
     private val readings = RowReadings()
 
+    /** Is told of each check of silent upstreams; null as time if this process was suspended. */
+    public var onSilenceChecked: (List<Upstream>, nowMillis: Long?) -> Unit = { _, _ -> }
+
     /** Follows what reads of the rows show, by this process or the coordinator. */
     public var readListener: RowReadListener? = null
 
@@ -279,6 +282,7 @@
             checkedAtMillis = nowMillis
             val all = upstreams.values.toList()
             if (wasSuspended) all.forEach { it.silence.dataReceived(nowMillis) }
+            onSilenceChecked(all, nowMillis.takeUnless { wasSuspended })
             all.filter { it.isSilent(nowMillis) }.forEach { it.silence.notifyPending() }
         }
     }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -18,6 +18,7 @@
 import cactusfold.entry.streams.StreamBindings
 import cactusfold.entry.streams.StreamLookup
 import cactusfold.entry.upstream.NoFeed
+import cactusfold.entry.upstream.ServiceReach
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.entry.upstream.UpstreamLimits
 import cactusfold.entry.upstream.UpstreamPolling
@@ -28,6 +29,7 @@
 import cactusfold.ports.http.ByteBudget
 import cactusfold.ports.serving.CallerLimits
 import cactusfold.ports.serving.HeaderTranslator
+import cactusfold.ports.serving.ReachProbeEnd
 import cactusfold.ports.serving.Repeatability
 import cactusfold.ports.serving.ServingConfig
 import cactusfold.ports.serving.ServingRoute
@@ -148,7 +150,10 @@
                 StreamLookup(own, { null }, clock, { 0 }) { null },
                 StartCheck(scope, directory, clock, events, sendLimiter) { null }
             ) { 0 },
-            queues = RequestQueues(directory, clock, scope) { false }
+            queues = RequestQueues(directory, clock, scope) { false },
+            reach = ServiceReach(scope, clock, events, directory::usable) {
+                ReachProbeEnd.ANSWERED
+            }
         )
         CallerServer(
             vertx,
