Requests whose service is not reached are passed on to a peer

A member listens for them on the port after that of the peers' calls. Training settings and the test of the settings template have a range of ports with room for it.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
@@ -7,7 +7,6 @@
 import cactusfold.node.launch.runCommand
 import cactusfold.settings.schema.Settings
 import cactusfold.settings.schema.SettingsResult
-import cactusfold.settings.schema.readSettings
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.kotlin.coroutines.dispatcher
@@ -82,7 +81,7 @@
         } catch (e: IOException) {
             return Read.Unusable(listOf("$configFile: cannot be read: ${e.message}"))
         }
-        return when (val result = readSettings(entrySchema, text)) {
+        return when (val result = readEntrySettings(text)) {
             is SettingsResult.Invalid ->
                 Read.Unusable(result.problems.map { it.describe(configFile.toString()) })
             is SettingsResult.Valid -> Read.Usable(result.settings)
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -25,6 +25,10 @@
 import cactusfold.entry.fleet.FleetMeters
 import cactusfold.entry.fleet.MemberMessages
 import cactusfold.entry.fleet.MemberRegistration
+import cactusfold.entry.passing.PassingDependencies
+import cactusfold.entry.passing.PeerChoice
+import cactusfold.entry.passing.PeerDirectory
+import cactusfold.entry.passing.PeerSender
 import cactusfold.entry.places.EvacuationStatus
 import cactusfold.entry.places.ZoneEvacuations
 import cactusfold.entry.process.CountingStore
@@ -99,7 +103,8 @@
     incarnation: String,
     linesPerSecond: Int,
     private val memory: MemoryShares = MemoryShares.ofProcess(),
-    callerSendBufferBytes: Int? = null
+    callerSendBufferBytes: Int? = null,
+    isServiceCut: (service: String) -> Boolean = { false }
 ) {
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val tasks = TaskSupervisor(dispatcher, metrics)
@@ -108,6 +113,7 @@
     private val events = EventLog(settings.vm, clock, linesPerSecond)
     private val bounds = settings.bounds
     private val peerAddress = HostPort(settings.address, settings.peerPort)
+    private val passingAddress = HostPort(settings.address, settings.passingPort)
 
     private val store = CountingStore(
         HttpTableStore(
@@ -143,7 +149,8 @@
     private val directory: UpstreamDirectory =
         UpstreamDirectory(store, clock, events, settings.zone, eligibility, ::upstreamPolling)
     private val memberRow = StoredMember.newBuilder().setVm(settings.vm).setBoot(incarnation)
-        .setAddress(peerAddress.toString()).setZone(settings.zone).build()
+        .setAddress(peerAddress.toString()).setZone(settings.zone)
+        .setPassingAddress(passingAddress.toString()).build()
     private val lease = CoordinatorLeaseManager(
         store,
         CoordinatorLeaseMachine(
@@ -284,9 +291,27 @@
     ) { coordinatorClient.requestSend(it) }
     private val queues = RequestQueues(directory, clock, scope) { limits.find(it.start) != null }
     private val peerServer = PeerServer(peerAddress, eventLoops, listOf(coordinator))
+    private val answerBodies = AnswerBodies(maxTotalBytes = memory.answerBytes)
+    private val passing = PassingDependencies(
+        settings.vm,
+        isServiceCut,
+        PeerDirectory(
+            settings.vm,
+            scope,
+            clock,
+            PeerChoice(settings.zone, PeerSender.MAX_REQUESTS_PER_PEER)
+        ) { store.list(MemberRegistration.TABLE) },
+        PeerSender(vertx, WireHeaders, answerBodies),
+        { table },
+        WireHeaders,
+        clock,
+        events,
+        metrics
+    )
     private val callers = CallerServer(
         vertx,
         settings.callers,
+        passingAddress,
         scope,
         RequestFlowDependencies(
             table = { table },
@@ -302,7 +327,7 @@
                 vertx,
                 WireHeaders,
                 clock,
-                AnswerBodies(maxTotalBytes = memory.answerBytes),
+                answerBodies,
                 directory::recordLeaving,
                 ::handleAnswer
             ),
@@ -323,7 +348,8 @@
                 ) { coordinatorClient.findStream(it) },
                 StartCheck(scope, directory, clock, events, sendLimiter, orders::report)
             ) { resumableServices().keptMillis },
-            queues = queues
+            queues = queues,
+            passing = passing
         ),
         events,
         ByteBudget(memory.callerBodyBytes),
--- a/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntrySettings.kt
@@ -3,9 +3,12 @@
 import cactusfold.decisions.rate.ColdBounds
 import cactusfold.entry.rate.RateTolerance
 import cactusfold.settings.schema.HostPort
+import cactusfold.settings.schema.Problem
 import cactusfold.settings.schema.Schema
 import cactusfold.settings.schema.Settings
+import cactusfold.settings.schema.SettingsResult
 import cactusfold.settings.schema.ValueType
+import cactusfold.settings.schema.readSettings
 import cactusfold.settings.schema.schema
 
 /**
@@ -38,6 +41,7 @@
 /**
  * Settings of an entry process.
  *
+ * @property passingPort where other entry processes pass requests on to this one.
  * @property cores processing capacity of the VM, in cores of the usual speed.
  * @property regionsByZone the region of each availability zone; another zone has none.
  */
@@ -47,6 +51,7 @@
     public val zone: String,
     public val peerPort: Int,
     public val metricsPort: Int,
+    public val passingPort: Int,
     public val callers: HostPort,
     public val ready: HostPort,
     public val store: HostPort,
@@ -57,6 +62,13 @@
 
 private const val MILLIS_PER_SECOND = 1_000
 private val PORTS = 1L..65_535L
+
+/** For the peers' calls, for requests that they pass on, and for metrics. */
+private const val INNER_PORTS = 3
+private val TOO_FEW_PORTS = Problem(
+    null,
+    "last-inner-port in [vm] must be at least first-inner-port + ${INNER_PORTS - 1}"
+)
 private val MILLIS = 1L..3_600_000L
 
 /** Schema of the settings of an entry process. */
@@ -67,7 +79,12 @@
         key("zone", ValueType.Text, "availability zone of the VM")
         key("core-share", ValueType.Decimal("cores"), "share of a core that the VM gets", "1")
         key("core-speed", ValueType.Decimal("times"), "speed of that core, 1 is usual", "1")
-        whole("first-inner-port", "ports", PORTS, "port for the other entry processes")
+        whole(
+            "first-inner-port",
+            "ports",
+            PORTS,
+            "port for the other entry processes, which pass requests on to the next one"
+        )
         whole("last-inner-port", "ports", PORTS, "port that serves metrics at /metrics")
     }
     section("listen", "Addresses that are served.") {
@@ -119,6 +136,15 @@
     }
 }
 
+/** Parses and validates [text] as the settings of an entry process. */
+public fun readEntrySettings(text: String): SettingsResult {
+    val read = readSettings(entrySchema, text)
+    if (read !is SettingsResult.Valid) return read
+    val vm = read.settings.section("vm")
+    val ports = vm.int("last-inner-port") - vm.int("first-inner-port") + 1
+    return if (ports >= INNER_PORTS) read else SettingsResult.Invalid(listOf(TOO_FEW_PORTS))
+}
+
 /** Converts validated [settings] to [EntrySettings]. */
 public fun entrySettings(settings: Settings): EntrySettings {
     val vm = settings.section("vm")
@@ -130,6 +156,7 @@
         zone = vm.text("zone"),
         peerPort = vm.int("first-inner-port"),
         metricsPort = vm.int("last-inner-port"),
+        passingPort = vm.int("first-inner-port") + 1,
         callers = listen.address("callers"),
         ready = listen.address("ready"),
         store = settings.section("store").address("address"),
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.entry.passing.RequestPassing
 import cactusfold.entry.process.EventLog
 import cactusfold.ports.http.ByteBudget
 import io.vertx.core.http.HttpServerRequest
@@ -27,12 +28,15 @@
 /**
  * One request of a caller and its response: receives the body, processes the request, answers it
  * and logs how it ended.
+ *
+ * @param passedBy the VM that passed the request on to this process; null if its caller sent it.
  */
 public class CallerExchange(
     private val dependencies: ExchangeDependencies,
     private val request: HttpServerRequest,
     private val reply: CallerReply,
-    private val arrivedAtMillis: Long
+    private val arrivedAtMillis: Long,
+    private val passedBy: String? = null
 ) {
     private val facts = dependencies.flow.translator.call(request.headers())
     private val memory = dependencies.bodies.share()
@@ -69,6 +73,9 @@
     /** Refuses the request without receiving its body, because the server is ending. */
     public fun refuse(): Unit = finish(RequestOutcome.Failed(STOPPING))
 
+    /** Refuses the request without receiving its body, because too many are passed on to here. */
+    public fun refuseFull(): Unit = finish(RequestOutcome.Failed(TAKEN_FULL))
+
     private fun endCancelled() {
         if (dependencies.phase() == ServingPhase.ENDING && !reply.isClosed) {
             finish(stoppedOutcome())
@@ -96,7 +103,8 @@
             request.headers(),
             body,
             facts,
-            arrivedAtMillis
+            arrivedAtMillis,
+            passedBy
         )
         val flow = RequestFlow(dependencies.flow, read, reply).also { flow = it }
         return withTimeoutOrNull(timeoutOf(read)) { flow.serve() } ?: timeoutOutcome(flow)
@@ -171,12 +179,14 @@
         val tookMillis = dependencies.flow.clock.nowMillis() - arrivedAtMillis
         val firstPieceMillis = reply.firstPieceAtMillis?.minus(arrivedAtMillis)
         dependencies.meters.recordRequest(outcome, tookMillis)
+        passedBy?.let { dependencies.meters.recordTaken(outcome) }
         firstPieceMillis?.let(dependencies.meters::recordFirstPiece)
         dependencies.events.write(
             "request-ended",
             "request" to facts.id,
             "path" to request.path(),
             "model" to facts.model,
+            "passed_by" to passedBy,
             "outcome" to outcome,
             "upstream_status" to reply.lastStart?.status,
             "kept" to reply.lastStart?.isFirst?.not(),
@@ -210,7 +220,10 @@
         val BODY_TIMED_OUT = ErrorAnswer.Rejected(REQUEST_TIMEOUT, "body-timed-out")
 
         const val STOPPING_RETRY_AFTER_MILLIS = 100L
-        val STOPPING = ErrorAnswer.NotRun("stopping", STOPPING_RETRY_AFTER_MILLIS)
+        val STOPPING = ErrorAnswer.NotRun(ErrorAnswer.STOPPING, STOPPING_RETRY_AFTER_MILLIS)
+
+        const val FULL_RETRY_AFTER_MILLIS = 200L
+        val TAKEN_FULL = ErrorAnswer.NotRun(RequestPassing.FULL, FULL_RETRY_AFTER_MILLIS)
 
         /** Maximum size of a body while no configuration is known. */
         const val DEFAULT_BODY_MAX_BYTES = 4 * 1024 * 1024
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerMeters.kt
@@ -18,6 +18,10 @@
             .record(tookMillis, TimeUnit.MILLISECONDS)
     }
 
+    /** Counts a request that a peer passed on to this process and that ended with [outcome]. */
+    public fun recordTaken(outcome: String): Unit =
+        registry.counter(TAKEN, "outcome", outcome.substringBefore(':')).increment()
+
     /** Records that the first piece of a stream was sent to its caller [millis] after arrival. */
     public fun recordFirstPiece(millis: Long): Unit =
         firstPieces.record(millis, TimeUnit.MILLISECONDS)
@@ -73,6 +77,7 @@
 
     private companion object {
         const val REQUESTS = "cactusfold.requests"
+        const val TAKEN = "cactusfold.requests.taken"
         const val LIMITED = "cactusfold.sends.limited"
         const val WAITS = "cactusfold.queue.wait"
         const val REFUSALS = "cactusfold.queue.refused"
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.entry.passing.RequestPassing
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.HeaderTranslator
 import io.vertx.core.Future
@@ -12,6 +13,8 @@
  *
  * @param closeDelimited null unless the caller takes the end of its connection for that of a
  *   stream.
+ * @param isToPeer whether a peer passed the request on, and learns from a refusal whether another
+ *   peer may serve it.
  * @property held accounts for the events of a stream that wait for the caller.
  */
 public class CallerReply(
@@ -20,6 +23,7 @@
     private val clock: MonotonicClock,
     private val closeDelimited: CloseDelimitedConnection? = null,
     public val held: HeldStreams.Stream,
+    private val isToPeer: Boolean = false,
     private val closesConnection: () -> Boolean
 ) : StreamSink {
     private var splitter = SseEventSplitter()
@@ -169,6 +173,9 @@
     /** Sends an error answer that comes from this process rather than from an upstream. */
     public fun sendError(id: String?, answer: ErrorAnswer) {
         setHead(answer.status, translator.refusal(id, answer.retryAfterMillis))
+        if (isToPeer && answer is ErrorAnswer.NotRun && answer.code in OTHER_PEER_HELPS) {
+            response.putHeader(translator.passRefusalHeader, answer.code)
+        }
         response.putHeader("Content-Type", "text/plain")
         sent = response.end(Buffer.buffer(answer.code + "\n"))
     }
@@ -188,6 +195,12 @@
     }
 
     private companion object {
+        /** Codes of refusals, all of them of requests that did not run. */
+        val OTHER_PEER_HELPS = setOf(
+            RequestPassing.NO_UPSTREAM_REACHED,
+            RequestPassing.FULL,
+            ErrorAnswer.STOPPING
+        )
         val FOREIGN = StreamCheck.Unsound("another answer follows in the stream")
         val TOO_LONG = StreamCheck.Unsound("an event is too long")
         val OUT_OF_ORDER = StreamCheck.Unsound("the stream does not go on after its last event")
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerRequest.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.callers
 
 import cactusfold.entry.config.RouteTable
+import cactusfold.entry.passing.PassingDependencies
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.queueing.RequestQueues
 import cactusfold.entry.rate.UpstreamRateLimiter
@@ -15,7 +16,11 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 
-/** A caller's request with its body fully received. */
+/**
+ * A caller's request with its body fully received.
+ *
+ * @property passedBy the VM that passed it on to this process; null if the caller sent it here.
+ */
 public class CallerRequest(
     public val method: HttpMethod,
     public val uri: String,
@@ -24,7 +29,8 @@
     public val headers: MultiMap,
     public val body: Buffer,
     public val facts: RequestMetadata,
-    public val arrivedAtMillis: Long
+    public val arrivedAtMillis: Long,
+    public val passedBy: String? = null
 )
 
 /** Collaborators of [RequestFlow] that are shared by all requests. */
@@ -45,7 +51,8 @@
     public val events: EventLog,
     public val meters: CallerMeters,
     public val streams: StreamBindings,
-    public val queues: RequestQueues
+    public val queues: RequestQueues,
+    public val passing: PassingDependencies
 )
 
 /** How the processing of a request ended. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.entry.passing.TakenRequests
 import cactusfold.entry.process.EventLog
 import cactusfold.ports.http.ByteBudget
 import cactusfold.ports.serving.CallerLimits
@@ -22,6 +23,7 @@
 /**
  * HTTP server for callers' requests; each request runs as a coroutine of its own.
  *
+ * @param passingAddress where peers pass callers' requests on to this process.
  * @param bodies bounds the memory of all requests' bodies.
  * @param held bounds the memory of streams that wait for their callers.
  * @param sendBufferBytes size of the send buffers of callers' sockets; null for the system's.
@@ -29,6 +31,7 @@
 public class CallerServer(
     private val vertx: Vertx,
     private val address: HostPort,
+    private val passingAddress: HostPort,
     private val scope: CoroutineScope,
     private val flow: RequestFlowDependencies,
     events: EventLog,
@@ -41,7 +44,8 @@
         CallerConnections(flow.clock, events, VertxConnectionOutput, ::idleTimeoutMillis)
     private val exchanges =
         ExchangeDependencies(flow, flow.meters, events, bodies, ::idleTimeoutMillis) { phase }
-    private var server: HttpServer? = null
+    private val taken = TakenRequests()
+    private var servers = emptyList<HttpServer>()
     private var refusesFromMillis = Long.MAX_VALUE
     private var isEnding = false
     private val phase: ServingPhase
@@ -67,13 +71,24 @@
             .setHandle100ContinueAutomatically(true)
         sendBufferBytes?.let(options::setSendBufferSize)
         scope.launch { connections.watch() }
-        server = vertx.createHttpServer(options)
-            .connectionHandler(connections::opened)
-            .requestHandler(::accept)
-            .listen(address.port, address.host)
-            .coAwait()
+        servers = listOf(
+            listen(options, passingAddress) {
+                accept(it, flow.translator.passedBy(it.headers()) ?: UNNAMED_PEER)
+            },
+            listen(options, address) { accept(it, passedBy = null) }
+        )
     }
 
+    private suspend fun listen(
+        options: HttpServerOptions,
+        address: HostPort,
+        handler: (HttpServerRequest) -> Unit
+    ): HttpServer = vertx.createHttpServer(options)
+        .connectionHandler(connections::opened)
+        .requestHandler(handler)
+        .listen(address.port, address.host)
+        .coAwait()
+
     /** Refuses new requests from [atMillis], since they might not end before the process does. */
     public fun refuseFrom(atMillis: Long) {
         refusesFromMillis = atMillis
@@ -92,11 +107,13 @@
             delay(LAST_READ_MILLIS)
         }
         connections.openIds.forEach { exchanges.events.write("answer-unsent", "request" to it) }
-        withTimeoutOrNull(LAST_READ_MILLIS) { server?.close()?.coAwait() }
+        withTimeoutOrNull(LAST_READ_MILLIS) {
+            servers.map { it.close() }.forEach { it.coAwait() }
+        }
         exchanges.events.write("callers-closed")
     }
 
-    private fun accept(request: HttpServerRequest) {
+    private fun accept(request: HttpServerRequest, passedBy: String?) {
         val arrivedAtMillis = flow.clock.nowMillis()
         val response = request.response()
         val closeDelimited =
@@ -107,12 +124,21 @@
             VertxConnectionOutput.resetOnClose(connection, isReset = true)
             VertxConnectionOutput.cut(connection)
         }
-        val reply = CallerReply(response, flow.translator, flow.clock, closeDelimited, stream) {
+        val reply = CallerReply(
+            response,
+            flow.translator,
+            flow.clock,
+            closeDelimited,
+            stream,
+            isToPeer = passedBy != null
+        ) {
             isLeaving || isEnding
         }
-        val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis)
+        val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis, passedBy)
         if (isEnding) return exchange.refuse()
+        if (passedBy != null && !taken.tryEnter(passedBy, running)) return exchange.refuseFull()
         val job = Job(requestsJob)
+        passedBy?.let { vm -> job.invokeOnCompletion { taken.leave(vm) } }
         val open = connections.requestStarted(request.connection(), exchange.id)
         job.invokeOnCompletion {
             connections.answerEnded(open)
@@ -135,6 +161,8 @@
     }
 
     private companion object {
+        /** Stands for a peer that does not name itself. */
+        const val UNNAMED_PEER = "unnamed"
         const val ACCEPT_BACKLOG_CONNECTIONS = 1_024
 
         /** Interval of checks whether all answers have been sent. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/ErrorAnswer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/ErrorAnswer.kt
@@ -35,4 +35,9 @@
 
     /** The request is invalid, unauthorized or matches no route. */
     public data class Rejected(override val status: Int, override val code: String) : ErrorAnswer
+
+    public companion object {
+        /** Code of the refusal of a process that is about to end. */
+        public const val STOPPING: String = "stopping"
+    }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.callers
 
 import cactusfold.decisions.places.HomeRegions
+import cactusfold.entry.passing.RequestPassing
 import cactusfold.entry.queueing.RequestTimes
 import cactusfold.entry.residency.ModelWait
 import cactusfold.entry.upstream.ExpectedSend
@@ -24,18 +25,27 @@
     private val reply: CallerReply
 ) {
     private val admission = RequestAdmission(dependencies, request)
+    private val passing = RequestPassing(dependencies.passing, request, reply)
     private var runs = 0
     private var sends = 0
     private var mayHaveRun = false
     private var hasReservedRetry = false
 
     /** Whether an upstream may have executed the request, so it must not be reported as not run. */
-    public val isUncertain: Boolean get() = mayHaveRun
+    public val isUncertain: Boolean get() = mayHaveRun || passing.isUncertain
 
     /** Processes the request; cancellation also cancels the send in progress. */
-    public suspend fun serve(): RequestOutcome = when (val admitted = admission.admit()) {
-        is AdmissionDecision.Refused -> fail(admitted.answer)
-        is AdmissionDecision.Admitted -> send(admitted)
+    public suspend fun serve(): RequestOutcome = serveThroughPeer()
+        ?: when (val admitted = admission.admit()) {
+            is AdmissionDecision.Refused -> fail(admitted.answer)
+            is AdmissionDecision.Admitted -> send(admitted)
+        }
+
+    /** Serves a request whose service is not reached; the peer admits it and spends its tokens. */
+    private suspend fun serveThroughPeer(): RequestOutcome? {
+        val route = dependencies.table()?.route(request.host, request.path)
+        if (route == null || request.facts.id == null) return null
+        return passing.serveIfCut(route, selectService(route, request.facts))
     }
 
     private fun fail(answer: ErrorAnswer): RequestOutcome = RequestOutcome.Failed(answer)
@@ -71,6 +81,9 @@
         val patience = ModelPatience(dependencies, request, route, deadlineAtMillis, priority)
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
+            if (!mayHaveRun && !reply.hasBegun) {
+                passing.serveIfCut(route, placement.service)?.let { return it }
+            }
             val candidates = placement.candidates()
             if (candidates.isEmpty()) placement.homeRefusal()?.let { return failOrAbort(it) }
             if (candidates.isEmpty() && placement.isVersionGone()) {
--- a/entry/src/test/kotlin/cactusfold/entry/EntrySettingsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/EntrySettingsTest.kt
@@ -22,7 +22,8 @@
             when {
                 name.startsWith("listen.") || name.endsWith("address") -> "10.1.0.2:8221"
                 name == "ip" -> "10.1.0.2"
-                name.startsWith("port-range") -> "7600"
+                name == "port-range.0" -> "7600"
+                name == "port-range.1" -> "7615"
                 name in boundsLeftOut -> ""
                 name.startsWith("bounds.") -> "5"
                 name.startsWith("limits.") -> "0.5"
@@ -40,9 +41,13 @@
     inner class Template {
         @Test
         fun `the filled template provides all required settings`() {
-            val valid = assertIs<SettingsResult.Valid>(readSettings(entrySchema, filled()))
+            val valid = assertIs<SettingsResult.Valid>(readEntrySettings(filled()))
             val settings = entrySettings(valid.settings)
             assertEquals(5_000, settings.bounds.stopMillis)
+            assertEquals(
+                Triple(7600, 7601, 7615),
+                Triple(settings.peerPort, settings.passingPort, settings.metricsPort)
+            )
             assertEquals(0.25, settings.cores)
             assertEquals(5, settings.bounds.keyWithdrawalMillis)
             assertEquals(
@@ -74,5 +79,12 @@
             assertTrue(messages.any { "unknown section [shop]" in it })
             assertTrue(messages.any { "missing section [store]" in it })
         }
+
+        @Test
+        fun `a range with fewer ports than are listened on is refused`() {
+            val text = filled().replace("7615", "7601")
+            val invalid = assertIs<SettingsResult.Invalid>(readEntrySettings(text))
+            assertTrue("last-inner-port" in invalid.problems.single().message)
+        }
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -2,6 +2,10 @@
 
 import cactusfold.entry.EntryBounds
 import cactusfold.entry.config.RouteTable
+import cactusfold.entry.passing.PassingDependencies
+import cactusfold.entry.passing.PeerChoice
+import cactusfold.entry.passing.PeerDirectory
+import cactusfold.entry.passing.PeerSender
 import cactusfold.entry.path.EntryFixture
 import cactusfold.entry.path.FreePorts
 import cactusfold.entry.process.EventLog
@@ -33,6 +37,7 @@
 import cactusfold.ports.serving.ServingRoute
 import cactusfold.ports.serving.ServingWorkspace
 import cactusfold.ports.serving.WeightedService
+import cactusfold.ports.table.ReadResult
 import cactusfold.settings.schema.HostPort
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.MultiMap
@@ -148,11 +153,25 @@
                 StreamLookup(own, { null }, clock, { 0 }) { null },
                 StartCheck(scope, directory, clock, events, sendLimiter) { null }
             ) { 0 },
-            queues = RequestQueues(directory, clock, scope) { false }
+            queues = RequestQueues(directory, clock, scope) { false },
+            passing = PassingDependencies(
+                "vm",
+                { false },
+                PeerDirectory("vm", scope, clock, PeerChoice("z", 1)) {
+                    ReadResult.Unavailable("none")
+                },
+                PeerSender(vertx, WireHeaders, AnswerBodies(maxTotalBytes = 10_000)),
+                { null },
+                WireHeaders,
+                clock,
+                events,
+                registry
+            )
         )
         CallerServer(
             vertx,
             HostPort("127.0.0.1", port),
+            HostPort("127.0.0.1", FreePorts.next()),
             scope,
             flow,
             events,
--- a/entry/src/test/kotlin/cactusfold/entry/fleet/FleetStoreCallsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/fleet/FleetStoreCallsTest.kt
@@ -29,6 +29,7 @@
         private val process = EntryProcess(
             EntrySettings(
                 name, "127.0.0.1", "z1", FreePorts.next(), FreePorts.next(),
+                FreePorts.next(),
                 HostPort("127.0.0.1", callers), HostPort("127.0.0.1", ready),
                 HostPort("127.0.0.1", storePort),
                 EntryBounds(
--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -37,6 +37,7 @@
             zone = "z1",
             peerPort = FreePorts.next(),
             metricsPort = metrics,
+            passingPort = FreePorts.next(),
             callers = HostPort("127.0.0.1", callers),
             ready = HostPort("127.0.0.1", ready),
             store = HostPort("127.0.0.1", store.port),
--- a/entry/src/test/kotlin/cactusfold/entry/path/FreePorts.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/FreePorts.kt
@@ -14,6 +14,14 @@
     private val steps =
         AtomicInteger((ProcessHandle.current().pid() % PORT_BLOCKS).toInt() * BLOCK)
 
+    /** Returns the first of [count] consecutive ports that nothing listens on. */
+    fun nextRange(count: Int): Int {
+        while (true) {
+            val ports = List(count) { next() }
+            if (ports.last() - ports.first() == count - 1) return ports.first()
+        }
+    }
+
     /** Returns a port that nothing listens on; each call returns another one. */
     fun next(): Int {
         while (true) {
--- a/entry/src/test/kotlin/cactusfold/entry/soak/EntryJvm.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/EntryJvm.kt
@@ -13,6 +13,7 @@
     /** The port for callers. */
     val callersPort: Int = FreePorts.next()
     private val readyPort = FreePorts.next()
+    private val innerPort = FreePorts.nextRange(INNER_PORTS)
     private val log = DIRECTORY.resolve("$name-$vm.log")
     private val process: Process
 
@@ -38,8 +39,8 @@
         name = $vm
         address = 127.0.0.1
         zone = z1
-        first-inner-port = ${FreePorts.next()}
-        last-inner-port = ${FreePorts.next()}
+        first-inner-port = $innerPort
+        last-inner-port = ${innerPort + INNER_PORTS - 1}
         [listen]
         callers = 127.0.0.1:$callersPort
         ready = 127.0.0.1:$readyPort
@@ -121,6 +122,7 @@
         val CLASS_PATH: String = System.getProperty("java.class.path")
             .split(File.pathSeparator).filterNot { "jackson-databind" in it }
             .joinToString(File.pathSeparator)
+        const val INNER_PORTS = 3
         const val MILLIS_PER_SECOND = 1_000.0
         const val START_MILLIS = 20_000L
         const val CHECK_MILLIS = 50L
--- a/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
@@ -105,6 +105,21 @@
     /** The header in which an upstream's response names the request that it answers. */
     public val requestIdHeader: String
 
+    /**
+     * The header by which a peer states that it did not run a request that was passed on to it, and
+     * why. It is not forwarded to callers.
+     */
+    public val passRefusalHeader: String
+
+    /**
+     * Returns the headers of a caller's request to pass it on to a peer, which has
+     * [requestTimeoutMillis] for it; [vm] is the VM that passes it on.
+     */
+    public fun towardsPeer(headers: MultiMap, vm: String, requestTimeoutMillis: Long): MultiMap
+
+    /** Returns the VM that states that it passed a request on; null if none does. */
+    public fun passedBy(headers: MultiMap): String?
+
     /** Decodes the headers of a caller's request. */
     public fun call(headers: MultiMap): RequestMetadata
 
