A status without three digits is none

The decoder parsed the status as a number, so that 0200 and +200 were taken for 200, 0503 for 503. Such a head now breaks the answer, as those with 000 and 999 did before.

--- a/ports/src/main/kotlin/cactusfold/ports/http/StrictClientCodec.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/StrictClientCodec.kt
@@ -63,6 +63,14 @@
         /** Whether the last head was an interim one, whose end is not that of the response. */
         private var isInterim = false
 
+        override fun createMessage(initialLine: Array<out String>): HttpMessage {
+            // Only its number is kept, which is the same for "0200" and "200".
+            if (initialLine[1].length != STATUS_DIGITS) {
+                throw MalformedHeadException("the status has not three digits")
+            }
+            return super.createMessage(initialLine)
+        }
+
         override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
             exchange.isHead || super.isContentAlwaysEmpty(message)
 
@@ -114,6 +122,8 @@
     }
 
     companion object {
+        private const val STATUS_DIGITS = 3
+
         /** Enough for a status line. */
         private const val LOGGED_BYTES = 24
         private val log = LogManager.getLogger(StrictClientCodec::class.java)
