Test of a caller that leaves waits for the outcome

The count of running requests is that of open connections, which a closed one leaves at once; the outcome is recorded when the request's coroutine goes on. The outcome that is asked for is the same.

--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -293,6 +293,8 @@
                 EntryFixture.eventually("not running") { server.running == 1 }
             }
             EntryFixture.eventually("still running") { server.running == 0 }
+            // The count is that of open connections, which the end of the request follows.
+            EntryFixture.eventually("no outcome") { outcomes().isNotEmpty() }
             assertEquals(listOf("caller-left"), outcomes())
         }
 
