The training run waits for its steps instead of sleeping

Cause: bin/train-entry slept for fixed times, so on a loaded machine a role could be cut short, and a failure did not say which step it was.

--- a/training/src/main/kotlin/cactusfold/training/TrainingPlatform.kt
+++ b/training/src/main/kotlin/cactusfold/training/TrainingPlatform.kt
@@ -7,6 +7,7 @@
 import cactusfold.platform.standin.StoreStandin
 import io.vertx.core.Vertx
 import java.io.IOException
+import java.net.http.HttpResponse
 import java.util.concurrent.Callable
 import java.util.concurrent.TimeUnit
 import kotlin.system.exitProcess
@@ -34,7 +35,11 @@
     )
     private var callerPorts: List<Int> = emptyList()
 
-    @Option(names = ["--seconds"], required = true, description = ["Duration of the calls."])
+    @Option(
+        names = ["--seconds"],
+        required = true,
+        description = ["Duration of the calls at most."]
+    )
     private var seconds: Long = 0
 
     override fun call(): Int {
@@ -50,7 +55,8 @@
         val desk = RunnerStandin(vertx, "d1", emptySet()).also { it.start() }
         operator.register("d1", desk, "desk")
         operator.configure(version = 1, keys = listOf("key-1"))
-        val callers = callerPorts.map(::CallerStandin)
+        println("listening on $storePort")
+        val callers = callerPorts.associateWith(::CallerStandin)
         val endsAtNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds)
         var round = 0
         while (System.nanoTime() < endsAtNanos) {
@@ -58,32 +64,39 @@
             (runners + desk).forEach { it.behavior = behavior }
             if (callers.isEmpty()) Thread.sleep(PAUSE_MILLIS)
             if (callers.isEmpty()) continue
-            callers.forEach(::callOnce)
+            callers.forEach { (port, caller) -> callRound(port, caller) }
             operator.configure(version = 1 + round, keys = listOf("key-1"), RATE_PER_SECOND)
         }
         vertx.close()
         return 0
     }
 
-    private fun callOnce(caller: CallerStandin) {
-        for (model in listOf("warm", "cold", "other")) {
+    /** Calls the process at [port] and prints how it answered; `bin/train-entry` waits for that. */
+    private fun callRound(port: Int, caller: CallerStandin) {
+        val statuses = listOf("warm", "cold", "other").map { model ->
             attempt {
                 caller.call("/draft/a", "key-1", model)
             }
+        } +
+            listOf("/book/a", "/look/a", "/none/a").map { path -> attempt { caller.call(path) } } +
+            attempt { caller.call("/look/a", key = "unknown") }
+        val answered = statuses.filterNotNull()
+        if (answered.isNotEmpty()) {
+            println("answered $port: ${answered.count { it == OK }} of ${statuses.size} with $OK")
         }
-        for (path in listOf("/book/a", "/look/a", "/none/a")) attempt { caller.call(path) }
-        attempt { caller.call("/look/a", key = "unknown") }
         Thread.sleep(PAUSE_MILLIS)
     }
 
     /** Makes one call; processes that start or stop meanwhile refuse the connection. */
-    private fun attempt(call: () -> Unit): Unit = try {
-        call()
+    private fun attempt(call: () -> HttpResponse<String>): Int? = try {
+        call().statusCode()
     } catch (e: IOException) {
         System.err.println("not called: ${e.message}")
+        null
     }
 
     private companion object {
+        const val OK = 200
         const val PAUSE_MILLIS = 20L
         const val RATE_PER_SECOND = 100_000
         val BEHAVIORS = listOf(
