Log lines are counted, and a foreign logging configuration is reported

Cause: A process that lost its logging configuration wrote no line in its life, and nothing outside of the log showed it. Lines that the full queue dropped were not counted either.

Change: The metrics address has cactusfold_log_lines_written_total, cactusfold_log_queue_dropped_total and cactusfold_log_in_force. The configuration in force is checked after the start and with each scrape; the first time that it is not the process's own, a line on standard error says so.

Result: EntryLoggingTest (a process whose standard output is not read until its queue is full: all 20,000 lines are written or counted as dropped; a replaced configuration is reported once) and LogMetricsTest pass. The cost of a start was not measured.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryMain.kt
@@ -95,6 +95,7 @@
         }
         val logging = settings.section("log")
         EntryLogging.setLevel(logging.text("level"))
+        EntryLogging.checkInForce()
         val vertx = Vertx.vertx(
             VertxOptions().setEventLoopPoolSize(1)
                 .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1))
--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -28,6 +28,7 @@
 import cactusfold.entry.places.EvacuationStatus
 import cactusfold.entry.places.ZoneEvacuations
 import cactusfold.entry.process.CountingStore
+import cactusfold.entry.process.EntryLogging
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.process.MemoryShares
 import cactusfold.entry.process.ShutdownBudget
@@ -388,6 +389,15 @@
         metrics.gauge("cactusfold.coordinator", lease) { if (it.isCoordinator) 1.0 else 0.0 }
         metrics.gauge("cactusfold.streams.known", fleetStreams) { it.count.toDouble() }
         metrics.gauge("cactusfold.log.lines.dropped", events) { it.droppedLines.toDouble() }
+        metrics.gauge("cactusfold.log.in.force", EntryLogging) {
+            if (it.checkInForce()) 1.0 else 0.0
+        }
+        metrics.more().counter("cactusfold.log.lines.written", emptyList(), EntryLogging) {
+            it.writtenLines.toDouble()
+        }
+        metrics.more().counter("cactusfold.log.queue.dropped", emptyList(), EntryLogging) {
+            it.droppedLines.toDouble()
+        }
         metrics.gauge("cactusfold.config.age.millis", config) {
             it.ageMillis(clock.nowMillis())?.toDouble() ?: Double.NaN
         }
--- a/entry/src/main/kotlin/cactusfold/entry/process/JsonLineLayout.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/process/JsonLineLayout.kt
@@ -1,12 +1,19 @@
 package cactusfold.entry.process
 
 import io.vertx.core.json.JsonObject
+import java.util.concurrent.atomic.AtomicLong
 import org.apache.logging.log4j.core.LogEvent
 import org.apache.logging.log4j.core.layout.AbstractStringLayout
 
 /** Layout with one JSON object per line. Events of [EventLog] are JSON already. */
 internal class JsonLineLayout : AbstractStringLayout(Charsets.UTF_8) {
+    private val counted = AtomicLong()
+
+    /** Number of lines so far. */
+    val lines: Long get() = counted.get()
+
     override fun toSerializable(event: LogEvent): String {
+        counted.incrementAndGet()
         val message = event.message.formattedMessage
         if (event.loggerName == EventLog.LOGGER) return message + "\n"
         val line = JsonObject()
