--- a/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/EntryFixture.kt
@@ -70,8 +70,8 @@
         version: String = "v1"
     ): RunnerStandin = platform.runner(id, service, models, version)
 
-    fun start() {
-        operator.configure(version = 1, keys = listOf("key-1"))
+    fun start(ratePerSecond: Int = 0) {
+        operator.configure(version = 1, keys = listOf("key-1"), ratePerSecond = ratePerSecond)
         entry.listen()
         runBlocking { withTimeout(WAIT_MILLIS) { entry.start() } }
         eventually("not ready") { readyStatus() == 200 && entry.isMemberCountKnown }
