A connection on which a head arrives is not idle

Callers saw a kept connection closed without an answer while they still sent the head of a request.

Cause: CallerConnections counted a connection as idle from the end of the last answer until the head of the next request was complete, since Vert.x tells of a request only then. Bytes of a head did not count.

Bytes that arrive now begin the idle time anew, as chunks of a body do. This is not the case that operators saw: their requests had been sent whole.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
@@ -9,7 +9,8 @@
 
 /**
  * The open connections of callers. A connection is closed when it has had no request in progress
- * for the idle timeout; the timeout never ends a request that waits for its answer.
+ * and has brought nothing for the idle timeout; the timeout never ends a request that waits for its
+ * answer, nor one whose head is arriving.
  *
  * @param idleTimeoutMillis the timeout in force; also for a caller that stops to read its answer.
  */
@@ -53,6 +54,11 @@
         activity.trySend(Unit)
     }
 
+    /** Records that bytes of the caller have arrived on [connection]. */
+    public fun received(connection: HttpConnection) {
+        states[connection]?.idleSinceMillis = clock.nowMillis()
+    }
+
     /** Records that the request with [id] has begun on [connection]. */
     public fun requestStarted(connection: HttpConnection, id: String?): OpenRequest {
         val request = OpenRequest(id)
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -5,6 +5,7 @@
 import cactusfold.ports.serving.CallerLimits
 import cactusfold.settings.schema.HostPort
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
@@ -68,7 +69,7 @@
         sendBufferBytes?.let(options::setSendBufferSize)
         scope.launch { connections.watch() }
         server = vertx.createHttpServer(options)
-            .connectionHandler(connections::opened)
+            .connectionHandler(::opened)
             .requestHandler(::accept)
             .listen(address.port, address.host)
             .coAwait()
@@ -96,6 +97,11 @@
         exchanges.events.write("callers-closed")
     }
 
+    private fun opened(connection: HttpConnection) {
+        connections.opened(connection)
+        VertxConnectionInput.onReceived(connection) { connections.received(connection) }
+    }
+
     private fun accept(request: HttpServerRequest) {
         val arrivedAtMillis = flow.clock.nowMillis()
         val response = request.response()
