--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -6,6 +6,7 @@
 import cactusfold.ports.serving.CallerLimits
 import cactusfold.settings.schema.HostPort
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
@@ -84,7 +85,7 @@
         address: HostPort,
         handler: (HttpServerRequest) -> Unit
     ): HttpServer = vertx.createHttpServer(options)
-        .connectionHandler(connections::opened)
+        .connectionHandler(::opened)
         .requestHandler(handler)
         .listen(address.port, address.host)
         .coAwait()
@@ -113,6 +114,11 @@
         exchanges.events.write("callers-closed")
     }
 
+    private fun opened(connection: HttpConnection) {
+        connections.opened(connection)
+        VertxConnectionInput.onReceived(connection) { connections.received(connection) }
+    }
+
     private fun accept(request: HttpServerRequest, passedBy: String?) {
         val arrivedAtMillis = flow.clock.nowMillis()
         val response = request.response()
