Passing on finds peers of other zones, and leaves requests where no peer helps

Found in a review, by reading. Cause: a zone that was cut off as a whole asked three of its own VMs and then refused, and forgot it within 500 ms; a service whose runners were all down had its requests refused at once, though they were served before when a runner came back in time; a request that left the queue of places after the cut began was sent into it.

Change: a peer that is cut too comes last for that service for 3 s, and other zones come first then; up to eight peers are asked. If all that were asked are cut, the request stays at its process. A selected upstream is left if its service has become cut.

Tests: "a request is refused at once as not run when all processes are cut" demanded the refusal; it is replaced by "a request stays at its process when all processes are cut", which demands that it is answered within the same second and runs once. New: a peer behind four that are cut, and the order of peers.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -108,6 +108,11 @@
                     return stopRetrying(last, selection.code, selection.retryAfterMillis)
             }
             val upstream = selected.upstream
+            if (!mayHaveRun && !reply.hasBegun && passing.isNeeded(service)) {
+                // The cut was noticed while the request waited.
+                leave(selected, service)
+                continue
+            }
             if (sends > 0 && !hasReservedRetry && !dependencies.retries.tryAcquireRetry(service)) {
                 leave(selected, service)
                 return stopRetrying(last, "retry-budget")
--- a/entry/src/main/kotlin/cactusfold/entry/passing/PeerDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/passing/PeerDirectory.kt
@@ -27,11 +27,19 @@
     private var nextReadAtMillis = 0L
     private var reading: Job? = null
 
-    /** Returns a peer that is not in [tried], or null; waits for a read only if none is known. */
-    public suspend fun choose(tried: Set<String>): Peer? {
+    /**
+     * Returns a peer for a request for [service] that is not in [tried], or null; waits for a read
+     * only if none is known. Peers of other zones come first if it [leavesZone].
+     */
+    public suspend fun choose(
+        tried: Set<String>,
+        service: String,
+        leavesZone: Boolean = false
+    ): Peer? {
         val read = refresh()
         if (peers.isEmpty()) read?.join()
-        return choice.choose(peers.values.filter { it.vm !in tried }, clock.nowMillis())
+        val untried = peers.values.filter { it.vm !in tried }
+        return choice.choose(untried, service, clock.nowMillis(), leavesZone)
     }
 
     private fun refresh(): Job? {
--- a/entry/src/main/kotlin/cactusfold/entry/passing/RequestPassing.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/passing/RequestPassing.kt
@@ -47,17 +47,25 @@
     public var isUncertain: Boolean = false
         private set
 
+    /** When peers may be asked again after all of them were cut off as well. */
+    private var nextAskAtMillis = 0L
+
+    /** Whether [serveIfCut] would not leave a request for [service] to this process now. */
+    public fun isNeeded(service: String): Boolean = dependencies.isCut(service) &&
+        (request.passedBy != null || clock.nowMillis() >= nextAskAtMillis)
+
     /**
-     * Serves the request through a peer; returns null without having sent anything if this process
-     * reaches [service]. A request that a peer passed on is refused instead.
+     * Serves the request through a peer. Returns null, and it surely did not run, if this process
+     * reaches [service], or if no peer does: then its upstreams are down for all, and the request
+     * waits for them here. A request that a peer passed on is refused instead.
      */
     public suspend fun serveIfCut(route: ServingRoute, service: String): RequestOutcome? = when {
-        !dependencies.isCut(service) -> null
+        !isNeeded(service) -> null
         request.passedBy != null -> refused("not-passed")
-        else -> serve(route)
+        else -> serve(route, service)
     }
 
-    private suspend fun serve(route: ServingRoute): RequestOutcome {
+    private suspend fun serve(route: ServingRoute, service: String): RequestOutcome? {
         val callerMillis = request.facts.requestTimeoutMillis ?: route.timeoutMillis
         val untilMillis = request.arrivedAtMillis + minOf(route.timeoutMillis, callerMillis)
         val workspace = request.facts.key?.let { dependencies.table()?.workspace(it) }
@@ -68,8 +76,9 @@
         )
         reply.beforeFirstEvent = { StreamCheck.Sound }
         val tried = mutableSetOf<String>()
-        while (tried.size < MAX_PEERS) {
-            val peer = dependencies.peers.choose(tried) ?: break
+        var cutPeers = 0
+        while (tried.size - cutPeers < MAX_PEERS && tried.size < MAX_ASKED) {
+            val peer = dependencies.peers.choose(tried, service, leavesZone = cutPeers > 0) ?: break
             tried += peer.vm
             val end = passTo(peer, route, untilMillis)
             if (!end.isSuccess && end !is SendEnd.Whole) recordFailed(peer, end)
@@ -78,11 +87,19 @@
                 SendEnd.Streamed -> return RequestOutcome.Answered(null)
                 is SendEnd.Whole -> return RequestOutcome.Answered(end)
                 is SendEnd.Broken -> return broken()
-                is SendEnd.NotRun -> leaveOut(peer, end)
+                is SendEnd.NotRun -> if (end.reason == NO_UPSTREAM_REACHED) {
+                    cutPeers++
+                    peer.recordCut(service, clock.nowMillis() + CUT_PAUSE_MILLIS)
+                } else {
+                    leaveOut(peer, end)
+                }
                 SendEnd.Unsent -> Unit
             }
         }
-        return refused("no-peer")
+        if (cutPeers == 0 || cutPeers < tried.size) return refused("no-peer")
+        nextAskAtMillis = clock.nowMillis() + ASK_AGAIN_MILLIS
+        dependencies.count("no-peer-reaches")
+        return null
     }
 
     private suspend fun passTo(peer: Peer, route: ServingRoute, untilMillis: Long): SendEnd {
@@ -119,11 +136,7 @@
     }
 
     private fun leaveOut(peer: Peer, end: SendEnd.NotRun) {
-        val pauseMillis = when (end.reason) {
-            NO_UPSTREAM_REACHED -> CUT_PAUSE_MILLIS
-            FULL -> FULL_PAUSE_MILLIS
-            else -> GONE_PAUSE_MILLIS
-        }
+        val pauseMillis = if (end.reason == FULL) FULL_PAUSE_MILLIS else GONE_PAUSE_MILLIS
         peer.leaveOutUntil(clock.nowMillis() + pauseMillis)
     }
 
@@ -166,10 +179,14 @@
         /** Number of peers after which a request that none of them ran is refused. */
         private const val MAX_PEERS = 3
 
+        /** Number of peers after which a request stays here, those that are cut off included. */
+        private const val MAX_ASKED = 8
+        private const val ASK_AGAIN_MILLIS = 1_000L
+
         /** Time for the peer's answer to arrive before the deadline. */
         private const val RETURN_MILLIS = 20L
         private const val REFUSED_RETRY_AFTER_MILLIS = 500L
-        private const val CUT_PAUSE_MILLIS = 500L
+        private const val CUT_PAUSE_MILLIS = 3_000L
         private const val FULL_PAUSE_MILLIS = 200L
         private const val GONE_PAUSE_MILLIS = 2_000L
     }
