--- a/entry/src/test/kotlin/cactusfold/entry/passing/PassingPathTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/passing/PassingPathTest.kt
@@ -2,6 +2,7 @@
 
 import cactusfold.entry.path.EntryFixture.Companion.eventually
 import cactusfold.platform.standin.AnswerShape
+import cactusfold.platform.standin.HeaderNames
 import java.io.IOException
 import java.net.URI
 import java.net.http.HttpClient
@@ -34,8 +35,8 @@
     private fun send(port: Int, path: String, vararg headers: Pair<String, String>) =
         HttpClient.newHttpClient().send(
             HttpRequest.newBuilder(URI("http://127.0.0.1:$port$path"))
-                .header("Cactusfold-Request-Id", "r-1")
-                .header("Cactusfold-Credential", "key-1")
+                .header(HeaderNames.REQUEST_ID, "r-1")
+                .header(HeaderNames.CREDENTIAL, "key-1")
                 .apply { headers.forEach { (name, value) -> header(name, value) } }
                 .POST(HttpRequest.BodyPublishers.ofString("{}")).build(),
             HttpResponse.BodyHandlers.ofString()
@@ -80,8 +81,8 @@
             engine.shapeOf = { AnswerShape(0, events = 6, eventDelayMillis = 200) }
             val request = HttpRequest.newBuilder(
                 URI("http://127.0.0.1:${cut.callersPort}/draft/x")
-            ).header("Cactusfold-Request-Id", "s-1").header("Cactusfold-Credential", "key-1")
-                .header("Cactusfold-Model", "warm").header("Cactusfold-Token-Usage", "10,10")
+            ).header(HeaderNames.REQUEST_ID, "s-1").header(HeaderNames.CREDENTIAL, "key-1")
+                .header(HeaderNames.MODEL, "warm").header(HeaderNames.TOKEN_USAGE, "10,10")
                 .POST(HttpRequest.BodyPublishers.ofString("{}")).build()
             val answer = HttpClient.newHttpClient()
                 .send(request, HttpResponse.BodyHandlers.ofLines())
@@ -101,7 +102,7 @@
             fixture.member("vm2")
             cut.isCut = false
             val whole = cut.caller.call("/draft/x", model = "warm")
-            val id = whole.request().headers().firstValue("Cactusfold-Request-Id").get()
+            val id = whole.request().headers().firstValue(HeaderNames.REQUEST_ID).get()
             cut.isCut = true
             val rest = cut.caller.call("/draft/x", model = "warm", resumes = id to 3)
             assertEquals(200, rest.statusCode(), rest.body())
@@ -186,8 +187,8 @@
             val client = HttpClient.newHttpClient()
             val call = client.sendAsync(
                 HttpRequest.newBuilder(URI("http://127.0.0.1:${cut.callersPort}/book/x"))
-                    .header("Cactusfold-Request-Id", "l-1")
-                    .header("Cactusfold-Credential", "key-1").build(),
+                    .header(HeaderNames.REQUEST_ID, "l-1")
+                    .header(HeaderNames.CREDENTIAL, "key-1").build(),
                 HttpResponse.BodyHandlers.ofString()
             )
             eventually("not run") { desk.ran.size == 1 }
@@ -315,7 +316,7 @@
 
         /** Sends a request that takes all that a full bucket holds, and returns the status. */
         private fun emptyBucket(port: Int): Int =
-            send(port, "/look/x", "Cactusfold-Token-Usage" to "0,$RATE").statusCode()
+            send(port, "/look/x", HeaderNames.TOKEN_USAGE to "0,$RATE").statusCode()
 
         private fun tookMillis(action: () -> Unit): Long {
             val startedAtNanos = System.nanoTime()
@@ -334,10 +335,10 @@
 
         /** Half of the time in which an empty bucket fills. */
         const val QUICK_MILLIS = 500L
-        const val PASSED_BY = "Cactusfold-Passed-By"
-        const val PASS_REFUSED = "Cactusfold-Pass-Refused"
-        const val SEAL = "Cactusfold-Response-Seal"
-        const val ID = "Cactusfold-Request-Id"
+        const val PASSED_BY = HeaderNames.PASSED_BY
+        const val PASS_REFUSED = HeaderNames.PASS_REFUSED
+        const val SEAL = HeaderNames.RESPONSE_SEAL
+        const val ID = HeaderNames.REQUEST_ID
         const val REFUSED = "no-upstream-reached"
         const val PASSED_ON = "cactusfold_requests_passed_on_total{outcome=\"answered\"} 1.0"
     }
