A begun stream is not cut because its runner is silent for a second

Callers saw a stream break off after its first event, 1.26 s after they had sent it, although its runner went on 0.6 s later.

Cause: RequestFlow gave up a send after 0.5 s of silence without knowing whether the stream could go on elsewhere. StartCheck, which confirms the version at which it began, took two reports that did not come within 500 ms for another start, so the stream could go on nowhere and was cut.

Change: a report is read, failed or silent; a silent upstream is asked again for up to 3 s. A begun stream leaves a silent upstream only if its origin is confirmed, and after 2.5 s. Fakes and assertions of tests that read reports use the new result; what they check is the same.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -275,6 +275,7 @@
     ): Boolean {
         if (!mayRetry(route, runs + 1)) return false
         val nowMillis = dependencies.clock.nowMillis()
+        if (reply.hasBegun && !mayMoveStream(upstream, placement, nowMillis)) return false
         val hasOther = placement.candidates()
             .any {
                 it !== upstream &&
@@ -289,6 +290,17 @@
         return true
     }
 
+    /**
+     * Whether a stream that has begun may leave a silent [upstream]: its origin is confirmed, so
+     * that it can go on elsewhere, and a sound upstream would have sent something by now.
+     */
+    private fun mayMoveStream(
+        upstream: Upstream,
+        placement: StreamPlacement,
+        nowMillis: Long
+    ): Boolean = placement.isOriginConfirmed &&
+        upstream.silence.silentMillis(nowMillis) >= MIN_MOVE_SILENT_MILLIS
+
     private fun recordResult(upstream: Upstream, end: SendEnd, wasUncertain: Boolean) {
         val nowMillis = dependencies.clock.nowMillis()
         when (end) {
@@ -388,6 +400,9 @@
         const val MISDIRECTED = 421
         const val SERVER_ERROR = 500
 
+        /** Silence after which a begun stream is moved; a sound upstream may be silent for a second. */
+        const val MIN_MOVE_SILENT_MILLIS = 2_500L
+
         /** Number of sends after which a request that no upstream executed is refused. */
         const val MAX_SENDS = 4
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/StreamPlacement.kt
@@ -7,6 +7,7 @@
 import cactusfold.ports.serving.Repeatability
 import cactusfold.ports.serving.ServingRoute
 import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 
 /**
  * Keeps the stream of one request at the service and software version at which it began. Other
@@ -134,6 +135,11 @@
         return StreamCheck.Sound
     }
 
+    /** Whether [isOriginCertain] is known to be true by now. */
+    val isOriginConfirmed: Boolean
+        @OptIn(ExperimentalCoroutinesApi::class)
+        get() = originCheck?.run { isCompleted && !isCancelled && getCompleted() } ?: true
+
     /** Whether the stream surely began at the version that its upstream had registered. */
     suspend fun isOriginCertain(): Boolean = originCheck?.await() ?: true
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
@@ -142,7 +142,7 @@
     public suspend fun report(): RunnerReport? {
         if (upstream.isEvacuated) return null
         dependencies.onRequest(upstream)
-        return dependencies.orders.report(upstream.entry)
+        return dependencies.orders.report(upstream.entry).reportOrNull
     }
 
     private fun mayOrder(): Boolean = dependencies.mayOrder() && !upstream.isEvacuated
--- a/entry/src/main/kotlin/cactusfold/entry/streams/StartCheck.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StartCheck.kt
@@ -7,6 +7,7 @@
 import cactusfold.entry.upstream.Upstream
 import cactusfold.entry.upstream.UpstreamDirectory
 import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.ReportReply
 import cactusfold.ports.serving.RunnerReport
 import cactusfold.ports.serving.UpstreamEntry
 import kotlinx.coroutines.CoroutineScope
@@ -19,7 +20,7 @@
  * answers requests before its registration is read.
  *
  * @param limiter limits the reports, which upstreams count like other requests.
- * @param report reads the report of an upstream; null if it does not answer.
+ * @param report reads the report of an upstream.
  */
 public class StartCheck(
     private val scope: CoroutineScope,
@@ -27,7 +28,7 @@
     private val clock: MonotonicClock,
     private val events: EventLog,
     private val limiter: UpstreamRateLimiter,
-    private val report: suspend (UpstreamEntry) -> RunnerReport?
+    private val report: suspend (UpstreamEntry) -> ReportReply
 ) {
     private val planned = HashMap<UpstreamStart, Deferred<Boolean>>()
 
@@ -61,10 +62,23 @@
         return isSame
     }
 
+    /**
+     * Reads the report of [upstream]; once more if that fails, and for [MAX_SILENT_MILLIS] while the
+     * upstream is silent.
+     */
     private suspend fun read(upstream: Upstream): RunnerReport? {
-        report(upstream.entry)?.let { return it }
-        delay(RETRY_MILLIS)
-        return if (awaitToken(upstream)) report(upstream.entry) else null
+        val untilMillis = clock.nowMillis() + MAX_SILENT_MILLIS
+        var failures = 0
+        while (true) {
+            val readsAgain = when (val reply = report(upstream.entry)) {
+                is ReportReply.Read -> return reply.report
+                is ReportReply.Failed -> ++failures < MAX_FAILURES
+                ReportReply.Silent -> clock.nowMillis() < untilMillis
+            }
+            if (!readsAgain) return null
+            delay(RETRY_MILLIS)
+            if (!awaitToken(upstream)) return null
+        }
     }
 
     /** Returns whether a report may be read now, at the latest after [MAX_TOKEN_WAIT_MILLIS]. */
@@ -93,5 +107,9 @@
         const val COLLECT_MILLIS = 100L
         const val RETRY_MILLIS = 100L
         const val MAX_TOKEN_WAIT_MILLIS = 2_000L
+        const val MAX_FAILURES = 2
+
+        /** Sound upstreams may be silent for a second or so. */
+        const val MAX_SILENT_MILLIS = 3_000L
     }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -37,6 +37,7 @@
 import cactusfold.ports.serving.HeaderTranslator
 import cactusfold.ports.serving.ReachProbeEnd
 import cactusfold.ports.serving.Repeatability
+import cactusfold.ports.serving.ReportReply
 import cactusfold.ports.serving.ServingConfig
 import cactusfold.ports.serving.ServingRoute
 import cactusfold.ports.serving.ServingWorkspace
@@ -160,7 +161,9 @@
                 recorded,
                 own,
                 StreamLookup(own, { null }, clock, { 0 }) { null },
-                StartCheck(scope, directory, clock, events, sendLimiter) { null }
+                StartCheck(scope, directory, clock, events, sendLimiter) {
+                    ReportReply.Failed("no report")
+                }
             ) { 0 },
             queues = RequestQueues(directory, clock, scope) { false },
             reach = ServiceReach(scope, clock, events, directory::usable) {
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CutHeadTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CutHeadTest.kt
@@ -173,7 +173,9 @@
         @Test
         fun `a report that is cut is none`() {
             val api = api()
-            val reports = endsOf(reported) { api.report(fixture.upstream(it.port).entry) }
+            val reports = endsOf(reported) {
+                api.report(fixture.upstream(it.port).entry).reportOrNull
+            }
             assertEquals(emptyMap(), reports.filterValues { it != null })
         }
 
@@ -184,7 +186,8 @@
             val whole = "HTTP/1.1 200 OK\r\n\r\n$report"
             for (length in whole.length - report.length until whole.length) {
                 fixture.withUpstream({ Scripted(whole.take(length), closes = true) }) {
-                    assertEquals(null, api.report(fixture.upstream(it.port).entry), "$length")
+                    val reply = api.report(fixture.upstream(it.port).entry)
+                    assertEquals(null, reply.reportOrNull, "$length")
                 }
             }
         }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/StatusLineTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/StatusLineTest.kt
@@ -182,7 +182,7 @@
                 val wrong = wrongOf(
                     cases,
                     before,
-                    { listOf(api.report(fixture.upstream(it.port).entry)) }
+                    { listOf(api.report(fixture.upstream(it.port).entry).reportOrNull) }
                 ) { it == listOf(null) }
                 assertEquals(emptyList(), wrong, "$before")
             }
--- a/entry/src/test/kotlin/cactusfold/entry/path/RunnerLink.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/RunnerLink.kt
@@ -5,6 +5,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
 /** The way from the entry process to a runner on [runnerPort], which can be cut. */
@@ -30,6 +31,9 @@
     @Volatile
     private var cut: Cut? = null
 
+    @Volatile
+    private var silentUntilNanos = System.nanoTime()
+
     val port: Int = server.localPort
 
     init {
@@ -44,6 +48,19 @@
         sockets.forEach(::reset)
     }
 
+    /** Holds back all bytes and new connections for [forMillis], after which they pass. */
+    fun silence(forMillis: Long) {
+        silentUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(forMillis)
+    }
+
+    private fun awaitSilenceEnd() {
+        while (true) {
+            val leftNanos = silentUntilNanos - System.nanoTime()
+            if (leftNanos <= 0) return
+            TimeUnit.NANOSECONDS.sleep(leftNanos)
+        }
+    }
+
     /** Ends the cut; connections that hung are closed. */
     fun restore() {
         val ended = cut
@@ -73,6 +90,7 @@
             Cut.RESETS, Cut.REFUSES -> return reset(socket)
             null -> Unit
         }
+        awaitSilenceEnd()
         val runner = Socket(loopback, runnerPort)
         sockets += runner
         copy(socket, runner)
@@ -85,6 +103,7 @@
             try {
                 while (true) {
                     val count = from.getInputStream().read(bytes)
+                    awaitSilenceEnd()
                     if (count < 0) break
                     if (cut == null) to.getOutputStream().write(bytes, 0, count)
                 }
--- a/entry/src/test/kotlin/cactusfold/entry/residency/RunnerOrderClientTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/RunnerOrderClientTest.kt
@@ -4,6 +4,7 @@
 import cactusfold.entry.upstream.Upstream
 import cactusfold.ports.serving.OrderAuthority
 import cactusfold.ports.serving.OrderReply
+import cactusfold.ports.serving.ReportReply
 import cactusfold.ports.serving.RunnerApi
 import cactusfold.ports.serving.RunnerOrder
 import cactusfold.ports.serving.RunnerReport
@@ -50,13 +51,15 @@
             return OrderReply.Accepted
         }
 
-        override suspend fun report(runner: UpstreamEntry): RunnerReport = RunnerReport(
-            persistentMapOf(),
-            pendingAdapterLoads,
-            isBusy,
-            accepted,
-            persistentSetOf(),
-            persistentSetOf()
+        override suspend fun report(runner: UpstreamEntry): ReportReply = ReportReply.Read(
+            RunnerReport(
+                persistentMapOf(),
+                pendingAdapterLoads,
+                isBusy,
+                accepted,
+                persistentSetOf(),
+                persistentSetOf()
+            )
         )
     }
 
--- a/entry/src/test/kotlin/cactusfold/entry/streams/StartCheckTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/streams/StartCheckTest.kt
@@ -11,6 +11,7 @@
 import cactusfold.entry.upstream.UpstreamLimits
 import cactusfold.entry.upstream.UpstreamPolling
 import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.ReportReply
 import cactusfold.ports.serving.RunnerReport
 import cactusfold.ports.serving.StatedLimit
 import cactusfold.ports.serving.UpstreamEntry
@@ -52,24 +53,30 @@
         }
     private var reports = 0
 
-    private fun check(scope: CoroutineScope, answer: (Int) -> Long?) = StartCheck(
+    private fun check(scope: CoroutineScope, answer: (Int) -> Long?) = checkOf(scope) {
+        answer(it)?.let(::reported) ?: ReportReply.Failed("no report")
+    }
+
+    private fun reported(start: Long): ReportReply = ReportReply.Read(
+        RunnerReport(
+            persistentMapOf(),
+            0,
+            false,
+            0,
+            persistentSetOf(),
+            persistentSetOf(),
+            start.takeIf { it > 0 }
+        )
+    )
+
+    private fun checkOf(scope: CoroutineScope, reply: suspend (Int) -> ReportReply) = StartCheck(
         scope,
         UpstreamDirectory(NoFeed, clock, events, "z") { UpstreamPolling.Detached() },
         clock,
         events,
         limiter
     ) {
-        answer(++reports)?.let {
-            RunnerReport(
-                persistentMapOf(),
-                0,
-                false,
-                0,
-                persistentSetOf(),
-                persistentSetOf(),
-                it.takeIf { start -> start > 0 }
-            )
-        }
+        reply(++reports)
     }
 
     private fun isRunning(answer: (Int) -> Long?): Boolean = runBlocking {
@@ -93,6 +100,29 @@
             assertFalse(isRunning { null })
         }
 
+        // Guards against streams that are cut because their runner was silent for a second.
+        @Test
+        fun `a silent upstream is asked until it answers`() = runBlocking {
+            val check = checkOf(this) {
+                if (it > 2) return@checkOf reported(START)
+                delay(REPORT_TIMEOUT_MILLIS)
+                ReportReply.Silent
+            }
+            assertTrue(check.isRunning(upstream))
+            assertEquals(3, reports)
+        }
+
+        @Test
+        fun `an upstream that stays silent is given up`() = runBlocking {
+            val check = checkOf(this) {
+                delay(REPORT_TIMEOUT_MILLIS)
+                ReportReply.Silent
+            }
+            val startedAtMillis = clock.nowMillis()
+            assertFalse(check.isRunning(upstream))
+            assertTrue(clock.nowMillis() - startedAtMillis < GIVEN_UP_MILLIS)
+        }
+
         @Test
         fun `streams that begin together share a report`() = runBlocking {
             coroutineScope {
@@ -181,5 +211,7 @@
 
     private companion object {
         const val START = 1_000L
+        const val REPORT_TIMEOUT_MILLIS = 500L
+        const val GIVEN_UP_MILLIS = 6_000L
     }
 }
--- a/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/PlatformHttp.kt
@@ -1,6 +1,7 @@
 package cactusfold.ports.http
 
 import cactusfold.ports.json.BoundedJson
+import io.netty.channel.ConnectTimeoutException
 import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
@@ -50,16 +51,25 @@
         }
     }
 
-    /** Nothing was sent, mostly because no connection could be made. */
-    public data class NotSent(public val reason: String) : HttpOutcome
+    /**
+     * Nothing was sent, mostly because no connection could be made.
+     *
+     * @property isTimeout whether the target did not respond in time, rather than refuse.
+     */
+    public data class NotSent(public val reason: String, public val isTimeout: Boolean = false) :
+        HttpOutcome
 
     /**
      * The request was sent at least in part, and no complete response arrived.
      *
      * @property isTooLong whether a response was given up for its length.
+     * @property isTimeout whether the connection was open for all of the time allowed.
      */
-    public data class NoAnswer(public val reason: String, public val isTooLong: Boolean = false) :
-        HttpOutcome
+    public data class NoAnswer(
+        public val reason: String,
+        public val isTooLong: Boolean = false,
+        public val isTimeout: Boolean = false
+    ) : HttpOutcome
 }
 
 /**
@@ -132,19 +142,27 @@
             } catch (e: AnswerTooLongException) {
                 HttpOutcome.NoAnswer(e.message.orEmpty(), isTooLong = true)
             } catch (e: Throwable) {
-                failureOf(sent, e.message ?: e.javaClass.simpleName)
+                failureOf(
+                    sent,
+                    e.message ?: e.javaClass.simpleName,
+                    isTimeout = e is ConnectTimeoutException
+                )
             }
         }
         if (outcome != null) return outcome
         if (closesOnTimeout) open?.reset()
-        return failureOf(sent, "no response within $requestTimeoutMillis ms")
+        return failureOf(sent, "no response within $requestTimeoutMillis ms", isTimeout = true)
     }
 
     /** Closes all connections. */
     public fun close(): Unit = connections.close()
 
-    private fun failureOf(sent: Boolean, reason: String): HttpOutcome =
-        if (sent) HttpOutcome.NoAnswer(reason) else HttpOutcome.NotSent(reason)
+    private fun failureOf(sent: Boolean, reason: String, isTimeout: Boolean): HttpOutcome =
+        if (sent) {
+            HttpOutcome.NoAnswer(reason, isTimeout = isTimeout)
+        } else {
+            HttpOutcome.NotSent(reason, isTimeout)
+        }
 
     private fun optionsOf(call: HttpCall): RequestOptions {
         val target = checkNotNull(call.target ?: defaultTarget) { "no target for ${call.path}" }
--- a/ports/src/main/kotlin/cactusfold/ports/serving/UpstreamEntry.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/UpstreamEntry.kt
@@ -100,6 +100,23 @@
     public data class Unknown(public val reason: String) : OrderReply
 }
 
+/** The result of asking a runner for its report. */
+public sealed interface ReportReply {
+    /** The report; null if there is none. */
+    public val reportOrNull: RunnerReport? get() = null
+
+    /** The report of this incarnation of the runner. */
+    public data class Read(public val report: RunnerReport) : ReportReply {
+        override val reportOrNull: RunnerReport get() = report
+    }
+
+    /** The runner sent nothing in time, which a sound one may do for a second. */
+    public data object Silent : ReportReply
+
+    /** The runner cannot be reached, or its answer is no report of this incarnation. */
+    public data class Failed(public val reason: String) : ReportReply
+}
+
 /** Sends orders to runners and reads their reports. */
 public interface RunnerApi {
     /**
@@ -118,6 +135,6 @@
         isLeaseHeld: () -> Boolean
     ): OrderReply
 
-    /** Returns the report of [runner], or null if this incarnation of it did not respond. */
-    public suspend fun report(runner: UpstreamEntry): RunnerReport?
+    /** Asks [runner] for its report. */
+    public suspend fun report(runner: UpstreamEntry): ReportReply
 }
