Requests resume after the pass that gives them a place

Cause: PlaceQueue.check completed the requests that got a place before the list had its new state. A request that asked for the next place at once began a second pass over the old state. A request that had been refused, and had not left yet, could also take a place that nobody gave back.

Change: a pass decides, and completes the requests when the list has its new state; a request with a result gets no place.

--- a/entry/src/main/kotlin/cactusfold/entry/queueing/PlaceQueue.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/queueing/PlaceQueue.kt
@@ -69,6 +69,9 @@
 ) {
     private class Waiter(val request: WaitingRequest, val need: PlaceNeed) {
         val result = CompletableDeferred<PlaceResult>()
+
+        /** What the pass that is under way has decided. */
+        var decided: PlaceResult? = null
     }
 
     /** What is asked for by group, since requests last began to wait. */
@@ -112,31 +115,41 @@
         val nowMillis = clock.nowMillis()
         refuse(list.expire(state, nowMillis).also { state = it.state }.effects)
         val full = HashSet<Any>()
+        val decided = mutableListOf<Waiter>()
         val dispatched = list.dispatch(state, nowMillis) { request ->
             val waiter = waiters.getValue(request.id)
             when {
                 waiter.need.group in full -> Room.SEPARATE
-                place(waiter) -> Room.FREE
+                place(waiter) -> Room.FREE.also { decided += waiter }
                 else -> Room.SEPARATE.also { full += waiter.need.group }
             }
         }
         state = dispatched.state
         arm(nowMillis)
+        // A request may resume at once and ask for a place again, which begins another pass.
+        decided.forEach { waiter -> waiter.decided?.let(waiter.result::complete) }
     }
 
     /** Whether [upstream] has a place that was not given to a request that has yet to resume. */
     public fun hasPlace(upstream: Upstream): Boolean =
         upstream.inFlight + (given[upstream] ?: 0) < upstream.entry.slots
 
+    /** Decides whether [waiter] gets a place, or has other candidates; returns false if not yet. */
     private fun place(waiter: Waiter): Boolean {
+        if (waiter.result.isCompleted) return false
         val candidates = waiter.need.candidates()
         if (candidates.isEmpty()) {
-            return waiter.need.needsModel && waiter.result.complete(PlaceResult.Changed)
+            if (waiter.need.needsModel) waiter.decided = PlaceResult.Changed
+            return waiter.need.needsModel
         }
         val chosen = waiter.need.choose(candidates, ::hasPlace) ?: return false
-        if (isLimited(chosen)) return waiter.result.complete(PlaceResult.Limited(chosen))
-        given.merge(chosen, 1, Int::plus)
-        return waiter.result.complete(PlaceResult.Free(chosen))
+        if (isLimited(chosen)) {
+            waiter.decided = PlaceResult.Limited(chosen)
+        } else {
+            given.merge(chosen, 1, Int::plus)
+            waiter.decided = PlaceResult.Free(chosen)
+        }
+        return true
     }
 
     /** Returns why [waiter] cannot be served in time; null if it may wait. */
--- a/entry/src/test/kotlin/cactusfold/entry/queueing/PlaceQueueTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/queueing/PlaceQueueTest.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.queueing
 
 import cactusfold.decisions.queue.WaitingRequest
+import cactusfold.entry.idle.VirtualTime
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.upstream.FakeFeed
 import cactusfold.entry.upstream.Upstream
@@ -11,10 +12,17 @@
 import io.vertx.core.MultiMap
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
+import kotlin.coroutines.CoroutineContext
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.InternalCoroutinesApi
+import kotlinx.coroutines.Runnable
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.currentCoroutineContext
@@ -26,6 +34,7 @@
 import org.junit.jupiter.api.Test
 
 /** Requests that compete for the places of one runner at one VM. */
+@OptIn(InternalCoroutinesApi::class)
 class PlaceQueueTest {
     private val clock = MonotonicClock.SYSTEM
     private val feed = FakeFeed()
@@ -36,28 +45,32 @@
     private val served = mutableListOf<String>()
 
     /** Runs [test] with a runner that has [SLOTS] places, of which [busy] are taken. */
-    private fun withRunner(busy: Int, test: suspend CoroutineScope.(PlaceQueue, Upstream) -> Unit) =
-        runBlocking {
-            val row = JsonObject().put(
-                "service",
-                "s"
-            ).put("address", "127.0.0.1:1").put("zone", "z")
-                .put("version", "v1").put("slots", SLOTS).put("state", "ready").put("warmup-ms", 0)
-                .put("seq", 1).put("born", 1L).put("models", JsonArray())
-            feed.put("u", row.toBuffer().bytes)
-            val queue = PlaceQueue(directory, clock, this) { false }
-            launch { directory.run() }
-            val runner = withTimeout(TIMEOUT_MILLIS) {
-                while (directory.find("u") == null) delay(1)
-                directory.find("u")!!
-            }
-            repeat(busy) { runner.requestStarted(null) }
-            withTimeout(TIMEOUT_MILLIS) {
-                test(queue, runner)
-                currentCoroutineContext().cancelChildren()
-            }
+    private fun withRunner(
+        busy: Int,
+        queueClock: MonotonicClock = clock,
+        queueScope: CoroutineScope? = null,
+        test: suspend CoroutineScope.(PlaceQueue, Upstream) -> Unit
+    ) = runBlocking {
+        val row = JsonObject().put(
+            "service",
+            "s"
+        ).put("address", "127.0.0.1:1").put("zone", "z")
+            .put("version", "v1").put("slots", SLOTS).put("state", "ready").put("warmup-ms", 0)
+            .put("seq", 1).put("born", 1L).put("models", JsonArray())
+        feed.put("u", row.toBuffer().bytes)
+        val queue = PlaceQueue(directory, queueClock, queueScope ?: this) { false }
+        launch { directory.run() }
+        val runner = withTimeout(TIMEOUT_MILLIS) {
+            while (directory.find("u") == null) delay(1)
+            directory.find("u")!!
+        }
+        repeat(busy) { runner.requestStarted(null) }
+        withTimeout(TIMEOUT_MILLIS) {
+            test(queue, runner)
             currentCoroutineContext().cancelChildren()
         }
+        currentCoroutineContext().cancelChildren()
+    }
 
     private fun need(runner: Upstream, serviceMillis: Long = 0) = PlaceNeed(
         group = "m",
@@ -133,6 +146,47 @@
             }
     }
 
+    @Nested
+    inner class Resumption {
+        // Guards against a pass that a request begins within the pass that gives it a place: the
+        // list that the outer pass has read holds requests that were given a place already.
+        @Test
+        fun `a request that was given a place may ask for the next one at once`() {
+            val time = VirtualTime()
+            val inline = object : CoroutineDispatcher(), Delay by time {
+                override fun dispatch(context: CoroutineContext, block: Runnable) = block.run()
+            }
+            val failures = mutableListOf<Throwable>()
+            val scope = CoroutineScope(
+                inline + SupervisorJob() + CoroutineExceptionHandler { _, e -> failures += e }
+            )
+            withRunner(busy = SLOTS, queueClock = time, queueScope = scope) { queue, runner ->
+                repeat(CALLERS) { caller ->
+                    scope.launch {
+                        repeat(CALLS) {
+                            val request = WaitingRequest(
+                                "r$caller-$it",
+                                "",
+                                1.0,
+                                deadlineMillis = 10_000,
+                                costTokens = 1
+                            )
+                            assertIs<PlaceResult.Free>(queue.await(request, need(runner)))
+                            served += request.id
+                        }
+                    }
+                }
+                repeat(SLOTS) { runner.requestEnded(null) }
+                queue.check()
+                time.advance(1_000)
+                assertEquals(emptyList(), failures)
+                assertEquals(CALLERS * CALLS, served.size)
+                assertEquals(0, queue.count)
+                assertTrue(queue.hasPlace(runner))
+            }
+        }
+    }
+
     @Nested
     inner class Refusals {
         // Guards against callers who wait for long and are refused then.
@@ -170,6 +224,8 @@
     private companion object {
         val FACTS = WireHeaders.call(MultiMap.caseInsensitiveMultiMap())
         const val SLOTS = 4
+        const val CALLERS = 8
+        const val CALLS = 5
         const val SHORT_MILLIS = 50L
         const val TIMEOUT_MILLIS = 5_000L
     }
