--- a/review/standin/Entry.java
+++ b/review/standin/Entry.java
@@ -16,6 +16,9 @@
   final String address;
   final int callersPort;
   final int readyPort;
+  private static final int INNER_PORTS = 4;
+  private static final int ATTEMPTS = 50;
+  private static final int LAST_PORT = 65_535;
   private final Path settings;
   private final Path log;
   private final List<String> command = new ArrayList<>();
@@ -32,14 +35,16 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     settings = folder.resolve(name + ".ini");
     log = folder.resolve(name + ".log");
+    int firstPort = freePorts(address, INNER_PORTS);
     Map<String, String> values = new HashMap<>();
     values.put("node", name);
     values.put("ip", address);
     values.put("zone", zone);
     values.put("limits.cpu-share", "0.51");
     values.put("limits.cores", "1");
-    values.put("port-range.0", "" + freePort(address));
-    values.put("port-range.1", "" + freePort(address));
+    values.put("limits.max-fds", "2118");
+    values.put("port-range.0", "" + firstPort);
+    values.put("port-range.1", "" + (firstPort + INNER_PORTS - 1));
     values.put("listen.front", address + ":" + callersPort);
     values.put("listen.ready", address + ":" + readyPort);
     values.put("platform.address", "127.0.0.1:" + storePort);
@@ -53,17 +58,54 @@
     values.put("bounds.quota-overage", "0.1");
     values.put("bounds.quota-slack", "11000");
     values.put("bounds.ceiling-window-s", "5");
-    String text = Files.readString(Path.of("platform/entry.ini"));
-    for (Map.Entry<String, String> value : values.entrySet()) {
-      text = text.replace("{{" + value.getKey() + "}}", value.getValue());
-    }
-    Files.writeString(settings, text);
+    // Bounds that the deployments of the cases do not have.
+    values.put("bounds.cold-overage", "");
+    values.put("bounds.cold-slack", "");
+    values.put("bounds.evacuate-ms", "");
+    String template = Files.readString(Path.of("platform/entry.ini"));
+    Files.writeString(settings, Template.fill(template, values, Map.of("zones", Map.of(zone, "r"))));
     for (String line : Files.readAllLines(Path.of("deploy/system.toml"))) {
       if (!line.startsWith("run = ")) continue;
       String run = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
       for (String word : run.split(" ")) {
-        command.add(word.equals("/etc/cactusfold/settings.toml") ? settings.toString() : word);
+        command.add(switch (word) {
+          case "/etc/cactusfold/settings.toml" -> settings.toString();
+          // Another build than that of the deploy file, which has no archive of classes.
+          case "target/entry/entry.jar" -> System.getProperty("review.classpath", word);
+          default -> word;
+        });
+      }
+    }
+  }
+
+  /** Returns the first of [count] free ports in a row. */
+  private static int freePorts(String address, int count) throws IOException {
+    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+      int first = freePort(address);
+      if (first + count <= LAST_PORT && areFree(address, first, count)) return first;
+    }
+    throw new IOException("no " + count + " free ports in a row at " + address);
+  }
+
+  private static boolean areFree(String address, int first, int count) {
+    List<ServerSocket> sockets = new ArrayList<>();
+    try {
+      for (int port = first; port < first + count; port++) {
+        sockets.add(new ServerSocket(port, 1, InetAddress.getByName(address)));
       }
+      return true;
+    } catch (IOException e) {
+      return false;
+    } finally {
+      for (ServerSocket socket : sockets) release(socket);
+    }
+  }
+
+  private static void release(ServerSocket socket) {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
     }
   }
 
