PausedProcessTest: the process has answered before it stands still

Traced by the log: the fifth and sixth of 40 requests that arrived at once were refused for a forecast made from a single answer, the 102 ms of a process that had just started; the following ones waited up to 245 ms and got their answers. The test is about the time limit of bodies, which none of them met.

Change: 20 requests are answered before the pause, so that the forecast has answers to go by. What the test asserts is the same.

--- a/entry/src/test/kotlin/cactusfold/entry/soak/PausedProcessTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/soak/PausedProcessTest.kt
@@ -4,6 +4,7 @@
 import cactusfold.platform.standin.BodyFraming
 import cactusfold.platform.standin.CallEnd
 import cactusfold.platform.standin.CallerConnection
+import cactusfold.platform.standin.CallerStandin
 import cactusfold.platform.standin.RawRequest
 import io.vertx.core.json.JsonObject
 import kotlin.test.assertEquals
@@ -20,6 +21,10 @@
             platform.operator.configure(1, listOf("key-1"))
             EntryJvm("paused", "first", platform.store.port, STOP_MILLIS).use { entry ->
                 entry.awaitServing()
+                // Waits are forecast from answers, of which a process that has just started knows
+                // a single slow one.
+                val caller = CallerStandin(entry.callersPort)
+                repeat(ANSWERS) { assertEquals(OK_STATUS, caller.call("/look/x").statusCode()) }
                 val ends = sendThroughPause(entry)
                 assertEquals(mapOf(OK to REQUESTS, SILENT to 1), ends)
             }
@@ -55,6 +60,8 @@
         const val OK = "200 whole answer of i-1"
         const val SILENT = "408 body-timed-out"
         const val STOP_MILLIS = 8_000L
+        const val OK_STATUS = 200
+        const val ANSWERS = 20
         const val REQUESTS = 40
         const val IDLE_MILLIS = 1_000
 
