Callers that half-close get their answers

A caller that ended its output after a whole request got no byte, though an upstream had run it. The server took the end of input for that of the connection and cancelled the requests on it.

The connection now stays open after the end of input while requests are in progress, and its caller is probed: with 100 Continue before an answer, with a comment in a stream. The system of a caller that has left answers with a reset, so that the next probe fails, the connection closes and the work ends as before. HTTP/1.0 has no interim answers; there the request is refused, as not run where that is sure.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
@@ -32,9 +32,13 @@
     private val open = OpenConnections<String, HttpConnection>(maxCount)
     private val activity = Channel<Unit>(Channel.CONFLATED)
     private val excess = Channel<Unit>(Channel.CONFLATED)
+    private val endedInputs = EndedInputs(clock, events)
 
     /** A request until its answer has been sent; [id] is null if the caller stated none. */
-    public class OpenRequest internal constructor(internal val id: String?) {
+    public class OpenRequest internal constructor(
+        internal val id: String?,
+        internal val caller: CallerPresence?
+    ) {
         /** Whether its answer is complete but for the sending. */
         internal var isAnswered = false
     }
@@ -42,8 +46,10 @@
     /** Why a connection is to be closed. */
     private enum class Expiry { IDLE, HEAD, REFUSED }
 
-    private inner class ConnectionState : HeadListener {
-        val requests = mutableSetOf<OpenRequest>()
+    private inner class ConnectionState(private val connection: HttpConnection) :
+        HeadListener,
+        EndedInput {
+        override val requests = mutableSetOf<OpenRequest>()
         var input: ConnectionInput? = null
         var idleSinceMillis = clock.nowMillis()
 
@@ -68,6 +74,18 @@
         override fun headEnded() {
             headSinceMillis = null
         }
+
+        override fun inputEnded() {
+            if (requests.isEmpty()) close() else endedInputs.add(this)
+        }
+
+        override val isOpen: Boolean get() = states[connection] === this
+
+        override val hasUnsent: Boolean get() = output.unsentBytes(connection) > 0
+
+        override fun close() {
+            connection.close()
+        }
     }
 
     /** Number of requests whose answers have not been sent completely. */
@@ -86,7 +104,7 @@
      * listener of heads that arrive in parts.
      */
     public fun opened(connection: HttpConnection, inputOf: (HeadListener) -> ConnectionInput) {
-        val state = ConnectionState()
+        val state = ConnectionState(connection)
         states[connection] = state
         val input = inputOf(state)
         state.input = input
@@ -106,9 +124,16 @@
         activity.trySend(Unit)
     }
 
-    /** Records that the request with [id] has begun on [connection]. */
-    public fun requestStarted(connection: HttpConnection, id: String?): OpenRequest {
-        val request = OpenRequest(id)
+    /**
+     * Records that the request with [id] has begun on [connection]; [caller] tells whether its
+     * caller is still there, and is null for a request that is answered at once.
+     */
+    public fun requestStarted(
+        connection: HttpConnection,
+        id: String?,
+        caller: CallerPresence? = null
+    ): OpenRequest {
+        val request = OpenRequest(id, caller)
         states[connection]?.let {
             it.requests += request
             it.input?.run { open.busy(address, connection) }
@@ -142,6 +167,7 @@
      */
     public suspend fun watch(): Unit = coroutineScope {
         launch { keepBound() }
+        launch { endedInputs.watch() }
         keepLimits()
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -48,6 +48,9 @@
     /** The body until it has been received completely. */
     private var unread: RequestBodyReader? = null
 
+    /** Whether the request ends because nothing tells whether its caller is still there. */
+    private var isGivenUp = false
+
     init {
         reply.resumesAfter(facts.lastEventId)
     }
@@ -68,6 +71,21 @@
         }
     }
 
+    /** Whether the body has been received completely. */
+    public val isWhole: Boolean get() = flow != null
+
+    /**
+     * Finds out whether the caller, who has ended its output, is still there. A connection whose
+     * caller has left is closed soon after. Returns false if the request is to be cancelled, which
+     * refuses it, since there is no way to find out.
+     */
+    public fun probe(): Boolean = reply.probe().also {
+        if (!it) {
+            isGivenUp = true
+            reply.closesAfter = true
+        }
+    }
+
     /** A caller that does not end a body that was refused would keep its connection without end. */
     private suspend fun dropRest(body: RequestBodyReader) {
         try {
@@ -110,7 +128,8 @@
         }
         when {
             reply.hasEnded -> recordEnd(leftOutcome())
-            dependencies.phase() == ServingPhase.ENDING -> finish(stoppedOutcome())
+            dependencies.phase() == ServingPhase.ENDING -> finish(endedOutcome(STOPPING))
+            isGivenUp -> finish(endedOutcome(HALF_CLOSED))
             else -> {
                 log.error("request {} was cancelled while its connection is open", facts.id)
                 reply.closesAfter = unread != null
@@ -177,10 +196,10 @@
         else -> RequestOutcome.Failed(ErrorAnswer.NotRun("timed-out", null))
     }
 
-    private fun stoppedOutcome(): RequestOutcome = when {
-        reply.hasBegun -> RequestOutcome.Aborted("stopping")
-        flow?.isUncertain == true -> RequestOutcome.Failed(ErrorAnswer.MayHaveRun("stopping"))
-        else -> RequestOutcome.Failed(STOPPING)
+    private fun endedOutcome(notRun: ErrorAnswer.NotRun): RequestOutcome = when {
+        reply.hasBegun -> RequestOutcome.Aborted(notRun.code)
+        flow?.isUncertain == true -> RequestOutcome.Failed(ErrorAnswer.MayHaveRun(notRun.code))
+        else -> RequestOutcome.Failed(notRun)
     }
 
     private fun failed(cause: Throwable): RequestOutcome {
@@ -279,6 +298,8 @@
         const val STOPPING_RETRY_AFTER_MILLIS = 100L
         val STOPPING = ErrorAnswer.NotRun(ErrorAnswer.STOPPING, STOPPING_RETRY_AFTER_MILLIS)
 
+        val HALF_CLOSED = ErrorAnswer.NotRun("half-closed", null)
+
         const val FULL_RETRY_AFTER_MILLIS = 200L
         val TAKEN_FULL = ErrorAnswer.NotRun(RequestPassing.FULL, FULL_RETRY_AFTER_MILLIS)
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerReply.kt
@@ -198,6 +198,20 @@
         if (closesAfter || closesConnection()) response.putHeader("Connection", "close")
     }
 
+    /**
+     * Writes what a caller skips that still waits for the answer. On the connection of a caller who
+     * has left, it brings a reset. Returns false if nothing can be written before the answer.
+     */
+    public fun probe(): Boolean {
+        when {
+            hasEnded -> Unit
+            hasBegun -> response.write(Buffer.buffer(COMMENT))
+            closeDelimited != null -> return false
+            else -> response.writeContinue()
+        }
+        return true
+    }
+
     /** Calls [action] when the response has been sent or failed; at once if there is none. */
     public fun whenSent(action: () -> Unit) {
         val future = sent ?: return action()
@@ -222,6 +236,8 @@
         val INSIDE_EVENT = StreamCheck.Unsound("the stream ended inside an event")
         val WITHOUT_EVENT = StreamCheck.Unsound("the stream ended without an event")
 
+        const val COMMENT = ":\n\n"
+
         /** An event holds some tokens; an event without end would take all memory. */
         const val MAX_EVENT_BYTES = 64 * 1024
     }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -137,17 +137,25 @@
             isLeaving || isEnding
         }
         val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis, passedBy)
-        val open = connections.requestStarted(connection, exchange.id)
+        val job = Job(requestsJob)
+        val presence = object : CallerPresence {
+            override val isWhole: Boolean get() = exchange.isWhole
+
+            override fun probe() {
+                if (!exchange.probe()) job.cancel(CancellationException("half-closed"))
+            }
+        }
+        val open = connections.requestStarted(connection, exchange.id, presence)
         val refuse = when {
             isEnding -> exchange::refuse
             passedBy != null && !taken.tryEnter(passedBy, running - 1) -> exchange::refuseFull
             else -> null
         }
         if (refuse != null) {
+            job.cancel()
             refuse()
             return answered(connection, open, reply)
         }
-        val job = Job(requestsJob)
         passedBy?.let { vm -> job.invokeOnCompletion { taken.leave(vm) } }
         job.invokeOnCompletion { answered(connection, open, reply) }
         response.closeHandler { job.cancel(CancellationException("caller disconnected")) }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/ConnectionInput.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/ConnectionInput.kt
@@ -15,11 +15,14 @@
     public fun refuseHead()
 }
 
-/** Is told of heads of which a part has arrived and the rest has not. */
+/** Is told of heads of which a part has arrived and the rest has not, and of the end of all input. */
 public interface HeadListener {
     /** The first bytes of a head have arrived. */
     public fun headBegan()
 
     /** The rest of the head has arrived, or it was refused for its size. */
     public fun headEnded()
+
+    /** The caller sends nothing more; it has left or only ended its output. */
+    public fun inputEnded()
 }
