Answers whose length is unclear are no answers

A runner's, peer's or store's answer with Content-Length and chunks, or with another coding than chunks, was taken as whole: another reader on the way may see its end elsewhere, and a body of an unknown coding held the sizes of its chunks.

The decoder keeps both headers now, and ResponseRules refuses such heads on all connections of KeptConnections: requests, peers, reports, store and orders.

An upstream's HTTP/1.0 answer with a list of lengths is still read by the first of them.

--- a/entry/src/test/kotlin/cactusfold/entry/path/AnswerFramingTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/AnswerFramingTest.kt
@@ -146,6 +146,27 @@
             assertStreamIsBroken(RawAnswer(AnswerFraming.CHUNKS, AnswerEnd.CLOSED_EARLY))
     }
 
+    @Nested
+    inner class UnclearLengths {
+        // Guards against a body whose end another reader on the way sees elsewhere.
+        @Test
+        fun `an answer with a length and chunks, or an unknown coding, is broken`() {
+            for (header in listOf("Content-Length: 5", "Transfer-Encoding: identity")) {
+                val connection = "close\r\n$header"
+                desk.rawAnswer =
+                    RawAnswer(AnswerFraming.CHUNKS, AnswerEnd.WHOLE, connection = connection)
+                repeat(CALLS) {
+                    // The runner gets nothing right after its failure.
+                    val received = EntryFixture.eventuallyNotNull("still full") {
+                        fixture.caller.call("/book/x").takeIf { it.body() != "all-full\n" }
+                    }
+                    val expected = 502 to "upstream-failed\n"
+                    assertEquals(expected, received.statusCode() to received.body(), header)
+                }
+            }
+        }
+    }
+
     @Nested
     inner class StreamsSilentBeforeTheirFirstEvent {
         private val silent =
--- a/ports/src/main/kotlin/cactusfold/ports/http/ResponseRules.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/ResponseRules.kt
@@ -1,5 +1,7 @@
 package cactusfold.ports.http
 
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
@@ -30,6 +32,7 @@
                 "the interim status ${status.code()} was not asked for"
             STATUS_LINE.containsMatchIn(status.reasonPhrase()) ->
                 "the reason phrase holds another status line"
+            isLengthUnclear(response) -> "the response states two lengths, or an unknown coding"
             names.size > 1 -> "the response names ${names.size} requests"
             else -> response.headers().asSequence()
                 .firstOrNull { STATUS_LINE.containsMatchIn(it.value) }
@@ -37,6 +40,14 @@
         }
     }
 
+    /** Whether readers may disagree about where the body of [response] ends. */
+    private fun isLengthUnclear(response: HttpResponse): Boolean {
+        val codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        if (codings.isEmpty()) return false
+        return response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) ||
+            !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.singleOrNull())
+    }
+
     /** Whether a connection that brought [response] may carry a further request. */
     internal fun allowsReuse(response: HttpResponse): Boolean {
         if (!isReused) return false
--- a/ports/src/main/kotlin/cactusfold/ports/http/StrictClientCodec.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/http/StrictClientCodec.kt
@@ -71,6 +71,10 @@
             return super.createMessage(initialLine)
         }
 
+        /** Keeps both headers for [ResponseRules.faultOf]. */
+        override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
+            Unit
+
         override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
             exchange.isHead || super.isContentAlwaysEmpty(message)
 
