Requests that can be read in two ways are refused

A POST with a length over all that follows and with chunks had the request that lay inside it run by an upstream; so had codings that are unknown, quoted, not last or in HTTP/1.0. Malformed chunks got no answer, and an ERROR line.

Cause: the decoder is lenient by default. It drops the length beside chunks, takes the first of several lengths in HTTP/1.0, gives keys of an old WebSocket draft a body of eight bytes and an unknown coding none, joins folded lines, and skips control characters before a head. A malformed chunk closed the connection under its request.

On all four ports, HeadCheck decides over the decoded head and HeadLines over its bytes. A refused head is answered behind the requests before it with 400 or 501 and Connection: close, as late heads were; heads that the decoder can't read or that are too large now take the same way, counted and logged by reason. A malformed body ends its request with 400 before anything is sent on. Nothing behind either is read; the connection is closed 0.5 to 1 s later.

Not measured: the time of a plain call before and after.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -391,6 +391,7 @@
         events,
         ConfiguredLimits { table?.config?.limits },
         settings.connections.statusCount,
+        WireHeaders,
         meters::recordClosed,
         ::unreadyReason
     )
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
@@ -50,7 +50,7 @@
         /** When the first byte of the head that is arriving came; null for none. */
         var headSinceMillis: Long? = null
 
-        /** Whether a head was refused, after which the connection takes no further request. */
+        /** Whether input was refused, after which the connection takes no further request. */
         var isRefused = false
 
         /** Bytes that were unsent at the last check, and since when none of them has been sent. */
@@ -68,6 +68,12 @@
         override fun headEnded() {
             headSinceMillis = null
         }
+
+        override fun refused(reason: String) {
+            closes(reason, idleSinceMillis)
+            isRefused = true
+            activity.trySend(Unit)
+        }
     }
 
     /** Number of requests whose answers have not been sent completely. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -137,6 +137,10 @@
         val body = when (val received = receive()) {
             is ReceivedBody.Complete -> received.body.also { unread = null }
             ReceivedBody.TooLarge -> return RequestOutcome.Failed(BODY_TOO_LARGE)
+            is ReceivedBody.Refused -> {
+                unread = null
+                return RequestOutcome.Failed(received.refusal.answer)
+            }
             ReceivedBody.NoMemory -> return RequestOutcome.Failed(NO_MEMORY)
             ReceivedBody.TimedOut -> {
                 reply.closesAfter = true
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerListener.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerListener.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.ports.serving.HeaderTranslator
 import cactusfold.settings.schema.HostPort
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpConnection
@@ -12,16 +13,19 @@
 internal class CallerListener(
     private val vertx: Vertx,
     private val connections: CallerConnections,
-    private val limits: ConnectionLimits
+    private val limits: ConnectionLimits,
+    translator: HeaderTranslator
 ) {
+    private val check = HeadCheck(translator.singleHeaders)
+
     /**
-     * Listens on [address]. A head that is not complete in its time comes to [refuseHead] as a
-     * request, which has to be answered; all other requests come to [handler].
+     * Listens on [address]. A head that is late or refused for what it says comes to [refuseHead]
+     * as a request, which has to be answered; all other requests come to [handler].
      */
     suspend fun listen(
         address: HostPort,
         options: HttpServerOptions = HttpServerOptions(),
-        refuseHead: (HttpServerRequest) -> Unit,
+        refuseHead: (HttpServerRequest, InputRefusal) -> Unit,
         handler: (HttpServerRequest) -> Unit
     ): HttpServer {
         // The decoder limits each head as configured; Vert.x would keep the limits of the start.
@@ -32,7 +36,8 @@
         return vertx.createHttpServer(options)
             .connectionHandler { opened(it, options) }
             .requestHandler {
-                if (it.decoderResult() === TimedOutHead) refuseHead(it) else handler(it)
+                val result = it.decoderResult()
+                if (result is RefusedInput.Head) refuseHead(it, result.refusal) else handler(it)
             }
             .listen(address.port, address.host)
             .coAwait()
@@ -40,7 +45,7 @@
 
     private fun opened(connection: HttpConnection, options: HttpServerOptions) {
         connections.opened(connection) { heads ->
-            VertxConnectionInput.of(connection, options, limits::headMaxBytes, heads)
+            VertxConnectionInput.of(connection, options, limits::headMaxBytes, heads, check)
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerServer.kt
@@ -83,7 +83,7 @@
             .setAcceptBacklog(ACCEPT_BACKLOG_CONNECTIONS)
             .setHandle100ContinueAutomatically(true)
         sendBufferBytes?.let(options::setSendBufferSize)
-        val listener = CallerListener(vertx, connections, limits)
+        val listener = CallerListener(vertx, connections, limits, flow.translator)
         servers = listOf(
             listener.listen(passingAddress, options, ::refuseHead) {
                 accept(it, flow.translator.passedBy(it.headers()) ?: UNNAMED_PEER)
@@ -134,7 +134,7 @@
             streamOf(connection),
             isToPeer = passedBy != null
         ) {
-            isLeaving || isEnding
+            isLeaving || isEnding || request.decoderResult() is RefusedInput
         }
         val exchange = CallerExchange(exchanges, request, reply, arrivedAtMillis, passedBy)
         val open = connections.requestStarted(connection, exchange.id)
@@ -170,8 +170,8 @@
         reply.whenSent { connections.requestEnded(connection, open) }
     }
 
-    /** Answers [request], in whose place a head began that was not complete in its time. */
-    private fun refuseHead(request: HttpServerRequest) {
+    /** Answers [request], in whose place a head arrived that is refused. */
+    private fun refuseHead(request: HttpServerRequest, refusal: InputRefusal) {
         val connection = request.connection()
         val open = connections.requestStarted(connection, id = null)
         val reply = CallerReply(
@@ -180,7 +180,7 @@
             flow.clock,
             held = streamOf(connection)
         ) { true }
-        reply.sendError(id = null, HEAD_TIMED_OUT)
+        reply.sendError(id = null, refusal.answer)
         answered(connection, open, reply)
     }
 
@@ -199,7 +199,5 @@
 
         /** Many times as long as the event loop takes to read what has arrived. */
         const val LAST_READ_MILLIS = 50L
-
-        val HEAD_TIMED_OUT = ErrorAnswer.Rejected(408, "head-timed-out")
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/ConnectionInput.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/ConnectionInput.kt
@@ -9,7 +9,7 @@
     public val isReading: Boolean
 
     /**
-     * Ends the head that is arriving: a request with the result [TimedOutHead] takes its place
+     * Ends the head that is arriving: a request with the result [RefusedInput.Head] takes its place
      * behind the earlier ones, and nothing that follows on the connection is read as a request.
      */
     public fun refuseHead()
@@ -22,4 +22,7 @@
 
     /** The rest of the head has arrived, or it was refused for its size. */
     public fun headEnded()
+
+    /** A head or a body was refused for [reason]; nothing behind it is read as a request. */
+    public fun refused(reason: String)
 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestBodyReader.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestBodyReader.kt
@@ -14,6 +14,9 @@
     /** The body exceeds the limit. */
     data object TooLarge : ReceivedBody
 
+    /** The body is not whole, although nothing more of it comes. */
+    class Refused(val refusal: InputRefusal) : ReceivedBody
+
     /** The bodies of other requests leave no memory for this one. */
     data object NoMemory : ReceivedBody
 
@@ -54,7 +57,7 @@
         var taken = announced.toInt()
         while (true) {
             val received = next() ?: return ReceivedBody.TimedOut
-            val chunk = received.chunk ?: return ReceivedBody.Complete(body)
+            val chunk = received.chunk ?: return ended(body)
             val length = body.length() + chunk.length()
             if (length > bounds.maxBytes()) return ReceivedBody.TooLarge
             if (length > taken) {
@@ -65,6 +68,11 @@
         }
     }
 
+    private fun ended(body: Buffer): ReceivedBody = when (val result = request.decoderResult()) {
+        is RefusedInput -> ReceivedBody.Refused(result.refusal)
+        else -> ReceivedBody.Complete(body)
+    }
+
     /** Drops the rest of a body that was refused; returns whether it ended within the bounds. */
     suspend fun dropRest(): Boolean {
         while (!isTimedOut) {
--- a/entry/src/main/kotlin/cactusfold/entry/callers/VertxConnectionInput.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/VertxConnectionInput.kt
@@ -17,17 +17,19 @@
 
     companion object {
         /**
-         * Has heads that arrive on [connection] be limited to [maxHeadBytes] and told to [heads].
+         * Has heads that arrive on [connection] be limited to [maxHeadBytes], told to [heads], and
+         * refused by [check].
          * To be called before anything is read from it.
          */
         fun of(
             connection: HttpConnection,
             options: HttpServerOptions,
             maxHeadBytes: () -> Int,
-            heads: HeadListener
+            heads: HeadListener,
+            check: HeadCheck
         ): ConnectionInput {
             val channel = (connection as ConnectionBase).channel()
-            val decoder = CallerHeadDecoder(options, maxHeadBytes, heads)
+            val decoder = CallerHeadDecoder(options, maxHeadBytes, heads, check)
             channel.pipeline().replace(DECODER, DECODER, decoder)
             val address = connection.remoteAddress()?.host().orEmpty()
             return VertxConnectionInput(address, channel, decoder)
--- a/entry/src/main/kotlin/cactusfold/entry/process/StatusServer.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/process/StatusServer.kt
@@ -3,8 +3,10 @@
 import cactusfold.entry.callers.CallerConnections
 import cactusfold.entry.callers.CallerListener
 import cactusfold.entry.callers.ConnectionLimits
+import cactusfold.entry.callers.InputRefusal
 import cactusfold.entry.callers.VertxConnectionOutput
 import cactusfold.node.time.MonotonicClock
+import cactusfold.ports.serving.HeaderTranslator
 import cactusfold.settings.schema.HostPort
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Future
@@ -24,6 +26,7 @@
     events: EventLog,
     private val limits: ConnectionLimits,
     maxConnections: Int,
+    private val translator: HeaderTranslator,
     recordClosed: (reason: String) -> Unit,
     private val unreadyReason: () -> String?
 ) {
@@ -41,7 +44,7 @@
 
     /** Starts serving readiness checks on [ready] and metrics on [metricsAddress]. */
     public suspend fun start(ready: HostPort, metricsAddress: HostPort) {
-        val listener = CallerListener(vertx, connections, limits)
+        val listener = CallerListener(vertx, connections, limits, translator)
         listener.listen(ready, refuseHead = ::refuseHead) { answer(it, ::ready) }
         listener.listen(metricsAddress, refuseHead = ::refuseHead) { answer(it, ::metrics) }
     }
@@ -65,13 +68,14 @@
     private fun metrics(response: HttpServerResponse): Future<Void> =
         response.putHeader("content-type", METRICS_TYPE).end(metrics.scrape())
 
-    private fun refuseHead(request: HttpServerRequest): Unit = answer(request) {
-        it.setStatusCode(REQUEST_TIMEOUT).putHeader("Connection", "close").end("head-timed-out\n")
-    }
+    private fun refuseHead(request: HttpServerRequest, refusal: InputRefusal): Unit =
+        answer(request) {
+            it.setStatusCode(refusal.status).putHeader("Connection", "close")
+                .end("${refusal.code}\n")
+        }
 
     private companion object {
         const val UNAVAILABLE = 503
-        const val REQUEST_TIMEOUT = 408
         const val METRICS_TYPE = "text/plain; version=0.0.4"
     }
 }
--- a/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/HeaderTranslator.kt
@@ -114,6 +114,9 @@
      */
     public val passRefusalHeader: String
 
+    /** Headers that identify or authorise a caller's request, which may have one value each. */
+    public val singleHeaders: Set<String>
+
     /**
      * Returns the headers of a caller's request to pass it on to a peer, which has
      * [requestTimeoutMillis] for it; [vm] is the VM that passes it on.
