--- a/entry/src/main/kotlin/cactusfold/entry/callers/VertxConnectionInput.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/VertxConnectionInput.kt
@@ -21,7 +21,8 @@
 
     companion object {
         /**
-         * Has heads that arrive on [connection] be limited to [maxHeadBytes] and told to [heads].
+         * Has heads that arrive on [connection] be limited to [maxHeadBytes], told to [heads], and
+         * refused by [check].
          * The end of the input doesn't close the connection any more.
          * To be called before anything is read from it.
          */
@@ -29,10 +30,11 @@
             connection: HttpConnection,
             options: HttpServerOptions,
             maxHeadBytes: () -> Int,
-            heads: HeadListener
+            heads: HeadListener,
+            check: HeadCheck
         ): ConnectionInput {
             val channel = (connection as ConnectionBase).channel()
-            val decoder = CallerHeadDecoder(options, maxHeadBytes, heads)
+            val decoder = CallerHeadDecoder(options, maxHeadBytes, heads, check)
             channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
             channel.pipeline().replace(DECODER, DECODER, decoder)
             channel.pipeline().addAfter(DECODER, INPUT_END, InputEndHandler(heads))
