--- a/entry/src/test/kotlin/cactusfold/entry/fuzz/FuzzCaller.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/fuzz/FuzzCaller.kt
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
 
-/** What a caller got on its connection: [text] until its [end], [afterMillis] after the last byte. */
+/** What a caller got: [text] until the [end] of its connection, [afterMillis] after it had sent. */
 internal class Received(val text: String, val end: End, val afterMillis: Long) {
     enum class End { CLOSED, RESET, OPEN }
 }
--- a/entry/src/test/kotlin/cactusfold/entry/fuzz/FuzzCheck.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/fuzz/FuzzCheck.kt
@@ -11,7 +11,7 @@
 /** A request that an upstream ran. */
 internal data class RunRequest(val method: String, val target: String, val body: String)
 
-/** Compares what a caller got, and what upstreams [ran] by its ids, with the reading of a script. */
+/** Compares what a caller got, and what upstreams [ran] by id, with the reading of a script. */
 internal class FuzzCheck(
     private val script: CallerScript,
     private val received: Received,
--- a/entry/src/test/kotlin/cactusfold/entry/fuzz/ReferenceReading.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/fuzz/ReferenceReading.kt
@@ -39,9 +39,9 @@
 /**
  * Reads requests by the letter of RFC 9112: 2.2 and 5 (lines and fields), 3.2 (Host), 6.1 and 6.3
  * (length of a body) and 7.1 (chunks). Where it permits a choice between repair and refusal, this
- * reading refuses: a length beside a coding, folded lines, equal lengths, line ends without CR other
- * than those of empty lines before a request. It
- * also refuses two values of a header that identifies a request.
+ * reading refuses: a length beside a coding, folded lines, equal lengths, line ends without CR
+ * other than those of empty lines before a request. It also refuses two values of a header that
+ * identifies a request.
  */
 internal class ReferenceReading private constructor(private val text: String) {
     private var position = 0
