--- a/entry/src/test/kotlin/cactusfold/entry/fuzz/RequestDraft.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/fuzz/RequestDraft.kt
@@ -14,6 +14,8 @@
         "${HeaderNames.DEADLINE_MS}: 4000"
     )
 
+    val isHosted: Boolean get() = fields.any { it.startsWith("Host:") }
+
     /** The body as it is sent. */
     var framed = ""
 
