A process that stops passes on what it does not serve itself

Callers saw 503 "stopping" on kept connections from 2.4 s after SIGTERM on, and at the end of the drain for what still waited for a model, a place or a token, though peers served. Cause: a process passed on only what belongs to a service that it does not reach.

From the moment at which it takes nothing more, a stopping process has peers serve what arrives, and offers them once what waits and has more time than the process. Answers have to be back at the end of the drain: that is the peer's deadline, and what does not fit by the average time of its route (by the target, if unknown or not to be run again) is refused at once. What a peer passed on is never passed on again; a peer that stops, is full or cannot be reached did not run it. Without a peer all is as before.

--- a/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/EntryProcess.kt
@@ -330,6 +330,7 @@
         { table },
         WireHeaders,
         clock,
+        queues.times,
         events,
         metrics
     )
@@ -510,9 +511,12 @@
         callers.isLeaving = true
         scope.launch { lease.release() }
         val refusesFromMillis = beganMillis + ShutdownBudget.acceptMillis(bounds.stopMillis)
+        val drainMillis = ShutdownBudget.drainMillis(bounds.stopMillis)
+        passing.handover.announce(beganMillis + drainMillis)
+        passing.peers.prepare()
         callers.refuseFrom(refusesFromMillis)
         delay(refusesFromMillis - clock.nowMillis())
-        val drainMillis = ShutdownBudget.drainMillis(bounds.stopMillis)
+        passing.handover.begin()
         while (callers.running > 0 && clock.nowMillis() - beganMillis < drainMillis) {
             delay(DRAIN_CHECK_INTERVAL_MILLIS)
         }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -143,7 +143,8 @@
                 return RequestOutcome.Failed(BODY_TIMED_OUT)
             }
         }
-        if (dependencies.phase() != ServingPhase.OPEN) return RequestOutcome.Failed(STOPPING)
+        val phase = dependencies.phase()
+        if (phase == ServingPhase.ENDING) return RequestOutcome.Failed(STOPPING)
         val read = CallerRequest(
             request.method(),
             request.uri(),
@@ -157,7 +158,13 @@
         )
         val flow = RequestFlow(dependencies.flow, read, reply).also { flow = it }
         val leftMillis = deadlineMillis() - dependencies.flow.clock.nowMillis()
-        return withTimeoutOrNull(leftMillis) { flow.serve() } ?: timeoutOutcome(flow)
+        return withTimeoutOrNull(leftMillis) {
+            if (phase == ServingPhase.OPEN) {
+                flow.serve()
+            } else {
+                flow.passOn() ?: RequestOutcome.Failed(STOPPING)
+            }
+        } ?: timeoutOutcome(flow)
     }
 
     /** When the time limit of the request ends, as the configuration in force has it. */
--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -25,7 +25,9 @@
     private val reply: CallerReply
 ) {
     private val admission = RequestAdmission(dependencies, request)
-    private val passing = RequestPassing(dependencies.passing, request, reply)
+    private val passing = RequestPassing(dependencies.passing, request, reply) {
+        mayHaveRun || reply.hasBegun
+    }
     private var runs = 0
     private var sends = 0
     private var mayHaveRun = false
@@ -35,19 +37,31 @@
     public val isUncertain: Boolean get() = mayHaveRun || passing.isUncertain
 
     /** Processes the request; cancellation also cancels the send in progress. */
-    public suspend fun serve(): RequestOutcome = serveThroughPeer()
-        ?: when (val admitted = admission.admit()) {
-            is AdmissionDecision.Refused -> fail(admitted.answer)
-            is AdmissionDecision.Admitted -> send(admitted)
+    public suspend fun serve(): RequestOutcome {
+        throughPeer(passing::serveIfCut)?.let { return it }
+        val decision = passing.unlessHandedOver(findRoute()) { admission.admit() }
+            ?: throughPeer(passing::serveIfCutShort)?.let { return it }
+            ?: admission.admit()
+        return when (decision) {
+            is AdmissionDecision.Refused -> fail(decision.answer)
+            is AdmissionDecision.Admitted -> send(decision)
         }
+    }
+
+    /** Serves a request that this process, which stops, does not take; null if no peer does. */
+    public suspend fun passOn(): RequestOutcome? = throughPeer(passing::serveAtStop)
 
-    /** Serves a request whose service is not reached; the peer admits it and spends its tokens. */
-    private suspend fun serveThroughPeer(): RequestOutcome? {
-        val route = dependencies.table()?.route(request.host, request.path)
+    /** Serves a request through a peer, which admits it and spends its tokens. */
+    private suspend fun throughPeer(
+        serve: suspend (ServingRoute, service: String) -> RequestOutcome?
+    ): RequestOutcome? {
+        val route = findRoute()
         if (route == null || request.facts.id == null) return null
-        return passing.serveIfCut(route, selectService(route, request.facts))
+        return serve(route, selectService(route, request.facts))
     }
 
+    private fun findRoute(): ServingRoute? = dependencies.table()?.route(request.host, request.path)
+
     private fun fail(answer: ErrorAnswer): RequestOutcome = RequestOutcome.Failed(answer)
 
     private suspend fun send(admitted: AdmissionDecision.Admitted): RequestOutcome {
@@ -76,13 +90,22 @@
         var last: SendEnd? = null
         val times = admission.timesOf(admitted)
         val selection =
-            UpstreamSelection(dependencies, request, route, placement, times, deadlineAtMillis)
+            UpstreamSelection(
+                dependencies,
+                request,
+                route,
+                placement,
+                passing,
+                times,
+                deadlineAtMillis
+            )
         val versions = VersionWait(dependencies, route.targetMillis, deadlineAtMillis)
         val patience = ModelPatience(dependencies, request, route, deadlineAtMillis, priority)
         while (true) {
             if (suspicion.isRefused) return refuse("crashes-upstreams", null)
             if (!mayHaveRun && !reply.hasBegun) {
                 passing.serveIfCut(route, placement.service)?.let { return it }
+                passing.serveIfCutShort(route, placement.service)?.let { return it }
             }
             val candidates = placement.candidates()
             if (candidates.isEmpty()) placement.homeRefusal()?.let { return failOrAbort(it) }
@@ -91,8 +114,11 @@
             }
             val isUnrecorded = !placement.isBound && placement.hasOthers()
             if (candidates.isEmpty() && model != null && !isUnrecorded) {
-                when (val wait = patience.awaitModel(placement, model, reply.hasBegun)) {
-                    ModelWait.Ready, ModelWait.VersionGone, ModelWait.HomesGone -> continue
+                val wait = passing.unlessHandedOver(route) {
+                    patience.awaitModel(placement, model, reply.hasBegun)
+                }
+                when (wait) {
+                    null, ModelWait.Ready, ModelWait.VersionGone, ModelWait.HomesGone -> continue
                     is ModelWait.Refused ->
                         return refuse(placement.absentModelCode, wait.retryAfterMillis)
                 }
--- a/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/UpstreamSelection.kt
@@ -4,6 +4,7 @@
 import cactusfold.decisions.queue.WaitingRequest
 import cactusfold.decisions.rate.WarmingChoice
 import cactusfold.decisions.rate.WarmingPool
+import cactusfold.entry.passing.RequestPassing
 import cactusfold.entry.queueing.PlaceNeed
 import cactusfold.entry.queueing.PlaceResult
 import cactusfold.entry.queueing.RequestTimes
@@ -37,6 +38,7 @@
     private val request: CallerRequest,
     private val route: ServingRoute,
     private val placement: StreamPlacement,
+    private val passing: RequestPassing,
     private val times: RequestTimes,
     private val deadlineAtMillis: Long
 ) {
@@ -145,7 +147,7 @@
             Ending.MOVES_ON -> Selection.Again
             Ending.WAITS -> {
                 hasAsked = true
-                delay(waitMillis)
+                passing.unlessHandedOver(route) { delay(waitMillis) }
                 Selection.Again
             }
             Ending.REFUSED -> Selection.Refused("upstreams-limited", waitMillis)
@@ -160,7 +162,9 @@
         val startedAtMillis = dependencies.clock.nowMillis()
         val waiting = waitingRequest(candidates, startedAtMillis)
         val rank = RequestRank.of(waiting, startedAtMillis)
-        val result = dependencies.queues.places(placement.service).await(waiting, placeNeed())
+        val result = passing.unlessHandedOver(route) {
+            dependencies.queues.places(placement.service).await(waiting, placeNeed())
+        } ?: return Selection.Again
         val waitedMillis = dependencies.clock.nowMillis() - startedAtMillis
         dependencies.meters.recordQueued(PLACE, times.priority, waitedMillis)
         return when (result) {
--- a/entry/src/main/kotlin/cactusfold/entry/passing/PeerDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/passing/PeerDirectory.kt
@@ -28,6 +28,11 @@
     private var nextReadAtMillis = 0L
     private var reading: Job? = null
 
+    /** Reads the members if no peer is known, since requests will need one. */
+    public fun prepare() {
+        if (peers.isEmpty()) refresh()
+    }
+
     /**
      * Returns a peer for a request for [service] that is not in [tried], or null; waits for a read
      * only if none is known. Peers of other zones come first if it [leavesZone].
--- a/entry/src/main/kotlin/cactusfold/entry/passing/RequestPassing.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/passing/RequestPassing.kt
@@ -9,6 +9,7 @@
 import cactusfold.entry.callers.UpstreamRequest
 import cactusfold.entry.config.RouteTable
 import cactusfold.entry.process.EventLog
+import cactusfold.entry.queueing.ServiceTimes
 import cactusfold.node.time.MonotonicClock
 import cactusfold.ports.serving.HeaderTranslator
 import cactusfold.ports.serving.Repeatability
@@ -19,6 +20,7 @@
  * Collaborators of [RequestPassing] that are shared by all requests.
  *
  * @property isCut whether this process reaches no upstream of a service.
+ * @property times how long requests take at upstreams.
  */
 public class PassingDependencies(
     public val vm: String,
@@ -28,18 +30,28 @@
     public val table: () -> RouteTable?,
     public val translator: HeaderTranslator,
     public val clock: MonotonicClock,
+    public val times: ServiceTimes,
     public val events: EventLog,
     public val metrics: MeterRegistry
 ) {
+    /** What becomes of requests once this process stops. */
+    public val handover: Handover = Handover()
+
     internal fun count(outcome: String): Unit =
         metrics.counter("cactusfold.requests.passed.on", "outcome", outcome).increment()
 }
 
-/** Has a peer serve one request whose service this process does not reach. */
+/**
+ * Has a peer serve one request whose service this process does not reach, or which it has not sent
+ * when it stops.
+ *
+ * @param isSent whether an upstream may have had the request.
+ */
 public class RequestPassing(
     private val dependencies: PassingDependencies,
     private val request: CallerRequest,
-    private val reply: CallerReply
+    private val reply: CallerReply,
+    private val isSent: () -> Boolean
 ) {
     private val clock = dependencies.clock
 
@@ -50,6 +62,9 @@
     /** When peers may be asked again after all of them were cut off as well. */
     private var nextAskAtMillis = 0L
 
+    /** Whether peers were asked because this process stops. */
+    private var hasAskedAtStop = false
+
     /** Whether [serveIfCut] would not leave a request for [service] to this process now. */
     public fun isNeeded(service: String): Boolean = dependencies.isCut(service) &&
         (request.passedBy != null || clock.nowMillis() >= nextAskAtMillis)
@@ -62,12 +77,75 @@
     public suspend fun serveIfCut(route: ServingRoute, service: String): RequestOutcome? = when {
         !isNeeded(service) -> null
         request.passedBy != null -> refused("not-passed")
-        else -> serve(route, service)
+        else -> when (val asked = ask(route, service, "cut")) {
+            is Asked.Served -> asked.outcome
+            Asked.NoPeer -> refused("no-peer")
+            Asked.AllCut -> {
+                nextAskAtMillis = clock.nowMillis() + ASK_AGAIN_MILLIS
+                dependencies.count("no-peer-reaches")
+                null
+            }
+        }
+    }
+
+    /**
+     * Serves through a peer a request that this process has not sent, though it stops soon. Returns
+     * null, and it surely did not run, if there is time for it here, or if no peer takes it.
+     */
+    public suspend fun serveIfCutShort(route: ServingRoute, service: String): RequestOutcome? {
+        val handover = dependencies.handover
+        if (!handover.hasBegun || hasAskedAtStop || !handover.isCutShort(deadlineMillis(route))) {
+            return null
+        }
+        hasAskedAtStop = true
+        return serveAtStop(route, service)
+    }
+
+    /**
+     * Serves through a peer a request that this process, which stops, does not take. Returns null,
+     * and it surely did not run, if no peer takes it or its answer would not be back in time.
+     */
+    public suspend fun serveAtStop(route: ServingRoute, service: String): RequestOutcome? {
+        if (request.passedBy != null) return null
+        if (!isBackInTime(route)) {
+            dependencies.count("stopping-too-late")
+            return null
+        }
+        val asked = ask(route, service, "stopping")
+        if (asked !is Asked.Served) dependencies.count("stopping-no-peer")
+        return (asked as? Asked.Served)?.outcome
     }
 
-    private suspend fun serve(route: ServingRoute, service: String): RequestOutcome? {
+    /**
+     * Returns the result of [wait], a wait of this request here. Null if the request is to be passed
+     * on meanwhile, because this process stops.
+     */
+    public suspend fun <T : Any> unlessHandedOver(route: ServingRoute?, wait: suspend () -> T): T? =
+        if (route == null || request.passedBy != null || isSent()) {
+            wait()
+        } else {
+            dependencies.handover.unlessBegun(deadlineMillis(route), wait)
+        }
+
+    /** One that may not run again is passed on only if there is time for its whole target. */
+    private fun isBackInTime(route: ServingRoute): Boolean {
+        val handover = dependencies.handover
+        val answersUntilMillis = handover.answersUntilMillis ?: return false
+        if (!handover.isCutShort(deadlineMillis(route))) return true
+        val observedMillis = dependencies.times.totalMillis(route.name)
+        val neededMillis = when {
+            observedMillis == 0L || !route.mayRunAgain -> maxOf(observedMillis, route.targetMillis)
+            else -> observedMillis
+        }
+        return answersUntilMillis - RETURN_MILLIS - clock.nowMillis() >= neededMillis
+    }
+
+    private fun deadlineMillis(route: ServingRoute): Long {
         val callerMillis = request.facts.requestTimeoutMillis ?: route.timeoutMillis
-        val untilMillis = request.arrivedAtMillis + minOf(route.timeoutMillis, callerMillis)
+        return request.arrivedAtMillis + minOf(route.timeoutMillis, callerMillis)
+    }
+
+    private suspend fun ask(route: ServingRoute, service: String, reason: String): Asked {
         val workspace = request.facts.key?.let { dependencies.table()?.workspace(it) }
         reply.held.describe(
             request.facts.id,
@@ -80,13 +158,13 @@
         while (tried.size - cutPeers < MAX_PEERS && tried.size < MAX_ASKED) {
             val peer = dependencies.peers.choose(tried, service, leavesZone = cutPeers > 0) ?: break
             tried += peer.vm
-            val end = passTo(peer, route, untilMillis)
+            val end = passTo(peer, route, reason)
             if (!end.isSuccess && end !is SendEnd.Whole) recordFailed(peer, end)
             dependencies.count(labelOf(end))
             when (end) {
-                SendEnd.Streamed -> return RequestOutcome.Answered(null)
-                is SendEnd.Whole -> return RequestOutcome.Answered(end)
-                is SendEnd.Broken -> return broken()
+                SendEnd.Streamed -> return Asked.Served(RequestOutcome.Answered(null))
+                is SendEnd.Whole -> return Asked.Served(RequestOutcome.Answered(end))
+                is SendEnd.Broken -> return Asked.Served(broken())
                 is SendEnd.NotRun -> if (end.reason == NO_UPSTREAM_REACHED) {
                     cutPeers++
                     peer.recordCut(service, clock.nowMillis() + CUT_PAUSE_MILLIS)
@@ -96,18 +174,18 @@
                 SendEnd.Unsent -> Unit
             }
         }
-        if (cutPeers == 0 || cutPeers < tried.size) return refused("no-peer")
-        nextAskAtMillis = clock.nowMillis() + ASK_AGAIN_MILLIS
-        dependencies.count("no-peer-reaches")
-        return null
+        return if (cutPeers == 0 || cutPeers < tried.size) Asked.NoPeer else Asked.AllCut
     }
 
-    private suspend fun passTo(peer: Peer, route: ServingRoute, untilMillis: Long): SendEnd {
+    private suspend fun passTo(peer: Peer, route: ServingRoute, reason: String): SendEnd {
+        val answersUntilMillis = dependencies.handover.answersUntilMillis ?: Long.MAX_VALUE
+        val untilMillis = minOf(deadlineMillis(route), answersUntilMillis)
         val leftMillis = (untilMillis - clock.nowMillis() - RETURN_MILLIS).coerceAtLeast(1)
         dependencies.events.write(
             "passed-on",
             "request" to request.facts.id,
             "peer" to peer.vm,
+            "reason" to reason,
             "in_flight" to peer.inFlight,
             "left_ms" to leftMillis
         )
@@ -168,6 +246,17 @@
         SendEnd.Unsent -> "unsent"
     }
 
+    /** What came of asking peers. */
+    private sealed interface Asked {
+        class Served(val outcome: RequestOutcome) : Asked
+
+        /** All peers that were asked are cut off from the service as well. */
+        data object AllCut : Asked
+
+        /** No peer took the request. */
+        data object NoPeer : Asked
+    }
+
     public companion object {
         /** Code of a refusal because neither this process nor a peer reaches an upstream. */
         public const val NO_UPSTREAM_REACHED: String = "no-upstream-reached"
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerServerTest.kt
@@ -11,6 +11,7 @@
 import cactusfold.entry.process.EventLog
 import cactusfold.entry.process.StoredRows
 import cactusfold.entry.queueing.RequestQueues
+import cactusfold.entry.queueing.ServiceTimes
 import cactusfold.entry.rate.FleetPlace
 import cactusfold.entry.rate.GrantMember
 import cactusfold.entry.rate.RateTolerance
@@ -185,6 +186,7 @@
                 { null },
                 WireHeaders,
                 clock,
+                ServiceTimes(),
                 events,
                 registry
             )
--- a/entry/src/test/kotlin/cactusfold/entry/passing/PassingFixture.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/passing/PassingFixture.kt
@@ -69,7 +69,11 @@
             }
         }
 
-        fun stop(): Unit = runBlocking(vertx.orCreateContext.dispatcher()) { process.stop() }
+        /** Stops the process as a SIGTERM does that was sent [signaledAgoMillis] before. */
+        fun stop(signaledAgoMillis: Long = 0): Unit =
+            runBlocking(vertx.orCreateContext.dispatcher()) {
+                process.stop(MonotonicClock.SYSTEM.nowMillis() - signaledAgoMillis)
+            }
 
         fun metrics(): List<String> = HttpClient.newHttpClient().send(
             HttpRequest.newBuilder(URI("http://127.0.0.1:$metricsPort/metrics")).build(),
--- a/entry/src/test/kotlin/cactusfold/entry/passing/PeerDirectoryTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/passing/PeerDirectoryTest.kt
@@ -67,6 +67,19 @@
 
     @Nested
     inner class Reads {
+        // Guards against a process that stops and waits for the store with each first request.
+        @Test
+        fun `members are read before the first request if none is known`() {
+            peers.prepare()
+            time.advance(READ_MILLIS)
+            val choosing = scope.async { peers.choose(emptySet(), "s") }
+            time.advance(READ_MILLIS - 1)
+            assertEquals("vm2", choosing.getCompleted()?.vm)
+            time.advance(60_000)
+            peers.prepare()
+            assertEquals(1, reads)
+        }
+
         @Test
         fun `members are read only for requests, and at most every two seconds`() {
             time.advance(60_000)
