A late stream is not passed on by a VM that stops, if it could be cut

By reading: a stream that arrives on a kept connection when the process takes nothing more was passed on if the average time of its route fitted. One that took longer would be cut at the end of the drain, where before it was refused as not run. A held stream got the end of the drain as its deadline, so the peer cut it just before the last sixth of the time to stop.

Change: a late stream is passed on only if its whole time limit fits; a held one keeps its own deadline and goes on until the connections are closed.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -49,7 +49,7 @@
     }
 
     /** Serves a request that this process, which stops, does not take; null if no peer does. */
-    public suspend fun passOn(): RequestOutcome? = throughPeer(passing::serveAtStop)
+    public suspend fun passOn(): RequestOutcome? = throughPeer(passing::serveNew)
 
     /** Serves a request through a peer, which admits it and spends its tokens. */
     private suspend fun throughPeer(
--- a/entry/src/main/kotlin/cactusfold/entry/passing/RequestPassing.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/passing/RequestPassing.kt
@@ -98,16 +98,26 @@
             return null
         }
         hasAskedAtStop = true
-        return serveAtStop(route, service)
+        return serveAtStop(route, service, isBackInTime(route))
     }
 
     /**
      * Serves through a peer a request that this process, which stops, does not take. Returns null,
-     * and it surely did not run, if no peer takes it or its answer would not be back in time.
+     * and it surely did not run, if no peer takes it or its answer would not be back in time: a
+     * stream that does not end by then would be cut, so its whole time has to fit.
      */
-    public suspend fun serveAtStop(route: ServingRoute, service: String): RequestOutcome? {
+    public suspend fun serveNew(route: ServingRoute, service: String): RequestOutcome? {
+        val mayBeCut = route.isStream && dependencies.handover.isCutShort(deadlineMillis(route))
+        return serveAtStop(route, service, !mayBeCut && isBackInTime(route))
+    }
+
+    private suspend fun serveAtStop(
+        route: ServingRoute,
+        service: String,
+        isBackInTime: Boolean
+    ): RequestOutcome? {
         if (request.passedBy != null) return null
-        if (!isBackInTime(route)) {
+        if (!isBackInTime) {
             dependencies.count("stopping-too-late")
             return null
         }
@@ -177,9 +187,16 @@
         return if (cutPeers == 0 || cutPeers < tried.size) Asked.NoPeer else Asked.AllCut
     }
 
+    /** When the peer has to answer; a stream goes on until this process closes its connection. */
+    private fun answerUntilMillis(route: ServingRoute): Long {
+        val answersUntilMillis = dependencies.handover.answersUntilMillis
+        val deadlineMillis = deadlineMillis(route)
+        if (answersUntilMillis == null || route.isStream) return deadlineMillis
+        return minOf(deadlineMillis, answersUntilMillis)
+    }
+
     private suspend fun passTo(peer: Peer, route: ServingRoute, reason: String): SendEnd {
-        val answersUntilMillis = dependencies.handover.answersUntilMillis ?: Long.MAX_VALUE
-        val untilMillis = minOf(deadlineMillis(route), answersUntilMillis)
+        val untilMillis = answerUntilMillis(route)
         val leftMillis = (untilMillis - clock.nowMillis() - RETURN_MILLIS).coerceAtLeast(1)
         dependencies.events.write(
             "passed-on",
