--- a/entry/src/test/kotlin/cactusfold/entry/passing/StoppingPathTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/passing/StoppingPathTest.kt
@@ -146,7 +146,7 @@
 
         // Guards against requests that wait to the end of a process for what a peer has.
         @Test
-        fun `a request that waits for its model is passed on when the process takes nothing more`() {
+        fun `a request that waits for its model is passed on when the process takes no more`() {
             engine.loadMillis = 60_000
             fixture.register("vm0", peer.port)
             val waiting = connect(member)
