Unread answers are cut only by a check on time

An answer could be cut right after a pause of the process: the check that came first found the bytes of the last one unsent and the idle timeout over, though the caller might have read all the while.

A check that comes later than two intervals after the one before now cuts nothing; the next one does, if still nothing has been sent.

CallerConnectionsTest, "an answer is not cut before it could be sent on after a pause of the process", failed before (cut at the first check) and passes. The checks on answers that are cut are unchanged and pass.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerConnections.kt
@@ -33,6 +33,7 @@
     private val activity = Channel<Unit>(Channel.CONFLATED)
     private val excess = Channel<Unit>(Channel.CONFLATED)
     private val endedInputs = EndedInputs(clock, events)
+    private var unreadCheckedAtMillis = clock.nowMillis()
 
     /** A request until its answer has been sent; [id] is null if the caller stated none. */
     public class OpenRequest internal constructor(
@@ -218,16 +219,21 @@
         }
     }
 
-    /** Cuts answers of which their callers read nothing, since these occupy memory. */
+    /**
+     * Cuts answers of which their callers read nothing, since these occupy memory. After a pause of
+     * this process, an answer is first given the time until the next check to go on.
+     */
     internal fun cutUnread() {
         val nowMillis = clock.nowMillis()
+        val isLate = nowMillis - unreadCheckedAtMillis > LATE_CHECK_MILLIS
+        unreadCheckedAtMillis = nowMillis
         for ((connection, state) in states.toList()) {
             val unsentBytes = output.unsentBytes(connection)
             val unread = state.requests.filter { it.isAnswered }
             if (unread.isEmpty() || unsentBytes != state.unsentBytes) {
                 state.unsentBytes = unsentBytes
                 state.unreadSinceMillis = nowMillis
-            } else if (nowMillis - state.unreadSinceMillis >= limits.idleMillis) {
+            } else if (!isLate && nowMillis - state.unreadSinceMillis >= limits.idleMillis) {
                 unread.forEach { events.write("answer-unread", "request" to it.id) }
                 recordClosed("unread")
                 output.cut(connection)
@@ -275,6 +281,7 @@
 
     private companion object {
         const val CHECK_INTERVAL_MILLIS = 500L
+        const val LATE_CHECK_MILLIS = 2 * CHECK_INTERVAL_MILLIS
 
         /** Many times as long as the event loop takes to read what has arrived. */
         const val READ_MILLIS = 50L
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CallerConnectionsTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CallerConnectionsTest.kt
@@ -183,6 +183,24 @@
         assertFalse(isCut)
     }
 
+    // Guards against an answer that is cut right after a pause of the process, in which its caller
+    // may have read.
+    @Test
+    fun `an answer is not cut before it could be sent on after a pause of the process`() {
+        val request = connections.requestStarted(connection, "a")
+        unsentBytes = 100
+        connections.answerEnded(request)
+        cutUnreadAt(5_000)
+        cutUnreadAt(9_000)
+        assertFalse(isCut)
+        unsentBytes = 50
+        cutUnreadAt(9_500)
+        cutUnreadAt(10_000)
+        assertFalse(isCut)
+        cutUnreadAt(10_500)
+        assertTrue(isCut)
+    }
+
     // Guards against the end of one request that hides an answer which is not read.
     @Test
     fun `an unread answer is cut although another request of its connection has ended`() {
