Refusals reach callers that are still sending

The refusals of large heads (431, 414) and late bodies (408) were followed by a close at once or after 50 ms. What the caller went on to send reset the connection, and with it the refusal that it had not read yet.

The close of a connection whose caller is within a head or a body, or whose head was refused, now ends the output first and drops what arrives, for at most a second and 1 MiB, until the caller closes as well. A connection that is to be reset, or whose answer is cut, is closed at once as before.

LingeringCloseTest failed before for all three refusals (Broken pipe) and passes now, with its check that a caller who sends without end is closed.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerExchange.kt
@@ -143,7 +143,7 @@
             log.error("request {} ended without an answer", facts.id)
             closeConnection()
         } else if (reply.closesAfter) {
-            reply.whenSent(::closeConnection)
+            reply.whenSent { VertxConnectionOutput.end(request.connection()) }
         }
     }
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerHeadDecoder.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerHeadDecoder.kt
@@ -28,6 +28,9 @@
     private var isRefused = false
     private var headBytes = 0L
 
+    /** Whether the caller may be sending something that is not read as a whole request. */
+    val isUnfinished: Boolean get() = isRefused || isInHead || isInBody
+
     /** Bytes of a chunk's size line, or of trailers, since the last content of the body. */
     private var framingBytes = 0L
 
--- a/entry/src/main/kotlin/cactusfold/entry/callers/VertxConnectionInput.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/VertxConnectionInput.kt
@@ -34,6 +34,7 @@
             val channel = (connection as ConnectionBase).channel()
             val decoder = CallerHeadDecoder(options, maxHeadBytes, heads)
             channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            channel.pipeline().addFirst(LingeringClose(decoder::isUnfinished))
             channel.pipeline().replace(DECODER, DECODER, decoder)
             channel.pipeline().addAfter(DECODER, INPUT_END, InputEndHandler(heads))
             val address = connection.remoteAddress()?.host().orEmpty()
--- a/entry/src/main/kotlin/cactusfold/entry/callers/VertxConnectionOutput.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/VertxConnectionOutput.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelOption
 import io.vertx.core.http.HttpConnection
 import io.vertx.core.net.impl.ConnectionBase
@@ -18,6 +19,16 @@
             ?.setOption(ChannelOption.SO_LINGER, lingerSeconds)
     }
 
+    /** Closes [connection], whose caller may still be sending, after what was written is sent. */
+    fun end(connection: HttpConnection) {
+        when (connection) {
+            is ConnectionBase -> connection.channel().pipeline().run {
+                writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { close() }
+            }
+            else -> connection.close()
+        }
+    }
+
     /** Closes below the handler whose own close would first wait for what is left. */
     override fun cut(connection: HttpConnection) {
         when (connection) {
