--- a/entry/src/main/kotlin/cactusfold/entry/callers/CallerHeadDecoder.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/CallerHeadDecoder.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpLineException
@@ -30,6 +31,7 @@
     private val check: HeadCheck
 ) : VertxHttpRequestDecoder(options) {
     private val lines = HeadLines()
+    private val chunks = ChunkLines()
     private var isInHead = false
     private var isRefused = false
     private var headBytes = 0L
@@ -40,6 +42,9 @@
     /** The request whose body is decoded; null for none. */
     private var current: HttpRequest? = null
 
+    /** Whether the caller may be sending something that is not read as a whole request. */
+    val isUnfinished: Boolean get() = isRefused || isInHead || current != null
+
     /** Bytes of a chunk's size line, or of trailers, since the last content of the body. */
     private var framingBytes = 0L
 
@@ -79,7 +84,16 @@
         out: MutableList<Any>
     ) {
         val unreadBytes = input.readableBytes()
+        val from = input.readerIndex()
         super.decode(context, input, out)
+        if (HttpUtil.isTransferEncodingChunked(request)) {
+            chunks.read(input, from)
+            if (chunks.isMalformed) {
+                out.forEach(ReferenceCountUtil::release)
+                out.clear()
+                return refuseBody(request, input, out)
+            }
+        }
         val last = out.lastOrNull()
         if (last != null) {
             framingBytes = 0
@@ -149,6 +163,7 @@
     private fun endHead(head: HttpRequest, out: MutableList<Any>) {
         head.protocolVersion = HttpVersion.valueOf(version)
         current = head.takeIf { out.last() !is LastHttpContent }
+        chunks.reset()
         leaveHead()
     }
 
--- a/entry/src/test/kotlin/cactusfold/entry/path/RequestFramingTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/RequestFramingTest.kt
@@ -223,6 +223,9 @@
             "-1\r\nab\r\n0\r\n\r\n",
             "FFFFFFFFFFFFFFFFF\r\nab\r\n0\r\n\r\n",
             "2\nab\r\n0\r\n\r\n",
+            " 2\r\nab\r\n0\r\n\r\n",
+            "2 2\r\nab\r\n0\r\n\r\n",
+            "2\r\r\nab\r\n0\r\n\r\n",
             "2\r\nabc\r\n0\r\n\r\n",
             "2\r\nab\r\n\r\n0\r\n\r\n",
             "2\r\nab\r\n0\r\nX\u0000: y\r\n\r\n"
