--- a/entry/src/test/kotlin/cactusfold/entry/passing/StoppingPathTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/passing/StoppingPathTest.kt
@@ -169,7 +169,7 @@
             assertEquals(CallEnd.Answered(200, EVENT, closes = true), waiting.receive())
             // A stream that is cut by the peer would be cut before the last sixth of the stop.
             val leftMillis =
-                RawPeer.headerOf(peer.heads.single(), "Cactusfold-Deadline-Ms")!!.toLong()
+                RawPeer.headerOf(peer.heads.single(), HeaderNames.DEADLINE_MS)!!.toLong()
             assertTrue(leftMillis in 7_000..LIMIT_MILLIS, "$leftMillis ms left")
         }
 
