A connection that is closed already can be cut again

What was seen: a NullPointerException in the log of two runs of tests, without a failed test: the pipeline of a closed connection has no first handler. Change: nothing is done then. No test of its own.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/VertxConnectionOutput.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/VertxConnectionOutput.kt
@@ -29,10 +29,13 @@
         }
     }
 
-    /** Closes below the handler whose own close would first wait for what is left. */
+    /**
+     * Closes below the handler whose own close would first wait for what is left. A connection that
+     * is closed already has no handlers.
+     */
     override fun cut(connection: HttpConnection) {
         when (connection) {
-            is ConnectionBase -> connection.channel().pipeline().firstContext().close()
+            is ConnectionBase -> connection.channel().pipeline().firstContext()?.close()
             else -> connection.close()
         }
     }
