A begun stream leaves a silent upstream before its caller does

Found by a review, by reading: callers may leave a stream that pauses for two seconds, and a stream at an upstream that is gone was moved after 2.5 s.

Change: it is moved after 1.5 s, and a silent upstream is asked for its start for 2 s.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -426,8 +426,11 @@
         const val MISDIRECTED = 421
         const val SERVER_ERROR = 500
 
-        /** Silence after which a begun stream is moved; a sound upstream may be silent for a second. */
-        const val MIN_MOVE_SILENT_MILLIS = 2_500L
+        /**
+         * Silence after which a begun stream is moved. A sound upstream may be silent for a second
+         * or so, and callers leave a stream that pauses for two at the earliest.
+         */
+        const val MIN_MOVE_SILENT_MILLIS = 1_500L
 
         /** Number of sends after which a request that no upstream executed is refused. */
         const val MAX_SENDS = 4
--- a/entry/src/main/kotlin/cactusfold/entry/streams/StartCheck.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/streams/StartCheck.kt
@@ -110,6 +110,6 @@
         const val MAX_FAILURES = 2
 
         /** Sound upstreams may be silent for a second or so. */
-        const val MAX_SILENT_MILLIS = 3_000L
+        const val MAX_SILENT_MILLIS = 2_000L
     }
 }
