Logs say on what the record of a runner's memory rests

The three hypotheses about the overloaded runner predict different sources of the change before it: an answer 421 on the coordinator's VM, an order that counts as accepted by a number alone, or a registration. No line showed any of them. Now runner-holdings names the source and the runner's count of orders, order-acknowledged what the report lists, and model-missing the model and adapter of a 421. No decision is changed; built, no test run.

--- a/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/callers/RequestFlow.kt
@@ -357,8 +357,7 @@
                         if (end.isRefused) dependencies.suspects.recordEnded(upstream.start)
                     }
                     MISDIRECTED -> {
-                        request.facts.model
-                            ?.let { upstream.recordMissing(it, request.facts.adapter, nowMillis) }
+                        request.facts.model?.let { recordMissing(upstream, it, nowMillis) }
                             ?: recordReplaced(upstream, nowMillis)
                         dependencies.directory.markOutdated()
                     }
@@ -390,6 +389,17 @@
         }
     }
 
+    private fun recordMissing(upstream: Upstream, model: String, nowMillis: Long) {
+        upstream.recordMissing(model, request.facts.adapter, nowMillis)
+        dependencies.events.write(
+            "model-missing",
+            "request" to request.facts.id,
+            "upstream" to upstream.entry.id,
+            "model" to model,
+            "adapter" to request.facts.adapter
+        )
+    }
+
     /** Another process answers at the address of [upstream]. */
     private fun recordReplaced(upstream: Upstream, nowMillis: Long) {
         upstream.recordFailure(nowMillis)
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
@@ -27,6 +27,7 @@
     private val clock = dependencies.clock
     private val client = RunnerOrderClient(upstream, dependencies)
     private val lastUsedMillis = HashMap<String, Long>()
+    private val holdingsLog = HoldingsLog(upstream.entry.id, dependencies.events)
     private var ledger = ResidencyLedger()
 
     /** Whether the runner's state has been read since this process became the coordinator. */
@@ -62,7 +63,11 @@
     ): RunnerState {
         inFlight.keys.forEach { lastUsedMillis[it] = nowMillis }
         // The announced state may be as old as one announcement interval and one poll.
-        ledger = ledger.said(upstream.adaptersByModel, nowMillis - ANNOUNCEMENT_LAG_MILLIS)
+        record(
+            ledger.said(upstream.adaptersByModel, nowMillis - ANNOUNCEMENT_LAG_MILLIS),
+            HoldingsSource.ANNOUNCEMENT,
+            orderCount = null
+        )
         if (!isSynced) availability.unsynced(nowMillis)
         val isBackingOff = availability.isBackingOff(nowMillis)
         val fresh = report?.takeIf { nowMillis - reportedAtMillis < ANNOUNCEMENT_LAG_MILLIS }
@@ -101,7 +106,11 @@
             val askedAtMillis = clock.nowMillis()
             val current = client.sync()
             if (current == null) return delay(SYNC_RETRY_MILLIS)
-            ledger = ledger.said(current.adaptersByModel, askedAtMillis - REPORT_LAG_MILLIS)
+            record(
+                ledger.said(current.adaptersByModel, askedAtMillis - REPORT_LAG_MILLIS),
+                HoldingsSource.REPORT,
+                current.acceptedOrderCount
+            )
             report = current
             reportedAtMillis = askedAtMillis
             isSynced = true
@@ -112,6 +121,11 @@
         }
     }
 
+    private fun record(next: ResidencyLedger, source: HoldingsSource, orderCount: Long?) {
+        holdingsLog.replaced(ledger.adaptersByModel, next.adaptersByModel, source, orderCount)
+        ledger = next
+    }
+
     /** Records [step] before its execution, so that the next plan takes it into account. */
     fun recordStart(step: ResidencyOrder, nowMillis: Long) {
         when (step) {
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
@@ -116,7 +116,10 @@
                     val newer = report.acceptedOrderCount - expected
                     if (newer == 0L) continue
                     // Only the order whose reply was lost has been accepted since.
-                    if (isUnanswered && newer == 1L) return acknowledged(report.acceptedOrderCount)
+                    if (isUnanswered && newer == 1L) {
+                        logAcknowledged(order, report)
+                        return acknowledged(report.acceptedOrderCount)
+                    }
                     // A runner's count never falls, so a higher one can't become the expected one;
                     // a lower one may be that of an old report or of a runner that has restarted.
                     if (newer < 0 && conflicts < CONFLICTS_BEFORE_OUT_OF_SYNC) continue
@@ -145,6 +148,17 @@
         return dependencies.orders.report(upstream.entry).reportOrNull
     }
 
+    private fun logAcknowledged(order: RunnerOrder, report: RunnerReport) {
+        dependencies.events.write(
+            "order-acknowledged",
+            "upstream" to upstream.entry.id,
+            "order" to order.toString(),
+            "orders" to report.acceptedOrderCount,
+            "busy" to report.isBusy,
+            "models" to report.adaptersByModel.keys.joinToString()
+        )
+    }
+
     private fun mayOrder(): Boolean = dependencies.mayOrder() && !upstream.isEvacuated
 
     private fun acknowledged(accepted: Long): OrderResult {
