A runner over its adapter slots gets no further adapter

Callers of adapters lose their runner if it is ordered to hold more than it has places for. With more adapters on the books than places, one was unloaded and another one loaded, which leaves as many as before. No adapter is ordered now until enough places are free. The new test of the planner fails without the line.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/AdapterRoom.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/AdapterRoom.kt
@@ -17,6 +17,8 @@
         if (freeSlots(runner) > 0 && missingMegabytes <= 0) {
             return ResidencyOrder.LoadAdapter(runner.id, model, adapter, null)
         }
+        // One eviction frees one slot, which is not enough for a runner that holds too many.
+        if (freeSlots(runner) < 0) return null
         val evicted = idleAdapters(runner)
             .firstOrNull { (owner, _) -> megabytesOf(owner) >= missingMegabytes } ?: return null
         return ResidencyOrder.LoadAdapter(runner.id, model, adapter, evicted)
--- a/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyRoomTest.kt
+++ b/decisions/src/test/kotlin/cactusfold/decisions/residency/ResidencyRoomTest.kt
@@ -95,6 +95,14 @@
             )
         }
 
+        // Guards against an adapter too many on a runner that has to unload more than one.
+        @Test
+        fun `a runner over its adapter slots gets no adapter`() {
+            val runners = listOf(runner("r1", held("a" to setOf("x", "y", "w"))))
+            val plan = planner.plan(view(runners, listOf(demand("a", adapter = "z"))), now)
+            assertEquals(emptyList(), plan.steps.filterIsInstance<ResidencyOrder.LoadAdapter>())
+        }
+
         @Test
         fun `a long load avoids runners that need adapter loads`() {
             val runners = listOf(
