The books of a runner's memory rest on its reports and the orders that it accepted

Callers lost streams with a runner that was ordered to load more than it holds (LIMIT). What may be sent to a runner and what takes its memory were one value, written by own orders, rows, reports and answers to requests, and dated by the time at which it was read. Five ways from there to an overload are shown by RunnerMemoryTest, which failed before in these tests: answers 421, a refused unload, a row that lists less, a count that a late order of another coordinator had raised and that was taken for the answer to a lost unload, and an adapter that is unloaded only when its requests have ended.

An order states a count of accepted orders, and the runner refuses it at any other. ResidencyLedger therefore holds what is in memory as of one count, and changes only by a report, which states its count, and by an accepted order. An order is sent if it fits beside that; after any other outcome the report is read first. An order without a reply counts as accepted if a report shows its effect. Rows, and requests that wait for what a runner seems to have, only have the report read. An answer 421 keeps requests away for 0.1 s, doubled in a row, and says nothing of memory. A start whose row lapses keeps its loader and its ledger, and gets no orders meanwhile.

RunnerOrderClientTest: the stand-in now reports the models that it accepted; that its count alone acknowledged an order was the fault. UpstreamTest: the cases about missing models hold as before at the time of the answer, and two are new. The tests of the ledger are replaced, as its facts are; RunnerOrder moves to decisions, where the ledger reads it.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/EvictionChoice.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/EvictionChoice.kt
@@ -84,12 +84,8 @@
             (replicas[model] ?: 0) > 1 &&
             view.runners.any { it.id != runner.id && model in it.served }
 
-    /** A model that is no longer configured has unknown size and counts as filling the runner. */
-    private fun residentMegabytes(runner: RunnerState, model: String): Double {
-        val cost = bounds.models[model] ?: return bounds.weightMegabytes
-        return cost.weightMegabytes +
-            runner.adaptersByModel[model].orEmpty().size * cost.adapterMegabytes
-    }
+    private fun residentMegabytes(runner: RunnerState, model: String): Double =
+        bounds.megabytesOf(model, runner.adaptersByModel[model].orEmpty().size)
 
     companion object {
         /**
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyLedger.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyLedger.kt
@@ -10,58 +10,108 @@
 import kotlinx.collections.immutable.toPersistentSet
 
 /**
- * Models and adapters that occupy, or may occupy, a runner's memory.
+ * Models and adapters in the memory of one start of a runner, dated by the number of orders that
+ * the runner has accepted.
  *
- * A load is recorded before its order is sent, so that memory is accounted for even if the outcome
- * of the order stays unknown.
+ * An order states the count that it was planned for, and the runner refuses it at any other count.
+ * An order is therefore safe if it fits beside what the ledger holds as of that count, whoever else
+ * sends orders. Only reports and accepted orders change the ledger, since only they belong to a
+ * known count.
  *
- * @property changedAtMillis when an order was last recorded.
+ * @property adaptersByModel what is in memory once [orderCount] orders are accepted, or more.
+ * @property orderCount the count that the next order has to state; null if [adaptersByModel] does
+ *   not belong to a known count, so that no order may be sent.
+ * @property provenCount the highest count that the runner has stated.
+ * @property unconfirmedAdapterOrders accepted orders for adapters that may still be in progress.
  */
 public data class ResidencyLedger(
     public val adaptersByModel: PersistentMap<String, PersistentSet<String>> = persistentMapOf(),
-    public val changedAtMillis: Long = Long.MIN_VALUE / 2
+    public val orderCount: Long? = null,
+    public val provenCount: Long = 0,
+    public val unconfirmedAdapterOrders: Int = 0
 ) {
-    /** Records that [model] is about to be loaded. */
-    public fun loading(model: String, nowMillis: Long): ResidencyLedger = ResidencyLedger(
-        adaptersByModel.put(model, adaptersByModel[model] ?: persistentSetOf()),
-        nowMillis
-    )
-
-    /** Records that [adapter] of [model] is about to be loaded. */
-    public fun loadingAdapter(model: String, adapter: String, nowMillis: Long): ResidencyLedger {
-        val adapters = adaptersByModel[model] ?: persistentSetOf()
-        return ResidencyLedger(adaptersByModel.put(model, adapters.add(adapter)), nowMillis)
+    /** Returns whether the runner has room for what [order] takes, if it is accepted next. */
+    public fun hasRoomFor(order: RunnerOrder, bounds: RunnerBounds): Boolean = when (order) {
+        is RunnerOrder.Unload, is RunnerOrder.UnloadAdapter -> true
+        is RunnerOrder.Load, is RunnerOrder.LoadAdapter -> with(order).fits(bounds)
     }
 
-    /** Records that the runner accepted the order to unload [model]. */
-    public fun unloaded(model: String, nowMillis: Long): ResidencyLedger =
-        ResidencyLedger(adaptersByModel.remove(model), nowMillis)
+    private fun fits(bounds: RunnerBounds): Boolean =
+        adaptersByModel.entries.sumOf { bounds.megabytesOf(it.key, it.value.size) } <=
+            bounds.weightMegabytes &&
+            adaptersByModel.values.sumOf { it.size } <= bounds.adapterSlots
+
+    /**
+     * Returns the ledger after the runner has accepted [order], which stated [expected].
+     *
+     * @param isDone whether the runner has said that an adapter is unloaded already; the reply does
+     *   not prove that it counted the order. Otherwise requests may still use the adapter. A model
+     *   that is being unloaded needs no such distinction: the runner accepts no order meanwhile.
+     */
+    public fun accepted(order: RunnerOrder, expected: Long, isDone: Boolean): ResidencyLedger {
+        if (provenCount > expected) return this
+        val isAdapterOrder = order is RunnerOrder.LoadAdapter ||
+            order is RunnerOrder.UnloadAdapter &&
+            !isDone
+        val after = if (order is RunnerOrder.UnloadAdapter && !isDone) this else with(order)
+        return after.copy(
+            orderCount = expected + 1,
+            provenCount = if (isDone) provenCount else expected + 1,
+            unconfirmedAdapterOrders = unconfirmedAdapterOrders + if (isAdapterOrder) 1 else 0
+        )
+    }
 
-    /** Records that [adapter] of [model] was unloaded. */
-    public fun unloadedAdapter(model: String, adapter: String, nowMillis: Long): ResidencyLedger {
-        val adapters = adaptersByModel[model] ?: return this
-        return ResidencyLedger(adaptersByModel.put(model, adapters.remove(adapter)), nowMillis)
+    /** Returns the ledger after the runner has said that what [order] loads is in memory. */
+    public fun alreadyLoaded(order: RunnerOrder): ResidencyLedger = when (order) {
+        is RunnerOrder.Load, is RunnerOrder.LoadAdapter -> with(order)
+        is RunnerOrder.Unload, is RunnerOrder.UnloadAdapter -> this
     }
 
+    /** Returns the ledger while it is not known whether the runner has accepted an order. */
+    public fun outdated(): ResidencyLedger = copy(orderCount = null)
+
     /**
-     * Merges the runner's report of its loaded [models].
-     *
-     * A report that is certainly newer than the last order replaces the recorded state. One that
-     * may be older only adds to it, because it may lack the effect of that order.
+     * Returns the ledger after a report of [models] as of [count] accepted orders.
      *
-     * @param earliestReportMillis earliest time that the reported state can date from, with the
-     *   report's lag subtracted.
+     * @param isSettled whether no order is in progress, so that the report lists all that takes
+     *   memory.
      */
-    public fun said(
+    public fun reported(
         models: ImmutableMap<String, ImmutableSet<String>>,
-        earliestReportMillis: Long
-    ): ResidencyLedger {
-        val reported = models.mapValues { (_, adapters) -> adapters.toPersistentSet() }
-            .toPersistentMap()
-        if (earliestReportMillis > changedAtMillis) return copy(adaptersByModel = reported)
-        val union = reported.entries.fold(adaptersByModel) { recorded, (model, adapters) ->
-            recorded.put(model, (recorded[model] ?: persistentSetOf()).addAll(adapters))
-        }
-        return copy(adaptersByModel = union)
+        count: Long,
+        isSettled: Boolean
+    ): ResidencyLedger = when {
+        count < provenCount -> this
+        isSettled -> ResidencyLedger(
+            models.mapValues { (_, adapters) -> adapters.toPersistentSet() }.toPersistentMap(),
+            count,
+            count
+        )
+        count == orderCount -> this
+        else -> copy(orderCount = null, provenCount = count)
+    }
+
+    /** Returns whether the ledger is as [order] leaves it. */
+    public fun reflects(order: RunnerOrder): Boolean = with(order) == this
+
+    private fun with(order: RunnerOrder): ResidencyLedger {
+        val adapters = adaptersByModel[order.model]
+        return copy(
+            adaptersByModel = when (order) {
+                is RunnerOrder.Load ->
+                    adaptersByModel.put(order.model, adapters ?: persistentSetOf())
+                is RunnerOrder.Unload -> adaptersByModel.remove(order.model)
+                is RunnerOrder.LoadAdapter -> adaptersByModel.put(
+                    order.model,
+                    (adapters ?: persistentSetOf()).add(order.adapter)
+                )
+                is RunnerOrder.UnloadAdapter ->
+                    if (adapters == null) {
+                        adaptersByModel
+                    } else {
+                        adaptersByModel.put(order.model, adapters.remove(order.adapter))
+                    }
+            }
+        )
     }
 }
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -45,7 +45,16 @@
     public val storeLoadsAtOnce: Int,
     public val overheadMillis: Long,
     public val models: ImmutableMap<String, ModelCost>
-)
+) {
+    /**
+     * Returns the memory of [model] with a number of its [adapters]. A model that is no longer
+     * configured has unknown size and counts as filling the runner.
+     */
+    public fun megabytesOf(model: String, adapters: Int): Double {
+        val cost = models[model] ?: return weightMegabytes
+        return cost.weightMegabytes + adapters * cost.adapterMegabytes
+    }
+}
 
 /**
  * State of a runner as known to the lease holder.
--- a/entry/src/main/kotlin/cactusfold/entry/residency/HoldingsLog.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/HoldingsLog.kt
@@ -1,47 +1,34 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.residency.ResidencyLedger
 import cactusfold.entry.process.EventLog
-import kotlinx.collections.immutable.ImmutableMap
-import kotlinx.collections.immutable.ImmutableSet
 
-/** What a change of the recorded contents of a runner's memory rests on. */
-internal enum class HoldingsSource(val label: String) {
-    /** A report of the runner. */
-    REPORT("report"),
-
-    /** A registration, a message of another process, or an answer to a request. */
-    ANNOUNCEMENT("announcement")
-}
-
-/** Logs changes of what the coordinator has recorded in a runner's memory. */
+/** Logs and counts reports that differ from what the coordinator has recorded of a runner. */
 internal class HoldingsLog(private val upstream: String, private val events: EventLog) {
-    /**
-     * Logs that [before] was replaced by [after] because of [source].
-     *
-     * @param orderCount the runner's count of accepted orders that [after] belongs to; null if the
-     *   source does not state one.
-     */
-    fun replaced(
-        before: ImmutableMap<String, ImmutableSet<String>>,
-        after: ImmutableMap<String, ImmutableSet<String>>,
-        source: HoldingsSource,
-        orderCount: Long?
-    ) {
+    /** Called with whether a report lists more than was recorded for its count of orders. */
+    var onCorrected: (isShort: Boolean) -> Unit = {}
+
+    /** Logs that a report has replaced [before] by [after]. */
+    fun replaced(before: ResidencyLedger, after: ResidencyLedger) {
         val removed = names(before) - names(after)
         val added = names(after) - names(before)
         if (removed.isEmpty() && added.isEmpty()) return
+        // At the same count, a report may list less, once adapters are unloaded, but never more.
+        val isShort = before.orderCount == after.orderCount && added.isNotEmpty()
+        onCorrected(isShort)
         events.write(
             "runner-holdings",
             "upstream" to upstream,
-            "source" to source.label,
-            "orders" to orderCount,
+            "orders_before" to before.orderCount,
+            "orders" to after.orderCount,
             "removed" to removed.joinToString(),
-            "added" to added.joinToString()
+            "added" to added.joinToString(),
+            "was_short" to isShort
         )
     }
 
-    private fun names(holdings: ImmutableMap<String, ImmutableSet<String>>): Set<String> =
-        holdings.flatMapTo(mutableSetOf()) { (model, adapters) ->
+    private fun names(ledger: ResidencyLedger): Set<String> =
+        ledger.adaptersByModel.flatMapTo(mutableSetOf()) { (model, adapters) ->
             listOf(model) + adapters.map { "$model/$it" }
         }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadCoordinator.kt
@@ -50,6 +50,8 @@
 
     init {
         dependencies.onReply = meters::replied
+        dependencies.onWithheld = meters::withheld
+        dependencies.onCorrected = meters::corrected
     }
 
     /** Called with each upstream whose loaded models or adapters changed. */
@@ -92,6 +94,7 @@
             if (!gate.mayPlan(known, reachable.size, nowMillis)) continue
             val usesPriorities = current.config.usesPriorities(service.name)
             val view = viewOf(engine, reachable, usesPriorities, nowMillis)
+            doubtUnserved(view, reachable)
             execute(view, planner.plan(view, nowMillis), nowMillis)
         }
     }
@@ -117,6 +120,13 @@
         loaders.filter { it.needsSync }.forEach { scope.launch(jobs) { it.sync() } }
     }
 
+    /** Doubts runners that seem to serve what requests wait for. */
+    private fun doubtUnserved(view: ResidencyView, loaders: List<RunnerLoader>) {
+        for (demand in view.demands.filter { it.waiting > 0 }) {
+            loaders.filter { it.seemsToServe(demand.model, demand.adapter) }.forEach { it.doubt() }
+        }
+    }
+
     private fun viewOf(
         engine: EngineSpec,
         reachable: List<RunnerLoader>,
@@ -152,7 +162,9 @@
 
     private fun loaderOf(upstream: Upstream): RunnerLoader {
         val known = loaders[upstream.entry.id]
-        if (known != null && known.upstream === upstream) return known
+        if (known != null && known.upstream.start == upstream.start) {
+            return known.also { it.follow(upstream) }
+        }
         return RunnerLoader(
             upstream,
             dependencies,
@@ -191,7 +203,7 @@
                 logPlanned(step, view)
             }
             loader.recordStart(step, nowMillis)
-            scope.launch(jobs) { loader.execute(step) }
+            scope.launch(jobs) { loader.execute(step, view.bounds) }
         }
         val forecasts = forecastsOf(plan, nowMillis) + versionForecastsOf(plan, nowMillis)
         if (forecasts.isNotEmpty()) onForecasts(forecasts)
--- a/entry/src/main/kotlin/cactusfold/entry/residency/LoadMeters.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/LoadMeters.kt
@@ -41,4 +41,18 @@
         }
         registry.counter("cactusfold.orders", "reply", label).increment()
     }
+
+    /** Counts an order that is not sent, as the runner has no room for it. */
+    internal fun withheld() {
+        registry.counter("cactusfold.orders.withheld").increment()
+    }
+
+    /**
+     * Counts a report that differs from what was recorded of the runner; [isShort] if it lists more
+     * for the same count of orders, which endangers the runner.
+     */
+    internal fun corrected(isShort: Boolean) {
+        val label = if (isShort) "short" else "other"
+        registry.counter("cactusfold.runner.holdings.corrected", "kind", label).increment()
+    }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerLoader.kt
@@ -1,12 +1,12 @@
 package cactusfold.entry.residency
 
-import cactusfold.decisions.residency.ResidencyLedger
 import cactusfold.decisions.residency.ResidencyOrder
+import cactusfold.decisions.residency.RunnerBounds
+import cactusfold.decisions.residency.RunnerOrder
 import cactusfold.decisions.residency.RunnerState
 import cactusfold.decisions.residency.StoreConcurrency
 import cactusfold.decisions.residency.WeightSource
 import cactusfold.entry.upstream.Upstream
-import cactusfold.ports.serving.RunnerOrder
 import cactusfold.ports.serving.RunnerReport
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.ImmutableSet
@@ -16,9 +16,14 @@
 import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.coroutines.delay
 
-/** Executes the planned loads on one runner and tracks what it has loaded. */
+/**
+ * Executes the planned loads on one start of a runner.
+ *
+ * What takes memory is recorded by [RunnerOrderClient], and what requests may be sent for by
+ * [Upstream]: the latter may be wrong for a while, at the cost of a refused request.
+ */
 internal class RunnerLoader(
-    val upstream: Upstream,
+    upstream: Upstream,
     private val dependencies: OrderDependencies,
     private val overhead: LoadOverhead,
     private val storeConcurrency: StoreConcurrency,
@@ -27,33 +32,68 @@
     private val clock = dependencies.clock
     private val client = RunnerOrderClient(upstream, dependencies)
     private val lastUsedMillis = HashMap<String, Long>()
-    private val holdingsLog = HoldingsLog(upstream.entry.id, dependencies.events)
-    private var ledger = ResidencyLedger()
-
-    /** Whether the runner's state has been read since this process became the coordinator. */
-    var isSynced = false
-        private set
     private var isSyncing = false
     private var activeLoad: ResidencyOrder.Load? = null
+    private var activeAdapter: ResidencyOrder.LoadAdapter? = null
     private var loadedAtMillis = 0L
     private val availability = OrderAvailability()
-    private var adapterOrders = 0
     private var lastResult = OrderResult.ACCEPTED
     private var report: RunnerReport? = null
     private var reportedAtMillis = Long.MIN_VALUE / 2
+    private var isDoubted = false
+    private var doubtedAtMillis = Long.MIN_VALUE / 2
+    private var comparedEntry = upstream.entry
 
     /** Time of last use of each (model, adapter) pair. */
     val adapterUsedMillis = HashMap<Pair<String, String>, Long>()
 
+    /** The runner's registration. */
+    val upstream: Upstream get() = client.upstream
+
+    /** Whether the runner's state has been read since it became unknown. */
+    val isSynced: Boolean get() = client.isSynced
+
     /**
      * Whether the runner may be loading from the store on an order of the previous coordinator. Its
      * report says that it is busy, but not with what.
      */
     private val mayLoadForOthers: Boolean get() = !isSynced && client.isReportedBusy
 
-    /** Whether [sync] has to be called before orders can be sent. */
+    private val isIdle: Boolean get() = activeLoad == null && activeAdapter == null
+
+    /** Whether the runner may have as many adapters in transit as engines allow. */
+    private val hasAdaptersInTransit: Boolean
+        get() = client.ledger.unconfirmedAdapterOrders >= MAX_ADAPTERS_IN_TRANSIT
+
+    /** Whether [sync] has to be called: before orders can be sent, or since the state is doubted. */
     val needsSync: Boolean
-        get() = !isSynced && !isSyncing && availability.maySync(clock.nowMillis())
+        get() = when {
+            isSyncing -> false
+            !isSynced -> availability.maySync(clock.nowMillis())
+            else -> isIdle && (isDoubted || hasAdaptersInTransit)
+        }
+
+    /** Follows the registration of the same start, which has lapsed and returned. */
+    fun follow(returned: Upstream) {
+        client.upstream = returned
+    }
+
+    /**
+     * Has the runner's state read again, because requests wait for what it seems to serve. Says
+     * nothing about its memory.
+     */
+    fun doubt() {
+        val nowMillis = clock.nowMillis()
+        if (nowMillis - maxOf(reportedAtMillis, doubtedAtMillis) < DOUBT_INTERVAL_MILLIS) return
+        doubtedAtMillis = nowMillis
+        isDoubted = true
+    }
+
+    /** Whether requests for [model], with [adapter] if not null, seem to be served. */
+    fun seemsToServe(model: String, adapter: String?): Boolean {
+        val adapters = upstream.adaptersByModel[model] ?: return false
+        return adapter == null || adapter in adapters
+    }
 
     /** Returns the planner's view of the runner, which accepts [requestsPerSecond] if not null. */
     fun state(
@@ -62,15 +102,10 @@
         nowMillis: Long
     ): RunnerState {
         inFlight.keys.forEach { lastUsedMillis[it] = nowMillis }
-        // The announced state may be as old as one announcement interval and one poll.
-        record(
-            ledger.said(upstream.adaptersByModel, nowMillis - ANNOUNCEMENT_LAG_MILLIS),
-            HoldingsSource.ANNOUNCEMENT,
-            orderCount = null
-        )
+        compareRegistration()
         if (!isSynced) availability.unsynced(nowMillis)
         val isBackingOff = availability.isBackingOff(nowMillis)
-        val fresh = report?.takeIf { nowMillis - reportedAtMillis < ANNOUNCEMENT_LAG_MILLIS }
+        val fresh = report?.takeIf { nowMillis - reportedAtMillis < REPORT_VALID_MILLIS }
         return RunnerState(
             id = upstream.entry.id,
             served = if (availability.isSilent(nowMillis)) {
@@ -78,19 +113,19 @@
             } else {
                 upstream.adaptersByModel
             },
-            adaptersByModel = ledger.adaptersByModel,
+            adaptersByModel = plannedHoldings(),
             modelsInHostMemory = fresh?.modelsInHostMemory ?: upstream.entry.modelsInHostMemory,
             modelsOnDisk = fresh?.modelsOnDisk ?: upstream.entry.modelsOnDisk,
             loading = activeLoad?.model,
             loadedAtMillis = loadedAtMillis,
             loadsFromStore = activeLoad?.source == WeightSource.STORE || mayLoadForOthers,
-            isBusy = activeLoad != null || !isSynced || isBackingOff,
-            adapterOrders = adapterOrders,
+            isBusy = activeLoad != null || !isSynced || isBackingOff || hasAdaptersInTransit,
+            adapterOrders = if (activeAdapter == null) 0 else 1,
             inFlight = inFlight.toImmutableMap(),
             lastUsedMillis = lastUsedMillis.toImmutableMap(),
             requestsPerSecond = requestsPerSecond,
             softwareVersion = upstream.entry.softwareVersion,
-            freeAtMillis = if (adapterOrders > 0) {
+            freeAtMillis = if (activeAdapter != null) {
                 nowMillis + ADAPTER_LOAD_MILLIS
             } else {
                 availability.freeAtMillis(nowMillis)
@@ -99,33 +134,40 @@
         )
     }
 
+    /** What is in memory, with the adapter whose order is being executed. */
+    private fun plannedHoldings(): ImmutableMap<String, ImmutableSet<String>> {
+        val planned = activeAdapter ?: return client.ledger.adaptersByModel
+        return client.ledger
+            .alreadyLoaded(RunnerOrder.LoadAdapter(planned.model, planned.adapter))
+            .adaptersByModel
+    }
+
+    /** A registration may be older than the last order, so it only has the report read. */
+    private fun compareRegistration() {
+        if (upstream.entry === comparedEntry) return
+        comparedEntry = upstream.entry
+        if (upstream.entry.adaptersByModel.keys != client.ledger.adaptersByModel.keys) {
+            isDoubted = true
+        }
+    }
+
     /** Reads the runner's state, before the first order and whenever the state became unknown. */
     suspend fun sync() {
         isSyncing = true
+        isDoubted = false
         try {
             val askedAtMillis = clock.nowMillis()
             val current = client.sync()
             if (current == null) return delay(SYNC_RETRY_MILLIS)
-            record(
-                ledger.said(current.adaptersByModel, askedAtMillis - REPORT_LAG_MILLIS),
-                HoldingsSource.REPORT,
-                current.acceptedOrderCount
-            )
             report = current
             reportedAtMillis = askedAtMillis
-            isSynced = true
             availability.synced()
-            setHoldings(current.adaptersByModel)
+            if (isIdle) setHoldings(current.adaptersByModel)
         } finally {
             isSyncing = false
         }
     }
 
-    private fun record(next: ResidencyLedger, source: HoldingsSource, orderCount: Long?) {
-        holdingsLog.replaced(ledger.adaptersByModel, next.adaptersByModel, source, orderCount)
-        ledger = next
-    }
-
     /** Records [step] before its execution, so that the next plan takes it into account. */
     fun recordStart(step: ResidencyOrder, nowMillis: Long) {
         when (step) {
@@ -133,28 +175,26 @@
                 activeLoad = step
                 loadedAtMillis = nowMillis + step.loadMillis + overhead.millis
             }
-            is ResidencyOrder.LoadAdapter -> {
-                adapterOrders++
-                ledger = ledger.loadingAdapter(step.model, step.adapter, nowMillis)
-            }
+            is ResidencyOrder.LoadAdapter -> activeAdapter = step
         }
     }
 
-    /** Executes [step], for which [recordStart] was called before. */
-    suspend fun execute(step: ResidencyOrder) {
+    /** Executes [step], for which [recordStart] was called before, within [bounds]. */
+    suspend fun execute(step: ResidencyOrder, bounds: RunnerBounds) {
         when (step) {
-            is ResidencyOrder.Load -> load(step)
-            is ResidencyOrder.LoadAdapter -> loadAdapter(step)
+            is ResidencyOrder.Load -> load(step, bounds)
+            is ResidencyOrder.LoadAdapter -> loadAdapter(step, bounds)
         }
     }
 
-    private suspend fun load(step: ResidencyOrder.Load) {
+    private suspend fun load(step: ResidencyOrder.Load, bounds: RunnerBounds) {
         val began = clock.nowMillis()
         var evictedAtMillis = began
         var isLoaded = false
         try {
-            isLoaded = evict(step.evicted).also { evictedAtMillis = clock.nowMillis() } &&
-                order(RunnerOrder.Load(step.model)).also { if (it) recordStoreLoad(step) } &&
+            isLoaded = evict(step.evicted, bounds).also { evictedAtMillis = clock.nowMillis() } &&
+                order(RunnerOrder.Load(step.model), bounds)
+                    .also { if (it) recordStoreLoad(step) } &&
                 awaitModel(step)
             val endedAtMillis = clock.nowMillis()
             if (isLoaded) recordDuration(step, endedAtMillis - evictedAtMillis)
@@ -171,6 +211,7 @@
         } finally {
             storeConcurrency.dropped(step.runner, clock.nowMillis())
             activeLoad = null
+            if (!isLoaded) client.outdated()
             lastUsedMillis[step.model] = clock.nowMillis()
             if (isLoaded) availability.completed() else backOff()
         }
@@ -191,10 +232,22 @@
         overhead.record(step.loadMillis, tookMillis)
     }
 
-    private suspend fun evict(models: List<String>): Boolean {
+    private suspend fun evict(models: List<String>, bounds: RunnerBounds): Boolean {
+        if (models.isNotEmpty() && !awaitAdapters()) return false
         for (model in models) {
             setHoldings((upstream.adaptersByModel - model).toImmutableMap())
-            if (!order(RunnerOrder.Unload(model))) return false
+            if (!order(RunnerOrder.Unload(model), bounds)) return false
+        }
+        return true
+    }
+
+    /** Waits until no adapter is in transit, which may be one of a model that is to be unloaded. */
+    private suspend fun awaitAdapters(): Boolean {
+        val untilMillis = clock.nowMillis() + MAX_ADAPTER_WAIT_MILLIS
+        while (client.ledger.unconfirmedAdapterOrders > 0) {
+            lastResult = OrderResult.OUT_OF_SYNC
+            if (clock.nowMillis() >= untilMillis) return false
+            if (client.sync() == null) delay(SYNC_RETRY_MILLIS)
         }
         return true
     }
@@ -232,50 +285,39 @@
         }
     }
 
-    private suspend fun loadAdapter(step: ResidencyOrder.LoadAdapter) {
+    private suspend fun loadAdapter(step: ResidencyOrder.LoadAdapter, bounds: RunnerBounds) {
         var isLoaded = false
         try {
-            isLoaded = evictAdapter(step.evicted) &&
-                order(RunnerOrder.LoadAdapter(step.model, step.adapter))
+            isLoaded = evictAdapter(step.evicted, bounds) &&
+                order(RunnerOrder.LoadAdapter(step.model, step.adapter), bounds)
             if (!isLoaded) return
             adapterUsedMillis[step.model to step.adapter] = clock.nowMillis()
             delay(ADAPTER_LOAD_MILLIS)
             setAdapters(step.model) { it + step.adapter }
         } finally {
-            adapterOrders--
+            activeAdapter = null
+            if (!isLoaded) client.outdated()
             if (isLoaded) availability.completed() else backOff()
         }
     }
 
-    private suspend fun evictAdapter(evicted: Pair<String, String>?): Boolean {
+    private suspend fun evictAdapter(
+        evicted: Pair<String, String>?,
+        bounds: RunnerBounds
+    ): Boolean {
         val (model, adapter) = evicted ?: return true
         setAdapters(model) { it - adapter }
-        return order(RunnerOrder.UnloadAdapter(model, adapter))
+        val order = RunnerOrder.UnloadAdapter(model, adapter)
+        if (!order(order, bounds)) return false
+        if (client.ledger.reflects(order)) return true
+        // Requests use the adapter, which keeps its place until they have ended.
+        lastResult = OrderResult.NOT_ACCEPTED
+        return false
     }
 
-    /**
-     * Sends [order]. Memory that it takes enters the ledger before the order is sent; memory that
-     * it frees leaves the ledger only once the runner has accepted the order.
-     */
-    private suspend fun order(order: RunnerOrder): Boolean {
-        val before = clock.nowMillis()
-        ledger = when (order) {
-            is RunnerOrder.Load -> ledger.loading(order.model, before)
-            is RunnerOrder.LoadAdapter -> ledger.loadingAdapter(order.model, order.adapter, before)
-            is RunnerOrder.Unload, is RunnerOrder.UnloadAdapter -> ledger
-        }
-        val result = client.send(order)
-        if (result == OrderResult.OUT_OF_SYNC) isSynced = false
-        lastResult = result
-        if (result != OrderResult.ACCEPTED) return false
-        val after = clock.nowMillis()
-        ledger = when (order) {
-            is RunnerOrder.Unload -> ledger.unloaded(order.model, after)
-            is RunnerOrder.UnloadAdapter ->
-                ledger.unloadedAdapter(order.model, order.adapter, after)
-            is RunnerOrder.Load, is RunnerOrder.LoadAdapter -> ledger.copy(changedAtMillis = after)
-        }
-        return true
+    private suspend fun order(order: RunnerOrder, bounds: RunnerBounds): Boolean {
+        lastResult = client.send(order, bounds)
+        return lastResult == OrderResult.ACCEPTED
     }
 
     private fun backOff() {
@@ -310,11 +352,17 @@
         /** Upper bound, with a margin, on an adapter's load time while few adapters are loading. */
         const val ADAPTER_LOAD_MILLIS = 40L
 
-        /** Announcement interval, propagation to the store, and one poll, with a margin. */
-        const val ANNOUNCEMENT_LAG_MILLIS = 4_000L
+        /** Adapters that may be in transit to a runner at a time, by the engines' contract. */
+        const val MAX_ADAPTERS_IN_TRANSIT = 4
+
+        /** How long a load waits for adapters in transit before it is planned again. */
+        const val MAX_ADAPTER_WAIT_MILLIS = 2_000L
+
+        /** How long a report tells better than the registration from where weights are loaded. */
+        const val REPORT_VALID_MILLIS = 4_000L
 
-        /** Maximum age of a report on arrival, by the engines' contract. */
-        const val REPORT_LAG_MILLIS = 800L
+        /** Minimum time between two reports that are read only because of a doubt. */
+        const val DOUBT_INTERVAL_MILLIS = 1_000L
         const val SYNC_RETRY_MILLIS = 200L
     }
 }
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -9,8 +9,6 @@
 import cactusfold.protocol.entry.Departure
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.ImmutableSet
-import kotlinx.collections.immutable.toImmutableMap
-import kotlinx.collections.immutable.toImmutableSet
 
 /** The model that a request uses, and the adapter if it needs one. */
 public data class ModelUse(public val model: String, public val adapter: String?)
@@ -31,6 +29,7 @@
     /** When the loaded models were last updated by a source newer than the announcements. */
     private var holdingsUpdatedAtMillis: Long = Long.MIN_VALUE / 2
 
+    private val missing = MissingModels()
     private val inFlightByUse = HashMap<ModelUse, Int>()
     private var latencyMillis = 0.0
     private var excludedUntilMillis = 0L
@@ -100,22 +99,19 @@
     }
 
     /** Records the upstream's answer that [model], or its [adapter], is not loaded. */
-    public fun recordMissing(model: String, adapter: String?, nowMillis: Long) {
-        val adapters = adaptersByModel[model] ?: return
-        val remaining = adaptersByModel.toMutableMap()
-        if (adapter != null && adapter in adapters) {
-            remaining[model] = (adapters - adapter).toImmutableSet()
-        } else {
-            remaining.remove(model)
-        }
-        holds(remaining.toImmutableMap(), nowMillis)
-    }
+    public fun recordMissing(model: String, adapter: String?, nowMillis: Long): Unit =
+        missing.record(ModelUse(model, adapter), nowMillis)
 
-    /** Returns whether [model] is in memory, with [adapter] if one is given. */
-    public fun serves(model: String?, adapter: String?): Boolean {
+    /**
+     * Returns whether requests for [model], with [adapter] if one is given, may be sent: it should
+     * be in memory, and no answer has said lately that it is not.
+     */
+    public fun serves(model: String?, adapter: String?, nowMillis: Long): Boolean {
         if (model == null) return true
         val adapters = adaptersByModel[model] ?: return false
-        return adapter == null || adapter in adapters
+        if (adapter != null && adapter !in adapters) return false
+        return !missing.isRecent(ModelUse(model, adapter), nowMillis) &&
+            !missing.isRecent(ModelUse(model, null), nowMillis)
     }
 
     /** Returns the tokens of in-flight requests of this process with [use]. */
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -232,7 +232,7 @@
         return upstreams.values.filter {
             it.entry.service == service &&
                 it.isUsable &&
-                it.serves(model, adapter) &&
+                it.serves(model, adapter, nowMillis) &&
                 !it.isDown(nowMillis)
         }
     }
--- a/entry/src/test/kotlin/cactusfold/entry/callers/CutHeadTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/CutHeadTest.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.decisions.residency.RunnerOrder
 import cactusfold.platform.HttpRunnerApi
 import cactusfold.platform.standin.AnswerFraming
 import cactusfold.platform.standin.ScriptedUpstream
@@ -12,7 +13,6 @@
 import cactusfold.ports.http.PlatformHttp
 import cactusfold.ports.serving.OrderAuthority
 import cactusfold.ports.serving.OrderReply
-import cactusfold.ports.serving.RunnerOrder
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
--- a/entry/src/test/kotlin/cactusfold/entry/callers/TornHeadTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/callers/TornHeadTest.kt
@@ -1,5 +1,6 @@
 package cactusfold.entry.callers
 
+import cactusfold.decisions.residency.RunnerOrder
 import cactusfold.platform.HttpRunnerApi
 import cactusfold.platform.standin.ScriptedUpstream
 import cactusfold.platform.standin.ScriptedUpstream.Companion.answer
@@ -11,7 +12,6 @@
 import cactusfold.ports.http.PlatformHttp
 import cactusfold.ports.serving.OrderAuthority
 import cactusfold.ports.serving.OrderReply
-import cactusfold.ports.serving.RunnerOrder
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
--- a/entry/src/test/kotlin/cactusfold/entry/path/RepeatedRefusalTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/path/RepeatedRefusalTest.kt
@@ -1,6 +1,7 @@
 package cactusfold.entry.path
 
 import cactusfold.decisions.rate.UpstreamStart
+import cactusfold.decisions.residency.RunnerOrder
 import cactusfold.platform.HttpRunnerApi
 import cactusfold.platform.UpstreamDecoder
 import cactusfold.platform.standin.RunnerBehavior
@@ -9,7 +10,6 @@
 import cactusfold.ports.serving.Decoded
 import cactusfold.ports.serving.OrderAuthority
 import cactusfold.ports.serving.OrderReply
-import cactusfold.ports.serving.RunnerOrder
 import cactusfold.ports.serving.UpstreamEntry
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
--- a/entry/src/test/kotlin/cactusfold/entry/residency/SimulatedOrders.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/SimulatedOrders.kt
@@ -1,10 +1,10 @@
 package cactusfold.entry.residency
 
+import cactusfold.decisions.residency.RunnerOrder
 import cactusfold.ports.serving.OrderAuthority
 import cactusfold.ports.serving.OrderReply
 import cactusfold.ports.serving.ReportReply
 import cactusfold.ports.serving.RunnerApi
-import cactusfold.ports.serving.RunnerOrder
 import cactusfold.ports.serving.UpstreamEntry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
--- a/ports/src/main/kotlin/cactusfold/ports/serving/UpstreamEntry.kt
+++ b/ports/src/main/kotlin/cactusfold/ports/serving/UpstreamEntry.kt
@@ -1,5 +1,6 @@
 package cactusfold.ports.serving
 
+import cactusfold.decisions.residency.RunnerOrder
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.ImmutableSet
 
@@ -55,25 +56,9 @@
     public val modelsOnDisk: ImmutableSet<String>,
     public val startedAtEpochMillis: Long? = null,
     public val coldMillis: Long? = null
-)
-
-/** An order to a runner to change which models or adapters it has loaded. */
-public sealed interface RunnerOrder {
-    public val model: String
-
-    /** Loads the model. */
-    public data class Load(override val model: String) : RunnerOrder
-
-    /** Unloads the model once its in-flight requests have ended. */
-    public data class Unload(override val model: String) : RunnerOrder
-
-    /** Loads an adapter of a model that is already loaded. */
-    public data class LoadAdapter(override val model: String, public val adapter: String) :
-        RunnerOrder
-
-    /** Unloads an adapter. */
-    public data class UnloadAdapter(override val model: String, public val adapter: String) :
-        RunnerOrder
+) {
+    /** Whether no order is in progress, so that the report lists all that takes memory. */
+    public val isSettled: Boolean get() = !isBusy && pendingAdapterLoads == 0
 }
 
 /**
