--- a/cli/src/main/kotlin/cactusfold/cli/logs/LineDescriptions.kt
+++ b/cli/src/main/kotlin/cactusfold/cli/logs/LineDescriptions.kt
@@ -25,6 +25,10 @@
             "${line.text("expected_ms")} ms"
         "model-load-failed" -> "upstream ${line.text("upstream")} did not load " +
             "${line.text("model")} within ${line.text("took_ms")} ms"
+        "model-missing" -> "upstream ${line.text("upstream")} answered that it has not loaded " +
+            modelName(line)
+        "order-withheld" -> "order ${line.text("order")} to upstream ${line.text("upstream")} " +
+            "was not sent: it has no room for it"
         "model-not-placed" -> "no load was ordered for " + modelName(line) + ": " +
             obstacle(line.text("obstacle"))
         else -> line.event + line.details.entries.joinToString("") { " ${it.key}=${it.value}" }
