An order to unload what is not there is not sent; a reused id keeps room for a late order

First: while adapters in transit were awaited, a report changed the ledger, and the adapter that the plan was to unload was gone; the reply that this changes nothing (200) was taken for an accepted unload, and a count assumed that a late order then made true. Such an order is planned for another count and not sent now. An adapter that a runner says it has may be in transit, and is awaited too. Second: an order states the id of a runner and not its start, so a late one reached the next start under that id at the count that it states. For 14 s after such a start is seen, an order is sent only if any one more would fit as well.

--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyLedger.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyLedger.kt
@@ -61,9 +61,11 @@
         )
     }
 
-    /** Returns the ledger with what [order] loads, at the same count. */
+    /** Returns the ledger with what [order] loads, which may be in progress, at the same count. */
     public fun including(order: RunnerOrder): ResidencyLedger = when (order) {
-        is RunnerOrder.Load, is RunnerOrder.LoadAdapter -> with(order)
+        is RunnerOrder.Load -> with(order)
+        is RunnerOrder.LoadAdapter ->
+            with(order).copy(unconfirmedAdapterOrders = unconfirmedAdapterOrders + 1)
         is RunnerOrder.Unload, is RunnerOrder.UnloadAdapter -> this
     }
 
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/ResidencyModel.kt
@@ -54,6 +54,13 @@
         val cost = models[model] ?: return weightMegabytes
         return cost.weightMegabytes + adapters * cost.adapterMegabytes
     }
+
+    /** Returns the bounds less what any one order may take. */
+    public fun lessAnyOrder(): RunnerBounds = copy(
+        weightMegabytes = weightMegabytes -
+            (models.values.maxOfOrNull { maxOf(it.weightMegabytes, it.adapterMegabytes) } ?: 0.0),
+        adapterSlots = adapterSlots - 1
+    )
 }
 
 /**
--- a/decisions/src/main/kotlin/cactusfold/decisions/residency/RunnerOrder.kt
+++ b/decisions/src/main/kotlin/cactusfold/decisions/residency/RunnerOrder.kt
@@ -4,6 +4,13 @@
 public sealed interface RunnerOrder {
     public val model: String
 
+    /** Whether the order frees memory. */
+    public val isUnload: Boolean
+        get() = when (this) {
+            is Unload, is UnloadAdapter -> true
+            is Load, is LoadAdapter -> false
+        }
+
     /** Loads the model. */
     public data class Load(override val model: String) : RunnerOrder
 
--- a/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/residency/RunnerOrderClient.kt
@@ -80,7 +80,9 @@
             var isUnanswered = false
             while (dependencies.clock.nowMillis() < deadlineMillis && mayOrder()) {
                 val expected = ledger.orderCount ?: return OrderResult.OUT_OF_SYNC
-                if (!ledger.hasRoomFor(order, bounds)) return withheld(order)
+                // A reply to an order that unloads nothing would not show what was accepted.
+                if (order.isUnload && ledger.reflects(order)) return OrderResult.OUT_OF_SYNC
+                if (!ledger.hasRoomFor(order, roomOf(bounds))) return withheld(order)
                 when (val reply = request(order, expected)) {
                     OrderReply.Accepted -> return accepted(order, expected, isDone = false)
                     OrderReply.AlreadySo -> return alreadySo(order, expected)
@@ -107,6 +109,16 @@
             unresolved(if (isAllowed) OrderResult.OUT_OF_SYNC else OrderResult.NOT_ACCEPTED)
         }
 
+    /**
+     * An order states the id of a runner and not its start. One that was sent to the start before
+     * may still be carried out, if this start reaches the count that it states.
+     */
+    private fun roomOf(bounds: RunnerBounds): RunnerBounds {
+        val sinceMillis = upstream.replacedAnotherAtMillis ?: return bounds
+        val isLatePossible = dependencies.clock.nowMillis() - sinceMillis < ORDER_TIMEOUT_MILLIS
+        return if (isLatePossible) bounds.lessAnyOrder() else bounds
+    }
+
     private suspend fun request(order: RunnerOrder, expected: Long): OrderReply {
         dependencies.onRequest(upstream)
         val reply = dependencies.orders
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/Upstream.kt
@@ -58,6 +58,9 @@
      */
     public var unregisteredAtMillis: Long? = null
 
+    /** When this start was first seen in place of another one under its id; null for a new id. */
+    public var replacedAnotherAtMillis: Long? = null
+
     /** Whether this start of the upstream receives no requests any more. */
     public val isGoing: Boolean get() = entry.isDraining || isLeaving
 
--- a/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
+++ b/entry/src/main/kotlin/cactusfold/entry/upstream/UpstreamDirectory.kt
@@ -443,6 +443,9 @@
             if (before != null && before != start) onStartReplaced(before)
             upstreams[entry.id] = Upstream(entry, eligibility).also {
                 it.isLeaving = start in leavingStarts
+                if (known != null || before != null && before != start) {
+                    it.replacedAnotherAtMillis = clock.nowMillis()
+                }
                 it.silence.onFirstPending = { pendingWake.trySend(Unit) }
                 resumePause(it)
             }
--- a/entry/src/test/kotlin/cactusfold/entry/residency/RunnerMemoryTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/RunnerMemoryTest.kt
@@ -265,6 +265,37 @@
         }
     }
 
+    @Nested
+    inner class ReusedIds {
+        // Guards against an order to the start before that a runner carries out at the same count.
+        @Test
+        fun `a start under a known id keeps room for a late order to the one before`() {
+            val runner = fleet.runner("i-1", "m1", "m2", "m3")
+            first.lead(1)
+            listOf("m4", "m5").forEach { first.load(it) }
+            second.read()
+            first.orders.faultOf = {
+                if (it is RunnerOrder.Load) OrderFault.Late(11_000) else OrderFault.None
+            }
+            fleet.want("m6")
+            first.run(500)
+            first.stop()
+            fleet.wantNothing()
+            runner.restart(downMillis = 100)
+            runner.loadMillis = 300
+            second.start(2)
+            second.run(200)
+            second.read()
+            listOf("m1", "m2", "m3").forEach { fleet.want(it) }
+            second.run(4_000)
+            listOf("a1", "a2", "a3").forEach { fleet.want("m1", it) }
+            second.run(25_000)
+            assertNoOverload()
+            assertTrue(runner.log.any { "Load(model=m6) at 5 by vm1: Accepted" in it }, fleet.log)
+            assertFalse(fleet.waits("m3"), fleet.log)
+        }
+    }
+
     @Nested
     inner class Coordinators {
         @Test
--- a/entry/src/test/kotlin/cactusfold/entry/residency/RunnerOrderClientTest.kt
+++ b/entry/src/test/kotlin/cactusfold/entry/residency/RunnerOrderClientTest.kt
@@ -131,6 +131,15 @@
             assertEquals(emptyList(), runner.sent)
         }
 
+        // Guards against a count that is assumed from the reply to an order that changes nothing.
+        @Test
+        fun `an order to unload what is not there is not sent`() = runBlocking {
+            client.sync()
+            val order = RunnerOrder.UnloadAdapter("a", "x")
+            assertEquals(OrderResult.OUT_OF_SYNC, client.send(order, bounds))
+            assertEquals(emptyList(), runner.sent)
+        }
+
         @Test
         fun `a refused order has the runner read before the next one`() = runBlocking {
             client.sync()
